--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# All targets set up the virtual environment first when it is missing.
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+PACKAGES = packages/core packages/daemon packages/cli packages/standins \
+	packages/proof
+STAMP = $(VENV)/.installed
+
+.PHONY: setup test lint format demo
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+		$(addprefix -e ,$(PACKAGES))
+	touch $(STAMP)
+
+# Each package's tests stand beside its code.
+test: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.run_tests
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+	$(BIN)/flake8 packages
+
+format: $(STAMP)
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
+
+demo: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.demo
--- /dev/null
+++ b/packages/cli/src/cardamompath_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line for operators and callers."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/packages/cli/src/cardamompath_cli/exits.py
@@ -0,0 +1,24 @@
+"""Exit codes of the command line."""
+
+from __future__ import annotations
+
+__all__ = [
+    "DONE",
+    "FAILED",
+    "PENDING",
+    "REFUSED",
+    "UNREACHABLE",
+    "USAGE",
+]
+
+DONE = 0
+REFUSED = 1
+"""Refused; nothing ran."""
+USAGE = 2
+"""Wrong arguments, settings or release note."""
+FAILED = 3
+"""The job failed; parts of it may have run."""
+UNREACHABLE = 4
+"""The instance gave no answer."""
+PENDING = 5
+"""The job has no answer yet."""
--- /dev/null
+++ b/packages/cli/src/cardamompath_cli/settings.py
@@ -0,0 +1,65 @@
+"""``cardamompath settings``: check and explain settings files."""
+
+from __future__ import annotations
+
+import sys
+from typing import Annotated
+
+import cappa
+from returns import pipeline
+
+from cardamompath_cli import exits
+from cardamompathd.settings import loading
+from cardamompathd.settings import table
+
+__all__ = [
+    "Check",
+    "Explain",
+    "Settings",
+    "check",
+    "explain",
+]
+
+
+def check(command: Check) -> int:
+    """Print every fault of the files."""
+    loaded = loading.load(command.files)
+    if pipeline.is_successful(loaded):
+        print("the settings are valid")
+        return exits.DONE
+    for fault in loaded.failure():
+        print(fault, file=sys.stderr)
+    return exits.USAGE
+
+
+def explain(command: Explain) -> int:
+    """Print the table of all settings."""
+    section = ""
+    for one in table.TABLE:
+        if one.section != section:
+            section = one.section
+            print(f"[{section}]")
+        given = "has to be given" if one.default is None else one.default
+        unit = f" {one.unit}" if one.unit else ""
+        print(f"{one.key} = {given}{unit}")
+        print(f"    {one.help} {one.kind}, {one.allowed}.")
+    return exits.DONE
+
+
+@cappa.command(invoke=check)
+class Check:
+    """Check settings files as a whole."""
+
+    files: Annotated[list[str], cappa.Arg(help="INI files; later win.")]
+
+
+@cappa.command(invoke=explain)
+class Explain:
+    """List every setting with its default, unit and bounds."""
+
+
+@cappa.command
+class Settings:
+    """Check and explain settings files."""
+
+    command: cappa.Subcommands[Check | Explain]
--- /dev/null
+++ b/packages/core/src/cardamompath_core/tests/test_outcomes.py
@@ -0,0 +1,26 @@
+import unittest
+
+from cardamompath_core import outcomes
+from cardamompath_core import types
+
+
+class JudgeTest(unittest.TestCase):
+    def check(self, verdict, **fields):
+        answer = types.BackendAnswer(**fields)
+        self.assertEqual(verdict, outcomes.judge(answer))
+
+    def test_no_connection_is_not_run(self):
+        self.check("not_run", phase="connect", error="refused")
+
+    def test_byte_sent_is_unknown(self):
+        self.check("unknown", phase="send", error="reset")
+        self.check("unknown", phase="answer", error="timed out")
+
+    def test_own_refusal_is_not_run(self):
+        self.check("not_run", phase="done", status=503, not_run=True)
+
+    def test_plain_503_failed(self):
+        self.check("failed", phase="done", status=503)
+
+    def test_success_finished(self):
+        self.check("finished", phase="done", status=200)
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -0,0 +1,214 @@
+"""Wires the tasks of one instance together."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import threading
+from typing import Any
+from typing import NamedTuple
+
+import loguru
+import pykka
+
+from cardamompath_core import identity
+from cardamompath_core import routing
+from cardamompathd import controllers
+from cardamompathd import filters
+from cardamompathd import messages
+from cardamompathd.backends import connections
+from cardamompathd.backends import pool
+from cardamompathd.callers import handlers
+from cardamompathd.callers import server
+from cardamompathd.filters import chain
+from cardamompathd.operators import handlers as operator_handlers
+from cardamompathd.platform import log_client
+from cardamompathd.platform import reader
+from cardamompathd.runtime import actors
+from cardamompathd.runtime import clocks
+from cardamompathd.runtime import timers
+
+__all__ = [
+    "Instance",
+    "start",
+]
+
+OPERATOR_THREADS = 4
+
+
+class Instance(NamedTuple):
+    """A running instance."""
+
+    owner: identity.Incarnation
+    callers: Any
+    operators: Any
+    drain: Any
+    """Waits until nothing is in flight; called with seconds."""
+
+
+class DispatchActor(actors.ControllerActor):
+    """Owns the jobs, the backend servers' state and their connections."""
+
+    def __init__(self, controllers, deliver, clock, limits):
+        super().__init__(controllers, self._deliver_or_start, clock)
+        self._elsewhere = deliver
+        self._pool = pool.make_pool(limits, self.actor_ref.tell, clock)
+
+    def on_receive(self, message):
+        """Take back the connection of an exchange that ended."""
+        if isinstance(message, connections.ConnectionEnded):
+            self._pool.release(message)
+            message = messages.Send(messages.BACKENDS, message.ended)
+        super().on_receive(message)
+
+    def _deliver_or_start(self, send):
+        if send.to == messages.CONNECTIONS:
+            self._pool.start(send.msg)
+            return
+        self._elsewhere(send)
+
+
+def start(cfg) -> Instance:
+    """Start an instance from checked settings.
+
+    Raises
+    ------
+    OSError
+        If a listener's address cannot be bound.
+    """
+    clock = clocks.boottime
+    owner = identity.Incarnation(
+        cfg["instance", "domain"],
+        cfg["instance", "name"],
+        secrets.token_hex(6),
+    )
+    table: dict[str, Any] = {
+        messages.CALLERS: lambda msg: msg.reply.set(msg.answer)
+    }
+    deliver = actors.make_router(table)
+    _start_controllers(cfg, owner, table, deliver, clock)
+    table[messages.TIMERS] = timers.start(deliver, clock).tell
+    asks = {
+        name: handlers.make_ask(table[name])
+        for name in (messages.JOBS, messages.BACKENDS, messages.CONFIGURATION)
+    }
+    callers, operators = _start_listeners(cfg, asks, clock)
+    _follow_log(cfg, table)
+    loguru.logger.info(
+        "instance: {} is up", identity.format_incarnation(owner)
+    )
+    return Instance(owner, callers, operators, _make_drain(asks))
+
+
+def _start_controllers(cfg, owner, table, deliver, clock):
+    limits = connections.ConnectionLimits(
+        cfg["backends", "connect_timeout"], cfg["backends", "idle_limit"]
+    )
+    dispatch = DispatchActor.start(
+        [
+            controllers.jobs.make_controller(
+                owner, cfg["callers", "answer_ttl"]
+            ),
+            controllers.backends.make_controller(routing.least_in_flight()),
+        ],
+        deliver,
+        clock,
+        limits,
+    )
+    configuration = actors.ControllerActor.start(
+        [controllers.configuration.make_controller()], deliver, clock
+    )
+    table[messages.JOBS] = _teller(dispatch, messages.JOBS)
+    table[messages.BACKENDS] = _teller(dispatch, messages.BACKENDS)
+    table[messages.CONFIGURATION] = _teller(
+        configuration, messages.CONFIGURATION
+    )
+
+
+def _teller(ref, name):
+    def tell(msg):
+        ref.tell(messages.Send(name, msg))
+
+    return tell
+
+
+def _start_listeners(cfg, asks, clock):
+    caller_chain = chain.compose(
+        (
+            filters.access.make_filter(clock),
+            filters.failures.answer_failures,
+            filters.bodies.make_filter(cfg["callers", "body_limit"]),
+        ),
+        handlers.make_handler(asks[messages.JOBS]),
+    )
+    operator_chain = chain.compose(
+        (
+            filters.access.make_filter(clock),
+            filters.failures.answer_failures,
+        ),
+        operator_handlers.make_handler(
+            asks[messages.JOBS],
+            asks[messages.BACKENDS],
+            asks[messages.CONFIGURATION],
+        ),
+    )
+    callers = _serve(
+        "callers",
+        cfg["callers", "listen"],
+        caller_chain,
+        server.ListenerLimits(threads=cfg["callers", "threads"]),
+    )
+    operators = _serve(
+        "operators",
+        cfg["operators", "listen"],
+        operator_chain,
+        server.ListenerLimits(threads=OPERATOR_THREADS),
+    )
+    return callers, operators
+
+
+def _serve(name, address, handler, limits):
+    listener = server.make_server(*address, handler, limits)
+    thread = threading.Thread(target=listener.serve, name=name, daemon=True)
+    thread.start()
+    return listener
+
+
+def _follow_log(cfg, table):
+    host, port = cfg["platform", "address"]
+    client = log_client.make_client(host, port, cfg["platform", "timeout"])
+    reader.start(
+        client,
+        "configuration",
+        table[messages.CONFIGURATION],
+        random.Random(),
+    )
+
+
+def _make_drain(asks):
+    def drain(wait):
+        return asks[messages.JOBS](messages.Drain, wait) is not None
+
+    return drain
+
+
+def stop(instance: Instance, grace: float) -> bool:
+    """Shut an instance down without cutting anything off.
+
+    Parameters
+    ----------
+    instance : Instance
+        The instance.
+    grace : float
+        Seconds that work in flight may take.
+
+    Returns
+    -------
+    bool
+        Whether everything in flight was answered.
+    """
+    drained = instance.drain(grace)
+    instance.callers.stop()
+    instance.operators.stop()
+    pykka.ActorRegistry.stop_all(block=False)
+    return drained
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/backends/__init__.py
@@ -0,0 +1,9 @@
+"""Backend servers over HTTP."""
+
+from cardamompathd.backends import connections
+from cardamompathd.backends import pool
+
+__all__ = [
+    "connections",
+    "pool",
+]
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/__init__.py
@@ -0,0 +1,11 @@
+"""Controllers: state of one kind each, changed only by messages."""
+
+from cardamompathd.controllers import backends
+from cardamompathd.controllers import configuration
+from cardamompathd.controllers import jobs
+
+__all__ = [
+    "backends",
+    "configuration",
+    "jobs",
+]
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/filters/__init__.py
@@ -0,0 +1,17 @@
+"""The filter chain that every request of a caller or operator passes.
+
+A filter is a function ``(req, call_next) -> Response``; a handler is a
+function ``(req) -> Response``.
+"""
+
+from cardamompathd.filters import access
+from cardamompathd.filters import bodies
+from cardamompathd.filters import chain
+from cardamompathd.filters import failures
+
+__all__ = [
+    "access",
+    "bodies",
+    "chain",
+    "failures",
+]
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/main.py
@@ -0,0 +1,61 @@
+"""The command ``cardamompathd``: one entry instance."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+
+import loguru
+from returns import pipeline
+
+from cardamompathd import app
+from cardamompathd.settings import loading
+from cardamompathd.telemetry import logs
+
+__all__ = [
+    "main",
+]
+
+GRACE = 60.0
+"""Seconds that work in flight may take at a shutdown."""
+
+EXIT_SETTINGS = 2
+EXIT_CUT_OFF = 3
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run an instance until SIGTERM or SIGINT.
+
+    Returns
+    -------
+    int
+        0 after a graceful shutdown, 2 for faulty settings, 3 if work
+        was cut off.
+    """
+    parser = argparse.ArgumentParser(prog="cardamompathd")
+    parser.add_argument("settings", nargs="+", help="INI files")
+    args = parser.parse_args(argv)
+    loaded = loading.load(args.settings)
+    if not pipeline.is_successful(loaded):
+        for fault in loaded.failure():
+            print(fault, file=sys.stderr)
+        return EXIT_SETTINGS
+    cfg = loaded.unwrap()
+    logs.configure(cfg["log", "level"], cfg["log", "format"])
+    signals = (signal.SIGTERM, signal.SIGINT)
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    instance = app.start(cfg)
+    received = signal.sigwait(signals)
+    loguru.logger.info(
+        "instance: {} received, draining", signal.Signals(received).name
+    )
+    if app.stop(instance, GRACE):
+        loguru.logger.info("instance: drained")
+        return 0
+    loguru.logger.error("instance: work was cut off")
+    return EXIT_CUT_OFF
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -0,0 +1,211 @@
+"""Messages between the tasks of one instance.
+
+Controllers receive messages and return `Send` items; the runtime
+delivers them.  ``reply`` fields are opaque to the controllers: what
+they get back is passed on in a `Reply`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+from typing import NamedTuple
+
+from cardamompath_core import types
+
+__all__ = [
+    "AwaitJob",
+    "BACKENDS",
+    "CALLERS",
+    "CONFIGURATION",
+    "CONNECTIONS",
+    "CancelJob",
+    "ConfigurationChanged",
+    "Controller",
+    "Drain",
+    "Drained",
+    "Enqueue",
+    "GetConfiguration",
+    "GetStatus",
+    "IssueJob",
+    "JOBS",
+    "NotOwner",
+    "RecordsRead",
+    "Reply",
+    "Send",
+    "SetTimer",
+    "StartTask",
+    "Submit",
+    "TIMERS",
+    "TaskEnded",
+    "TaskSettled",
+    "TimerFired",
+    "Withdraw",
+    "Withdrawn",
+]
+
+JOBS = "jobs"
+BACKENDS = "backends"
+CONFIGURATION = "configuration"
+CONNECTIONS = "connections"
+CALLERS = "callers"
+TIMERS = "timers"
+
+
+class Send(NamedTuple):
+    """A message and the name of the task that it is for."""
+
+    to: str
+    msg: Any
+
+
+class Controller(NamedTuple):
+    """State of one kind and the function that receives its messages."""
+
+    name: str
+    receive: Callable[[Any, float], Sequence[Send]]
+    """Called with a message and the present time."""
+
+
+class IssueJob(NamedTuple):
+    """Ask for a job identifier; nothing runs."""
+
+    reply: Any
+
+
+class Submit(NamedTuple):
+    """Submit a job, or a single request when `job` is empty."""
+
+    job: str
+    spec: types.JobSpec
+    reply: Any
+
+
+class AwaitJob(NamedTuple):
+    """Ask for the answer of a job as soon as there is one."""
+
+    job: str
+    reply: Any
+
+
+class CancelJob(NamedTuple):
+    """Stop a job; tasks that already started are awaited."""
+
+    job: str
+    reply: Any
+
+
+class NotOwner(NamedTuple):
+    """The job belongs to another incarnation."""
+
+    job: str
+
+
+class Reply(NamedTuple):
+    """An answer for whoever waits on `reply`."""
+
+    reply: Any
+    answer: Any
+
+
+class Enqueue(NamedTuple):
+    """Put the tasks of an accepted job in the queue."""
+
+    job: str
+    spec: types.JobSpec
+    deadline: float
+
+
+class Withdraw(NamedTuple):
+    """Take the queued tasks of a job out of the queue."""
+
+    job: str
+
+
+class Withdrawn(NamedTuple):
+    """The tasks that were taken out before they started."""
+
+    job: str
+    indexes: tuple[int, ...]
+
+
+class StartTask(NamedTuple):
+    """Send a task to a backend server."""
+
+    backend: types.BackendSpec
+    task: types.TaskRef
+    service: str
+    kind: str
+    payload: bytes
+    timeout: float
+    """Seconds until the exchange is given up."""
+
+
+class TaskEnded(NamedTuple):
+    """An exchange with a backend server ended."""
+
+    backend: str
+    task: types.TaskRef
+    answer: types.BackendAnswer
+
+
+class TaskSettled(NamedTuple):
+    """The final result of a task."""
+
+    task: types.TaskRef
+    result: types.TaskResult
+
+
+class SetTimer(NamedTuple):
+    """Ask for `TimerFired` at a time."""
+
+    at: float
+    to: str
+    key: Any
+
+
+class TimerFired(NamedTuple):
+    """A timer that was set came due."""
+
+    key: Any
+
+
+class RecordsRead(NamedTuple):
+    """Records of a stream in log order."""
+
+    stream: str
+    records: tuple[tuple[int, dict[str, Any]], ...]
+    """Offsets and records."""
+    oldest: int
+    """Oldest offset that the log still keeps."""
+    head: int
+    """Offset that the next append will get."""
+
+
+class ConfigurationChanged(NamedTuple):
+    """A newer configuration is in force."""
+
+    cfg: types.Configuration
+
+
+class GetConfiguration(NamedTuple):
+    """Ask for the configuration in force."""
+
+    reply: Any
+
+
+class GetStatus(NamedTuple):
+    """Ask a controller for a summary of its state."""
+
+    reply: Any
+
+
+class Drain(NamedTuple):
+    """Take no new work; reply when nothing is left in flight."""
+
+    reply: Any
+
+
+class Drained(NamedTuple):
+    """Nothing is in flight any more."""
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/operators/__init__.py
@@ -0,0 +1,7 @@
+"""Operators over HTTP, on a listener and threads of their own."""
+
+from cardamompathd.operators import handlers
+
+__all__ = [
+    "handlers",
+]
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/platform/__init__.py
@@ -0,0 +1,7 @@
+"""The platform's log and instance list over HTTP."""
+
+from cardamompathd.platform import log_client
+
+__all__ = [
+    "log_client",
+]
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/platform/log_client.py
@@ -0,0 +1,99 @@
+"""Calls to the platform's log.
+
+``POST /v1/streams/{stream}/records`` appends a batch of records and
+answers the offset of the first; ``GET`` with ``from`` and ``wait``
+answers the records from an offset on, waiting up to ``wait`` seconds for
+the first.  Offsets are those of the stream.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from typing import Any
+
+import urllib3
+
+from cardamompathd import messages
+from cardamompathd.platform import errors
+
+__all__ = [
+    "LogClient",
+    "make_client",
+]
+
+
+class LogClient:
+    """A connection to the log, for one task.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address of the platform.
+    timeout : float
+        Seconds for a call, beside the time that it may wait.
+    """
+
+    def __init__(self, host: str, port: int, timeout: float):
+        self._timeout = timeout
+        self._pool = urllib3.HTTPConnectionPool(
+            host, port, maxsize=1, retries=False, timeout=timeout
+        )
+
+    def append(self, stream: str, records: Sequence[dict[str, Any]]) -> int:
+        """Append records and return the offset of the first.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log certainly did not append them.
+        AppendUnknown
+            If it may have appended them.
+        """
+        body = json.dumps({"records": list(records)}).encode()
+        path = f"/v1/streams/{stream}/records"
+        try:
+            response = self._pool.request("POST", path, body=body)
+        except urllib3.exceptions.NewConnectionError as exc:
+            raise errors.LogUnavailable(repr(exc)) from exc
+        except urllib3.exceptions.HTTPError as exc:
+            raise errors.AppendUnknown(repr(exc)) from exc
+        if response.status != 201:
+            raise errors.LogUnavailable(f"status {response.status}")
+        return response.json()["offset"]
+
+    def read(
+        self, stream: str, offset: int, wait: float
+    ) -> messages.RecordsRead:
+        """Read the records of a stream from an offset on.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log cannot be read now.
+        """
+        path = f"/v1/streams/{stream}/records?from={offset}&wait={wait}"
+        try:
+            response = self._pool.request(
+                "GET", path, timeout=self._timeout + wait
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise errors.LogUnavailable(repr(exc)) from exc
+        if response.status != 200:
+            raise errors.LogUnavailable(f"status {response.status}")
+        body = response.json()
+        records = tuple(
+            (entry["offset"], entry["record"]) for entry in body["records"]
+        )
+        return messages.RecordsRead(
+            stream, records, body["oldest"], body["head"]
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._pool.close()
+
+
+def make_client(host: str, port: int, timeout: float = 2.0) -> LogClient:
+    """Make a client of the log at an address."""
+    return LogClient(host, port, timeout)
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/runtime/__init__.py
@@ -0,0 +1,11 @@
+"""Threads, clocks and the delivery of messages."""
+
+from cardamompathd.runtime import actors
+from cardamompathd.runtime import clocks
+from cardamompathd.runtime import timers
+
+__all__ = [
+    "actors",
+    "clocks",
+    "timers",
+]
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/settings/__init__.py
@@ -0,0 +1,9 @@
+"""Settings in INI files, declared in one table."""
+
+from cardamompathd.settings import loading
+from cardamompathd.settings import table
+
+__all__ = [
+    "loading",
+    "table",
+]
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/telemetry/__init__.py
@@ -0,0 +1,7 @@
+"""Logs and metrics."""
+
+from cardamompathd.telemetry import logs
+
+__all__ = [
+    "logs",
+]
--- /dev/null
+++ b/packages/proof/src/cardamompath_proof/demo.py
@@ -0,0 +1,153 @@
+"""The main job on one machine: ``make demo``.
+
+One entry instance, four backend server stand-ins of different speeds
+and the platform stand-in, each on real listeners of this process.
+"""
+
+from __future__ import annotations
+
+import collections
+import json
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+
+import urllib3
+
+from cardamompath_standins import backend
+from cardamompath_standins import platform
+from cardamompathd import app
+from cardamompathd.platform import log_client
+from cardamompathd.settings import loading
+from cardamompathd.telemetry import logs
+
+__all__ = [
+    "main",
+]
+
+SPEEDS = (1.0, 1.5, 2.0, 4.0)
+EXAMPLE = "examples/job-200.json"
+
+SETTINGS = """
+[instance]
+name = entry-1
+domain = ciudad-vieja
+[callers]
+listen = 127.0.0.1:0
+[operators]
+listen = 127.0.0.1:0
+[peers]
+listen = 127.0.0.1:0
+[platform]
+address = 127.0.0.1:{port}
+[log]
+level = WARNING
+"""
+
+
+def main() -> int:
+    """Run the job and print its summary; 0 when it is complete."""
+    logs.configure("WARNING", "text")
+    platform_standin = platform.start()
+    backends = [backend.start(speed=speed) for speed in SPEEDS]
+    _publish(platform_standin, backends)
+    instance = app.start(_settings(platform_standin.port))
+    caller = f"http://127.0.0.1:{instance.callers.bind_addr[1]}"
+    operator = f"http://127.0.0.1:{instance.operators.bind_addr[1]}"
+    _await_ready(operator)
+    with open(EXAMPLE, encoding="utf-8") as stream:
+        body = json.load(stream)
+    answer = _run(caller, operator, body)
+    starts = _starts(backends)
+    status = _summarize(answer, starts, len(body["tasks"]))
+    app.stop(instance, 5.0)
+    for one in [platform_standin, *backends]:
+        one.stop()
+    return status
+
+
+def _settings(port):
+    with tempfile.TemporaryDirectory() as folder:
+        file = pathlib.Path(folder, "demo.ini")
+        file.write_text(SETTINGS.format(port=port))
+        return loading.load([str(file)]).unwrap()
+
+
+def _publish(platform_standin, backends):
+    added = {
+        f"executor-{index}": {
+            "service": "booking",
+            "domain": "ciudad-vieja",
+            "host": one.host,
+            "port": one.port,
+        }
+        for index, one in enumerate(backends, 1)
+    }
+    note = {
+        "kind": "note",
+        "base": 0,
+        "added": {"services": {"booking": {}}, "backends": added},
+    }
+    client = log_client.make_client("127.0.0.1", platform_standin.port)
+    client.append("configuration", [note])
+    client.close()
+
+
+def _await_ready(operator):
+    for _ in range(100):
+        response = urllib3.request("GET", operator + "/ready", retries=False)
+        if response.status == 200:
+            return
+        time.sleep(0.05)
+    raise SystemExit("the instance did not become ready")
+
+
+def _run(caller, operator, body):
+    job = urllib3.request("POST", caller + "/v1/jobs", json={}).json()["job"]
+    print(f"job {job}: {len(body['tasks'])} tasks submitted")
+    answers = []
+
+    def submit():
+        url = f"{caller}/v1/jobs/{job}?wait=30"
+        response = urllib3.request("PUT", url, json=body, timeout=40.0)
+        answers.append(response.json())
+
+    thread = threading.Thread(target=submit)
+    thread.start()
+    while thread.is_alive():
+        thread.join(0.25)
+        status = urllib3.request("GET", operator + "/v1/status").json()
+        flying = sum(status["backends"]["in_flight"].values())
+        queued = status["backends"]["queued"]
+        print(f"  {queued:4d} queued  {flying:3d} in flight")
+    return answers[0]
+
+
+def _starts(backends):
+    starts = []
+    for one in backends:
+        url = f"http://{one.host}:{one.port}/v1/starts"
+        starts.append(urllib3.request("GET", url).json())
+    return starts
+
+
+def _summarize(answer, starts, total):
+    print(f"answer: {answer['outcome']}")
+    for index, one in enumerate(starts, 1):
+        speed = SPEEDS[index - 1]
+        print(
+            f"  executor-{index} (speed {speed}): {sum(one.values())} starts"
+        )
+    counts = collections.Counter()
+    for one in starts:
+        counts.update(one)
+    double = sum(count > 1 for count in counts.values())
+    print(f"  {len(counts)} of {total} tasks started, {double} double starts")
+    done = answer["outcome"] == "complete" and len(counts) == total
+    return 0 if done and double == 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/standins/src/cardamompath_standins/listener.py
@@ -0,0 +1,95 @@
+"""A small HTTP listener for the stand-ins."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+from urllib import parse
+
+from cheroot import wsgi
+
+__all__ = [
+    "Call",
+    "Listener",
+    "Reply",
+    "start",
+]
+
+
+class Call(NamedTuple):
+    """A request to a stand-in."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+class Reply(NamedTuple):
+    """What a stand-in answers; None as status drops the connection."""
+
+    status: int | None
+    body: Any = None
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Listener(NamedTuple):
+    """A running listener."""
+
+    host: str
+    port: int
+    stop: Callable[[], None]
+
+
+def start(
+    handle: Callable[[Call], Reply],
+    threads: int,
+    host: str = "127.0.0.1",
+    port: int = 0,
+) -> Listener:
+    """Serve `handle` on a thread pool until stopped.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
+    """
+
+    def application(environ, start_response):
+        reply = handle(_call(environ))
+        if reply.status is None:
+            raise ConnectionAbortedError("dropped on purpose")
+        raw = reply.body
+        if not isinstance(raw, bytes):
+            raw = json.dumps(raw).encode()
+        headers = [("Content-Length", str(len(raw))), *reply.headers]
+        start_response(f"{reply.status} -", headers)
+        return [raw]
+
+    server = wsgi.Server((host, port), application, numthreads=threads)
+    server.keep_alive_conn_limit = 1024
+    server.error_log = lambda *args, **kwargs: None
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    return Listener(host, server.bind_addr[1], server.stop)
+
+
+def _call(environ):
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    headers = {
+        key[5:].replace("_", "-").lower(): value
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    }
+    return Call(
+        environ["REQUEST_METHOD"],
+        environ["PATH_INFO"],
+        dict(parse.parse_qsl(environ.get("QUERY_STRING", ""))),
+        headers,
+        environ["wsgi.input"].read(length),
+    )
