--- a/packages/core/src/cardamompath_core/types.py
+++ b/packages/core/src/cardamompath_core/types.py
@@ -17,7 +17,11 @@
     "Complete",
     "Configuration",
     "Failed",
+    "InstanceEntry",
     "JobSpec",
+    "LoadHint",
+    "PeerStatus",
+    "PeerView",
     "Pending",
     "Refused",
     "ServiceSpec",
@@ -159,6 +163,41 @@
     """Tasks in flight over all instances that the team is entitled to."""
 
 
+class InstanceEntry(NamedTuple):
+    """One line of the platform's list of instances."""
+
+    name: str
+    role: Literal["entry", "backend"]
+    domain: str
+    host: str
+    port: int
+    state: Literal["live", "leaving"]
+
+
+class LoadHint(NamedTuple):
+    """What an instance tells its peers of its load."""
+
+    queued: int = 0
+    in_flight: int = 0
+    limit: int = 0
+    """Tasks that may be in flight within its present limits."""
+
+
+PeerStatus = Literal["alive", "suspect", "leaving", "dead"]
+
+
+class PeerView(NamedTuple):
+    """What an instance knows of a peer."""
+
+    incarnation: str
+    """Text form; see `cardamompath_core.identity`."""
+    host: str
+    port: int
+    status: PeerStatus
+    load: LoadHint = LoadHint()
+    revision: int = 0
+
+
 class Configuration(NamedTuple):
     """The configuration in force at one revision."""
 
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -15,7 +15,16 @@
 from cardamompath_core import types
 
 __all__ = [
+    "APPENDER",
     "AwaitJob",
+    "BackendsLeaving",
+    "InstancesListed",
+    "JOURNAL",
+    "LoadReport",
+    "MEMBERSHIP",
+    "PEERS",
+    "PeersChanged",
+    "QUOTAS",
     "BACKENDS",
     "CALLERS",
     "CONFIGURATION",
@@ -51,6 +60,11 @@
 CONNECTIONS = "connections"
 CALLERS = "callers"
 TIMERS = "timers"
+APPENDER = "appender"
+JOURNAL = "journal"
+MEMBERSHIP = "membership"
+PEERS = "peers"
+QUOTAS = "quotas"
 
 
 class Send(NamedTuple):
@@ -189,6 +203,30 @@
     cfg: types.Configuration
 
 
+class InstancesListed(NamedTuple):
+    """The platform's list of instances, as last read."""
+
+    entries: tuple[types.InstanceEntry, ...]
+
+
+class BackendsLeaving(NamedTuple):
+    """Backend servers that must get no new work, by name."""
+
+    names: frozenset[str]
+
+
+class PeersChanged(NamedTuple):
+    """What is known of the peers now."""
+
+    peers: tuple[types.PeerView, ...]
+
+
+class LoadReport(NamedTuple):
+    """Load of this instance, for its peers."""
+
+    load: types.LoadHint
+
+
 class GetConfiguration(NamedTuple):
     """Ask for the configuration in force."""
 
