Run the real controllers through scripted scenarios

Cause: each promise was shown by unit tests of one controller only. Change: a small language (lark), a harness that runs the controllers of several instances over fakes on one clock and seed, checks of every promise at each answer and at the end, a matrix of promise by failure.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	packages/proof
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test lint format demo
+.PHONY: setup test lint format demo scenarios
 
 setup: $(STAMP)
 
@@ -32,3 +32,6 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.demo
+
+scenarios: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.scenarios.matrix
--- /dev/null
+++ b/packages/proof/src/cardamompath_proof/harness/__init__.py
@@ -0,0 +1,11 @@
+"""Runs the real controllers of several instances over fakes."""
+
+from cardamompath_proof.harness import checks
+from cardamompath_proof.harness import instances
+from cardamompath_proof.harness import world
+
+__all__ = [
+    "checks",
+    "instances",
+    "world",
+]
