Give each backend server one actor that owns all its connections

Cause: with one thread for each connection, 1,536 connections took 1,613 threads and 77.5 MB, and a task start cost 1.6 ms of processor time; half of it went into handing over the interpreter lock, into two packets a request, and into urllib3's response class. Each timer woke a thread. Ruled out: the controllers, 0.2 ms a task in the profile.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.demo
+
+bench-daemon: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.bench_daemon
--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -26,7 +26,6 @@
 from cardamompathd.platform import reader
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import clocks
-from cardamompathd.runtime import timers
 
 __all__ = [
     "Instance",
@@ -47,19 +46,15 @@
 
 
 class DispatchActor(actors.ControllerActor):
-    """Owns the jobs, the backend servers' state and their connections."""
+    """Owns the jobs and the state of the backend servers."""
 
     def __init__(self, controllers, deliver, clock, limits):
         super().__init__(controllers, self._deliver_or_start, clock)
         self._elsewhere = deliver
-        self._pool = pool.make_pool(limits, self.actor_ref.tell, clock)
+        self._pool = pool.make_pool(limits, self._take_back, clock)
 
-    def on_receive(self, message):
-        """Take back the connection of an exchange that ended."""
-        if isinstance(message, connections.ConnectionEnded):
-            self._pool.release(message)
-            message = messages.Send(messages.BACKENDS, message.ended)
-        super().on_receive(message)
+    def _take_back(self, ended):
+        self.actor_ref.tell(messages.Send(messages.BACKENDS, ended))
 
     def _deliver_or_start(self, send):
         if send.to == messages.CONNECTIONS:
@@ -87,7 +82,6 @@
     }
     deliver = actors.make_router(table)
     _start_controllers(cfg, owner, table, deliver, clock)
-    table[messages.TIMERS] = timers.start(deliver, clock).tell
     asks = {
         name: handlers.make_ask(table[name])
         for name in (messages.JOBS, messages.BACKENDS, messages.CONFIGURATION)
--- a/packages/daemon/src/cardamompathd/backends/pool.py
+++ b/packages/daemon/src/cardamompathd/backends/pool.py
@@ -1,4 +1,4 @@
-"""Free connections to each backend server."""
+"""The actors of the backend servers' connections, by name."""
 
 from __future__ import annotations
 
@@ -14,36 +14,34 @@
 
 
 class Pool:
-    """Connections that are free, by backend server.
+    """One actor for each backend server that got a task.
 
-    Only the actor that owns the backend servers' state uses it.  The
-    in-flight limits of that state bound the number of connections.
+    Only the actor that owns the backend servers' state uses it.
 
     Parameters
     ----------
-    open_connection : callable
-        Starts a connection actor and returns its reference.
+    open_backend : callable
+        Starts the actor of a backend server and returns its reference.
     """
 
-    def __init__(self, open_connection: Callable):
-        self._open = open_connection
-        self._free: dict[str, list] = {}
+    def __init__(self, open_backend: Callable):
+        self._open = open_backend
+        self._actors: dict[tuple[str, str, int], object] = {}
 
     def start(self, msg: messages.StartTask) -> None:
-        """Hand a task to a free connection, or to a new one."""
-        free = self._free.setdefault(msg.backend.name, [])
-        conn = free.pop() if free else self._open()
-        conn.tell(msg)
-
-    def release(self, msg: connections.ConnectionEnded) -> None:
-        """Take back a connection that finished its exchange."""
-        self._free[msg.ended.backend].append(msg.conn)
+        """Hand a task to its backend server's actor."""
+        spec = msg.backend
+        key = (spec.name, spec.host, spec.port)
+        actor = self._actors.get(key)
+        if actor is None:
+            actor = self._actors[key] = self._open()
+        actor.tell(msg)
 
 
 def make_pool(limits, tell, clock) -> Pool:
-    """Make a pool whose connections report to `tell`."""
+    """Make a pool whose actors report `TaskEnded` to `tell`."""
 
-    def open_connection():
-        return connections.ConnectionActor.start(limits, tell, clock)
+    def open_backend():
+        return connections.start(limits, tell, clock)
 
-    return Pool(open_connection)
+    return Pool(open_backend)
--- a/packages/daemon/src/cardamompathd/runtime/__init__.py
+++ b/packages/daemon/src/cardamompathd/runtime/__init__.py
@@ -2,10 +2,10 @@
 
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import clocks
-from cardamompathd.runtime import timers
+from cardamompathd.runtime import inboxes
 
 __all__ = [
     "actors",
     "clocks",
-    "timers",
+    "inboxes",
 ]
--- a/packages/daemon/src/cardamompathd/runtime/actors.py
+++ b/packages/daemon/src/cardamompathd/runtime/actors.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections
+import heapq
+import itertools
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -12,6 +14,7 @@
 import pykka
 
 from cardamompathd import messages
+from cardamompathd.runtime import inboxes
 
 __all__ = [
     "ControllerActor",
@@ -42,7 +45,8 @@
     """Owns one or more controllers and runs them on one thread.
 
     Messages among its own controllers are delivered in order before the
-    next message from outside is taken.
+    next message from outside is taken.  The actor keeps the timers that
+    its controllers set.
 
     Parameters
     ----------
@@ -64,12 +68,27 @@
     ):
         super().__init__()
         self._receive = {one.name: one.receive for one in controllers}
+        self._receive[messages.TIMERS] = self._set_timer
         self._deliver = deliver
         self._clock = clock
+        self._timers: list[tuple[float, int, messages.SetTimer]] = []
+        self._order = itertools.count()
 
-    def on_receive(self, message: messages.Send) -> None:
-        """Run the controller that the message is for."""
+    @staticmethod
+    def _create_actor_inbox():
+        return inboxes.TimedInbox()
+
+    def on_receive(self, message: messages.Send | inboxes.Due) -> None:
+        """Run the controller that the message is for, or due timers."""
         now = self._clock()
+        if isinstance(message, inboxes.Due):
+            self._fire(now)
+        else:
+            self._process(message, now)
+        due = self._timers[0][0] if self._timers else None
+        self.actor_inbox.set_due(due, self._clock)
+
+    def _process(self, message, now):
         pending = collections.deque([message])
         while pending:
             send = pending.popleft()
@@ -86,3 +105,14 @@
             kind = type(send.msg).__name__
             loguru.logger.exception("actor: {} failed on {}", send.to, kind)
             return ()
+
+    def _set_timer(self, msg, now):
+        entry = (msg.at, next(self._order), msg)
+        heapq.heappush(self._timers, entry)
+        return ()
+
+    def _fire(self, now):
+        while self._timers and self._timers[0][0] <= now:
+            msg = heapq.heappop(self._timers)[2]
+            fired = messages.TimerFired(msg.key)
+            self._process(messages.Send(msg.to, fired), now)
