Relay requests to the owner of a job over Thrift

Cause: a request that the balancer hands to another instance than the owner of its job was answered "pending" for good.

A service is a method and a closure; further methods are further rows. The filter filters/relay.py asks the owner when the handler's response names one; the owner's chain has no such filter, so a request is relayed once at most. The address comes from PeersChanged, by domain and instance name; while none is known each configured peer is asked, and one that is not the owner says so.

Conclusion: any instance gives the owner's whole answer; one that cannot reach the owner says "pending".

--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -22,6 +22,8 @@
 from cardamompathd.callers import server
 from cardamompathd.filters import chain
 from cardamompathd.operators import handlers as operator_handlers
+from cardamompathd.peers import relay
+from cardamompathd.peers import server as peer_server
 from cardamompathd.platform import log_client
 from cardamompathd.platform import reader
 from cardamompathd.runtime import actors
@@ -42,6 +44,7 @@
     owner: identity.Incarnation
     callers: Any
     operators: Any
+    peers: Any
     drain: Any
     """Waits until nothing is in flight; called with seconds."""
 
@@ -93,11 +96,12 @@
         for name in (messages.JOBS, messages.BACKENDS, messages.CONFIGURATION)
     }
     callers, operators = _start_listeners(cfg, asks, clock)
+    peers = _start_peers(cfg, asks)
     _follow_log(cfg, table)
     loguru.logger.info(
         "instance: {} is up", identity.format_incarnation(owner)
     )
-    return Instance(owner, callers, operators, _make_drain(asks))
+    return Instance(owner, callers, operators, peers, _make_drain(asks))
 
 
 def _start_controllers(cfg, owner, table, deliver, clock):
@@ -138,6 +142,9 @@
             filters.access.make_filter(clock),
             filters.failures.answer_failures,
             filters.bodies.make_filter(cfg["callers", "body_limit"]),
+            filters.relay.make_filter(
+                relay.make_relay(cfg["peers", "addresses"], clock)
+            ),
         ),
         handlers.make_handler(asks[messages.JOBS]),
     )
@@ -174,6 +181,15 @@
     return listener
 
 
+def _start_peers(cfg, asks):
+    owner_chain = chain.compose(
+        (filters.failures.answer_failures,),
+        handlers.make_handler(asks[messages.JOBS]),
+    )
+    services = [relay.make_service(owner_chain)]
+    return peer_server.start(cfg["peers", "listen"], services)
+
+
 def _follow_log(cfg, table):
     host, port = cfg["platform", "address"]
     client = log_client.make_client(host, port, cfg["platform", "timeout"])
@@ -210,5 +226,6 @@
     drained = instance.drain(grace)
     instance.callers.stop()
     instance.operators.stop()
+    instance.peers.stop()
     pykka.ActorRegistry.stop_all(block=False)
     return drained
--- a/packages/daemon/src/cardamompathd/callers/handlers.py
+++ b/packages/daemon/src/cardamompathd/callers/handlers.py
@@ -27,9 +27,6 @@
     "make_handler",
 ]
 
-MAX_WAIT = 60.0
-"""Longest time that a caller waits on one connection, in seconds."""
-
 Ask = Callable[[Callable[[Any], Any], float], Any]
 """Called with a function from a reply to the message that carries it,
 and the seconds to wait; returns the answer, or None after that time."""
@@ -95,7 +92,7 @@
 
 
 def _issue_job(ask, req):
-    job = ask(messages.IssueJob, MAX_WAIT)
+    job = ask(messages.IssueJob, chain.MAX_WAIT)
     return chain.Response(201, {"job": job})
 
 
@@ -105,34 +102,32 @@
     if not pipeline.is_successful(spec):
         return chain.fault(400, "bad_request", spec.failure())
     spec = spec.unwrap()
-    answer = ask(lambda fut: messages.Submit(job, spec, fut), _wait(req, 0.0))
+    answer = ask(
+        lambda fut: messages.Submit(job, spec, fut), chain.wait_of(req, 0.0)
+    )
     return _respond(job, answer, len(spec.tasks))
 
 
 def _get_job(ask, req, job):
     identity.parse_job(job)
-    wait = _wait(req, 0.0)
+    wait = chain.wait_of(req, 0.0)
     answer = ask(lambda fut: messages.AwaitJob(job, fut), wait)
     return _respond(job, answer, 0)
 
 
 def _cancel_job(ask, req, job):
     identity.parse_job(job)
-    answer = ask(lambda fut: messages.CancelJob(job, fut), _wait(req, 5.0))
+    answer = ask(
+        lambda fut: messages.CancelJob(job, fut), chain.wait_of(req, 5.0)
+    )
     return _respond(job, answer, 0)
 
 
-def _wait(req, default):
-    try:
-        wait = float(req.query.get("wait", default))
-    except ValueError:
-        return default
-    return min(max(wait, 0.05), MAX_WAIT)
-
-
 def _respond(job, answer, total):
     if answer is None:
         answer = types.Pending(0, total, "not answered yet")
     if isinstance(answer, messages.NotOwner):
+        owner = chain.Owner(job, answer.address)
         answer = types.Pending(0, total, "the owner cannot be reached")
+        return codec.encode_answer(job, answer)._replace(owner=owner)
     return codec.encode_answer(job, answer)
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -61,6 +61,7 @@
         self.jobs: dict[str, Job] = {}
         self.services: frozenset[str] = frozenset()
         self.draining: Any = None
+        self.addresses: dict[tuple[str, str], tuple[str, int]] = {}
 
 
 def make_controller(
@@ -94,9 +95,15 @@
     return key.owner == state.owner and key.counter <= state.counter
 
 
+def _not_owner(state, msg):
+    owner = identity.parse_job(msg.job).owner
+    address = state.addresses.get((owner.domain, owner.instance))
+    return [_reply(msg.reply, messages.NotOwner(msg.job, address))]
+
+
 def _submit(state, msg, now):
     if msg.job and not _is_own(state, msg.job):
-        return [_reply(msg.reply, messages.NotOwner(msg.job))]
+        return _not_owner(state, msg)
     known = state.jobs.get(msg.job)
     if known is not None:
         return _resubmit(known, msg)
@@ -146,7 +153,7 @@
 
 def _await(state, msg, now):
     if not _is_own(state, msg.job):
-        return [_reply(msg.reply, messages.NotOwner(msg.job))]
+        return _not_owner(state, msg)
     known = state.jobs.get(msg.job)
     if known is None:
         reason = f"job {msg.job!r} was not submitted, or is forgotten"
@@ -254,6 +261,15 @@
     return []
 
 
+def _see_peers(state, msg, now):
+    state.addresses = {}
+    for peer in msg.peers:
+        owner = identity.parse_incarnation(peer.incarnation)
+        place = (owner.domain, owner.instance)
+        state.addresses[place] = (peer.host, peer.port)
+    return []
+
+
 def _drain(state, msg, now):
     state.draining = msg.reply
     return _check_drained(state)
@@ -284,6 +300,7 @@
     messages.Drain: _drain,
     messages.GetStatus: _status,
     messages.IssueJob: _issue,
+    messages.PeersChanged: _see_peers,
     messages.Submit: _submit,
     messages.TaskSettled: _settle,
     messages.TimerFired: _timer,
--- a/packages/daemon/src/cardamompathd/filters/__init__.py
+++ b/packages/daemon/src/cardamompathd/filters/__init__.py
@@ -8,10 +8,12 @@
 from cardamompathd.filters import bodies
 from cardamompathd.filters import chain
 from cardamompathd.filters import failures
+from cardamompathd.filters import relay
 
 __all__ = [
     "access",
     "bodies",
     "chain",
     "failures",
+    "relay",
 ]
--- a/packages/daemon/src/cardamompathd/filters/chain.py
+++ b/packages/daemon/src/cardamompathd/filters/chain.py
@@ -12,13 +12,23 @@
 __all__ = [
     "Filter",
     "Handler",
+    "MAX_WAIT",
+    "Owner",
     "Request",
     "Response",
     "compose",
     "fault",
+    "wait_of",
 ]
 
 
+MAX_WAIT = 60.0
+"""Longest time that a caller waits on one connection, in seconds."""
+
+MIN_WAIT = 0.05
+"""Least time that an answer is waited for, in seconds."""
+
+
 class Request(NamedTuple):
     """A request, free of the front end that brought it."""
 
@@ -34,12 +44,21 @@
     """The decoded body, once a filter decoded it."""
 
 
+class Owner(NamedTuple):
+    """The instance that has the answer, when it is another one."""
+
+    job: str
+    address: tuple[str, int] | None = None
+    """Where it listens for peers, if that is known."""
+
+
 class Response(NamedTuple):
     """What to answer; `body` is encoded by the front end."""
 
     status: int
     body: Any
     headers: tuple[tuple[str, str], ...] = ()
+    owner: Owner | None = None
 
 
 Handler = Callable[[Request], Response]
@@ -63,3 +82,12 @@
         body["retry_after"] = retry_after
         headers = (("Retry-After", str(max(1, round(retry_after)))),)
     return Response(status, body, headers)
+
+
+def wait_of(req: Request, default: float) -> float:
+    """Return the seconds for which a request may wait for its answer."""
+    try:
+        wait = float(req.query.get("wait", default))
+    except ValueError:
+        wait = default
+    return min(max(MIN_WAIT, wait), MAX_WAIT)
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -114,6 +114,8 @@
     """The job belongs to another incarnation."""
 
     job: str
+    address: tuple[str, int] | None = None
+    """Where the owner's instance listens for peers, if that is known."""
 
 
 class Reply(NamedTuple):
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/peers/client.py
@@ -0,0 +1,77 @@
+"""Calls to a peer over a connection opened for the call.
+
+A new connection works when old ones went silent, and a late answer can
+never meet another call.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from thrift.transport import TSocket
+from thrift.transport import TTransport
+
+from cardamompathd.peers import errors
+from cardamompathd.peers import wire
+
+__all__ = [
+    "Call",
+    "call",
+]
+
+CONNECT_TIMEOUT = 0.5
+"""Seconds until a peer that does not accept counts as unreachable."""
+
+Address = tuple[str, int]
+Call = Callable[[Address, wire.Method, Any, float], Any]
+
+
+def call(
+    address: Address, method: wire.Method, request: Any, timeout: float
+) -> Any:
+    """Call a method of a peer and return its reply.
+
+    Parameters
+    ----------
+    address : tuple
+        IP number and port.
+    method : Method
+        The method.
+    request : NamedTuple
+        Its request.
+    timeout : float
+        Seconds for which the peer may be silent.
+
+    Raises
+    ------
+    PeerUnreachable
+        If no connection came up.
+    PeerSilent
+        If no answer came; the call may have been carried out.
+    BadMessage
+        If the answer cannot be read.
+    """
+    raw = wire.encode_call(method, request)
+    try:
+        conn = socket.create_connection(address, CONNECT_TIMEOUT)
+    except OSError as exc:
+        raise errors.PeerUnreachable(f"{address!r}: {exc!r}") from exc
+    with conn:
+        conn.settimeout(timeout)
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return wire.decode_reply(_exchange(conn, raw), method)
+
+
+def _exchange(conn, raw):
+    sock = TSocket.TSocket()
+    sock.setHandle(conn)
+    framed = TTransport.TFramedTransport(sock, wire.FRAME_LIMIT)
+    try:
+        framed.write(raw)
+        framed.flush()
+        framed.readFrame()
+    except (TTransport.TTransportException, OSError) as exc:
+        raise errors.PeerSilent(repr(exc)) from exc
+    return framed.cstringio_buf.getvalue()
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/peers/relay.py
@@ -0,0 +1,123 @@
+"""Hands a caller's request to the owner of its job, and takes one in.
+
+The owner is looked for at the address that the membership knows; while
+it knows none, each configured peer is asked.  A peer that is not the
+owner says so and does nothing, and never hands the request on.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import loguru
+
+from cardamompathd.filters import chain
+from cardamompathd.peers import client
+from cardamompathd.peers import errors
+from cardamompathd.peers import server
+from cardamompathd.peers import wire
+
+__all__ = [
+    "Relay",
+    "make_relay",
+    "make_service",
+]
+
+MARGIN = 1.0
+"""Seconds that an answer may take beside the time it may wait."""
+
+CANCEL_WAIT = 5.0
+"""Longest default wait of the caller's requests, in seconds."""
+
+CONCURRENT = 32
+"""Relayed requests served at a time; other methods have the rest."""
+
+Relay = Callable[[chain.Request, chain.Owner], chain.Response | None]
+"""Returns None when the owner could not be asked."""
+
+
+def make_relay(
+    configured: Sequence[client.Address],
+    clock: Callable[[], float],
+    call: client.Call = client.call,
+) -> Relay:
+    """Make the function that relays a request to its owner."""
+
+    def relay(req: chain.Request, owner: chain.Owner) -> chain.Response | None:
+        request = wire.RelayRequest(
+            req.method,
+            req.path,
+            dict(req.query),
+            json.dumps(req.body).encode(),
+        )
+        deadline = clock() + chain.wait_of(req, CANCEL_WAIT) + MARGIN
+        for address in (owner.address,) if owner.address else configured:
+            left = deadline - clock()
+            if left <= 0.0:
+                break
+            reply = _try(call, address, request, left)
+            if reply is not None and reply.status:
+                return _response(reply)
+        return None
+
+    return relay
+
+
+def _try(call, address, request, timeout):
+    try:
+        return call(address, wire.RELAY, request, timeout)
+    except errors.PeerError as exc:
+        loguru.logger.info("peers: relay to {} failed: {}", address, exc)
+        return None
+
+
+def _response(reply):
+    headers = tuple(sorted(reply.headers.items()))
+    return chain.Response(reply.status, json.loads(reply.body), headers)
+
+
+def make_service(handler: chain.Handler) -> server.Service:
+    """Make the method that answers relayed requests.
+
+    Parameters
+    ----------
+    handler : callable
+        The callers' handler without the relay, so that a request is
+        relayed once at most.
+    """
+    places = threading.BoundedSemaphore(CONCURRENT)
+
+    def handle(request: wire.RelayRequest) -> wire.RelayReply:
+        if not places.acquire(blocking=False):
+            return wire.RelayReply(0, b"")
+        try:
+            return _reply(handler(_request(request)))
+        finally:
+            places.release()
+
+    return server.Service(wire.RELAY, handle)
+
+
+def _request(request):
+    def read():
+        return request.body
+
+    return chain.Request(
+        request.method,
+        request.path,
+        request.query,
+        {},
+        read,
+        len(request.body),
+        json.loads(request.body),
+    )
+
+
+def _reply(response):
+    if response.owner is not None:
+        return wire.RelayReply(0, b"")
+    body = json.dumps(response.body).encode()
+    return wire.RelayReply(response.status, body, dict(response.headers))
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_peers.py
@@ -0,0 +1,189 @@
+import json
+import socket
+import threading
+import unittest
+
+from cardamompath_core import identity
+from cardamompath_core import types
+from cardamompathd import controllers
+from cardamompathd import filters
+from cardamompathd import messages
+from cardamompathd.callers import handlers
+from cardamompathd.filters import chain
+from cardamompathd.peers import client
+from cardamompathd.peers import errors
+from cardamompathd.peers import relay
+from cardamompathd.peers import server
+from cardamompathd.peers import wire
+from cardamompathd.runtime import actors
+from cardamompathd.runtime import clocks
+
+LOOPBACK = ("127.0.0.1", 0)
+CFG = types.Configuration(1, 0, (types.ServiceSpec("booking"),))
+BODY = {"service": "booking", "tasks": [{"payload": "é" * 500}] * 3}
+
+
+def is_closed(conn):
+    try:
+        return conn.recv(1) == b""
+    except ConnectionResetError:
+        return True
+
+
+class Instance:
+    """One instance on loopback whose backend server echoes payloads."""
+
+    def __init__(self, name):
+        owner = identity.Incarnation("pocitos", name, "0123456789ab")
+        self.starts = []
+        table = {
+            messages.CALLERS: lambda msg: msg.reply.set(msg.answer),
+            messages.TIMERS: lambda msg: None,
+            messages.BACKENDS: self.run,
+        }
+        self.actor = actors.ControllerActor.start(
+            [controllers.jobs.make_controller(owner)],
+            actors.make_router(table),
+            clocks.boottime,
+        )
+        self.tell(messages.ConfigurationChanged(CFG))
+        self.handler = handlers.make_handler(handlers.make_ask(self.tell))
+        service = relay.make_service(self.handler)
+        self.peers = server.start(LOOPBACK, [service])
+
+    def tell(self, msg):
+        self.actor.tell(messages.Send(messages.JOBS, msg))
+
+    def run(self, msg):
+        if not isinstance(msg, messages.Enqueue):
+            return
+        for index, task in enumerate(msg.spec.tasks):
+            self.starts.append((msg.job, index))
+            done = types.TaskResult("finished", 200, task.payload, "e-1")
+            ref = types.TaskRef(msg.job, index)
+            self.tell(messages.TaskSettled(ref, done))
+
+    def connect(self, *ports):
+        addresses = [("127.0.0.1", port) for port in ports]
+        asking = relay.make_relay(addresses, clocks.boottime)
+        asking = filters.relay.make_filter(asking)
+        self.chain = chain.compose([asking], self.handler)
+
+    def ask(self, method, path, body=None):
+        req = chain.Request(
+            method, path, {"wait": "5"}, {}, bytes, body=body or {}
+        )
+        return self.chain(req)
+
+    def stop(self):
+        self.peers.stop()
+        self.actor.stop()
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self):
+        self.one, self.two = Instance("entry-1"), Instance("entry-2")
+        self.one.connect(self.two.peers.port)
+        self.two.connect(self.one.peers.port)
+        self.addCleanup(self.one.stop)
+        self.addCleanup(self.two.stop)
+        job = self.one.ask("POST", "/v1/jobs").body["job"]
+        self.path = f"/v1/jobs/{job}"
+
+    def test_each_instance_gives_the_whole_answer(self):
+        first = self.one.ask("PUT", self.path, BODY)
+        again = self.two.ask("PUT", self.path, BODY)
+        asked = self.two.ask("GET", self.path)
+        self.assertEqual(200, first.status)
+        self.assertEqual("é" * 500, first.body["tasks"][2]["payload"])
+        self.assertEqual(first, again)
+        self.assertEqual(first, asked)
+        self.assertEqual(3, len(self.one.starts))
+        self.assertEqual([], self.two.starts)
+
+    def test_submission_through_another_instance_starts_at_the_owner(self):
+        answer = self.two.ask("PUT", self.path, BODY)
+        self.assertEqual("complete", answer.body["outcome"])
+        self.assertEqual((3, 0), (len(self.one.starts), len(self.two.starts)))
+
+    def test_owner_that_cannot_be_reached_is_pending(self):
+        self.one.peers.stop()
+        answer = self.two.ask("PUT", self.path, BODY)
+        self.assertEqual(202, answer.status)
+        self.assertEqual("pending", answer.body["outcome"])
+
+    def test_address_known_from_the_membership_goes_first(self):
+        self.two.connect()
+        view = types.PeerView(
+            self.path.split("/")[3].rpartition(".")[0],
+            "127.0.0.1",
+            self.one.peers.port,
+            "alive",
+        )
+        self.two.tell(messages.PeersChanged((view,)))
+        self.assertEqual(200, self.two.ask("PUT", self.path, BODY).status)
+
+    def test_relayed_request_is_not_relayed_again(self):
+        request = wire.RelayRequest("GET", self.path, {}, b"null")
+        address = ("127.0.0.1", self.two.peers.port)
+        reply = client.call(address, wire.RELAY, request, 5.0)
+        self.assertEqual(wire.RelayReply(0, b"", {}), reply)
+
+
+class TransportTest(unittest.TestCase):
+    def start(self, handle, limits=None):
+        services = [server.Service(wire.RELAY, handle)]
+        listener = server.start(LOOPBACK, services, limits)
+        self.addCleanup(listener.stop)
+        return ("127.0.0.1", listener.port)
+
+    def test_malformed_bytes_close_the_connection_only(self):
+        address = self.start(lambda _: wire.RelayReply(200, b"{}"))
+        request = wire.RelayRequest("GET", "/", {}, b"x")
+        call = wire.encode_call(wire.RELAY, request)
+        frames = [
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"\xff\xff\xff\xff",
+            b"\x00\x00\x00\x04abcd",
+            len(call).to_bytes(4) + call[:-9] + b"\xff" * 9,
+            len(call).to_bytes(4) + call.replace(b"relay", b"delay"),
+        ]
+        for frame in frames:
+            with socket.create_connection(address, 5.0) as conn:
+                conn.sendall(frame)
+                self.assertTrue(is_closed(conn))
+        reply = client.call(address, wire.RELAY, request, 5.0)
+        self.assertEqual(200, reply.status)
+
+    def test_missing_field_is_a_bad_message(self):
+        raw = wire.encode_call(wire.RELAY, wire.RelayReply(1, b""))
+        with self.assertRaises(errors.BadMessage):
+            wire.decode_call(raw, {"relay": wire.RELAY})
+
+    def test_silence_and_refusal_differ(self):
+        ended = threading.Event()
+        self.addCleanup(ended.set)
+        address = self.start(lambda _: ended.wait())
+        request = wire.RelayRequest("GET", "/", {}, b"")
+        with self.assertRaises(errors.PeerSilent):
+            client.call(address, wire.RELAY, request, 0.05)
+        with self.assertRaises(errors.PeerUnreachable):
+            client.call(("127.0.0.1", 9), wire.RELAY, request, 0.05)
+
+    def test_relays_leave_threads_to_other_methods(self):
+        entered, ended = threading.Semaphore(0), threading.Event()
+        self.addCleanup(ended.set)
+
+        def handler(req):
+            entered.release()
+            ended.wait()
+            return chain.Response(200, {})
+
+        service = relay.make_service(handler)
+        request = wire.RelayRequest("GET", "/", {}, json.dumps({}).encode())
+        for _ in range(relay.CONCURRENT):
+            threading.Thread(
+                target=service.handle, args=(request,), daemon=True
+            ).start()
+            entered.acquire()
+        self.assertEqual(0, service.handle(request).status)
