--- a/packages/core/src/cardamompath_core/__init__.py
+++ b/packages/core/src/cardamompath_core/__init__.py
@@ -7,10 +7,16 @@
 
 from cardamompath_core import errors
 from cardamompath_core import identity
+from cardamompath_core import leases
+from cardamompath_core import ownership
+from cardamompath_core import settlement
 from cardamompath_core import types
 
 __all__ = [
     "errors",
     "identity",
+    "leases",
+    "ownership",
+    "settlement",
     "types",
 ]
--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -24,6 +24,7 @@
 from cardamompathd.operators import handlers as operator_handlers
 from cardamompathd.peers import relay
 from cardamompathd.peers import server as peer_server
+from cardamompathd.platform import appender
 from cardamompathd.platform import log_client
 from cardamompathd.platform import reader
 from cardamompathd.runtime import actors
@@ -37,6 +38,10 @@
 
 OPERATOR_THREADS = 4
 
+JOURNAL_WAIT = 2.0
+"""Seconds that a read of the journal waits: a connection that went
+silent has to be noticed well within a lease."""
+
 
 class Instance(NamedTuple):
     """A running instance."""
@@ -47,6 +52,8 @@
     peers: Any
     drain: Any
     """Waits until nothing is in flight; called with seconds."""
+    log_tasks: list
+    """The tasks that read the log."""
 
 
 class DispatchActor(actors.ControllerActor):
@@ -83,7 +90,7 @@
     owner = identity.Incarnation(
         cfg["instance", "domain"],
         cfg["instance", "name"],
-        secrets.token_hex(6),
+        _draw_nonce(),
     )
     table: dict[str, Any] = {
         messages.CALLERS: lambda msg: msg.reply.set(msg.answer)
@@ -95,13 +102,18 @@
         name: handlers.make_ask(table[name])
         for name in (messages.JOBS, messages.BACKENDS, messages.CONFIGURATION)
     }
+    tasks = _start_journal(cfg, table)
     callers, operators = _start_listeners(cfg, asks, clock)
     peers = _start_peers(cfg, asks)
-    _follow_log(cfg, table)
+    tasks.append(_follow_log(cfg, table))
     loguru.logger.info(
         "instance: {} is up", identity.format_incarnation(owner)
     )
-    return Instance(owner, callers, operators, peers, _make_drain(asks))
+    return Instance(owner, callers, operators, peers, _make_drain(asks), tasks)
+
+
+def _draw_nonce():
+    return secrets.token_hex(6)
 
 
 def _start_controllers(cfg, owner, table, deliver, clock):
@@ -111,9 +123,18 @@
     dispatch = DispatchActor.start(
         [
             controllers.jobs.make_controller(
-                owner, cfg["callers", "answer_ttl"]
+                owner,
+                cfg["callers", "answer_ttl"],
+                cfg["callers", "answer_bytes"],
             ),
             controllers.backends.make_controller(routing.least_in_flight()),
+            controllers.journal.make_controller(
+                owner,
+                _draw_nonce,
+                controllers.journal_store.JournalTerms(
+                    budget=cfg["platform", "append_budget"]
+                ),
+            ),
         ],
         deliver,
         clock,
@@ -124,6 +145,7 @@
     )
     table[messages.JOBS] = _teller(dispatch, messages.JOBS)
     table[messages.BACKENDS] = _teller(dispatch, messages.BACKENDS)
+    table[messages.JOURNAL] = _teller(dispatch, messages.JOURNAL)
     table[messages.CONFIGURATION] = _teller(
         configuration, messages.CONFIGURATION
     )
@@ -190,11 +212,28 @@
     return peer_server.start(cfg["peers", "listen"], services)
 
 
-def _follow_log(cfg, table):
+def _make_client(cfg):
     host, port = cfg["platform", "address"]
-    client = log_client.make_client(host, port, cfg["platform", "timeout"])
-    reader.start(
-        client,
+    return log_client.make_client(host, port, cfg["platform", "timeout"])
+
+
+def _start_journal(cfg, table):
+    tell = table[messages.JOURNAL]
+    table[messages.APPENDER] = appender.start(_make_client(cfg), tell).tell
+    following = reader.start(
+        _make_client(cfg),
+        controllers.journal.STREAM,
+        tell,
+        random.Random(),
+        JOURNAL_WAIT,
+    )
+    tell(messages.TimerFired(controllers.journal.COMMIT))
+    return [following]
+
+
+def _follow_log(cfg, table):
+    return reader.start(
+        _make_client(cfg),
         "configuration",
         table[messages.CONFIGURATION],
         random.Random(),
@@ -227,5 +266,7 @@
     instance.callers.stop()
     instance.operators.stop()
     instance.peers.stop()
+    for one in instance.log_tasks:
+        one.stop()
     pykka.ActorRegistry.stop_all(block=False)
     return drained
--- a/packages/daemon/src/cardamompathd/backends/connections.py
+++ b/packages/daemon/src/cardamompathd/backends/connections.py
@@ -85,6 +85,8 @@
         phase = "connect"
         try:
             conn = self._open(msg.backend, now)
+            if self._clock() >= msg.start_by:
+                return types.BackendAnswer(phase, error="the lease lapsed")
             phase = "send"
             conn.timeout = msg.timeout
             conn.sock.settimeout(msg.timeout)
--- a/packages/daemon/src/cardamompathd/callers/handlers.py
+++ b/packages/daemon/src/cardamompathd/callers/handlers.py
@@ -27,6 +27,12 @@
     "make_handler",
 ]
 
+NAME = "[A-Za-z0-9._~-]{1,128}"
+"""What callers' own identifiers are made of."""
+
+NAMED_WAIT = 5.0
+"""Default wait for the answer to a named job, in seconds."""
+
 Ask = Callable[[Callable[[Any], Any], float], Any]
 """Called with a function from a reply to the message that carries it,
 and the seconds to wait; returns the answer, or None after that time."""
@@ -60,6 +66,7 @@
         Route("POST", re.compile("/v1/requests"), _run_request),
         Route("POST", re.compile("/v1/jobs"), _issue_job),
         Route("PUT", re.compile("/v1/jobs/([^/]+)"), _submit_job),
+        Route("PUT", re.compile(f"/v1/named-jobs/({NAME})"), _submit_named),
         Route("GET", re.compile("/v1/jobs/([^/]+)"), _get_job),
         Route("DELETE", re.compile("/v1/jobs/([^/]+)"), _cancel_job),
     )
@@ -108,6 +115,19 @@
     return _respond(job, answer, len(spec.tasks))
 
 
+def _submit_named(ask, req, name):
+    """Submit under the caller's own identifier, claimed in the log."""
+    spec = codec.decode_job(req.body)
+    if not pipeline.is_successful(spec):
+        return chain.fault(400, "bad_request", spec.failure())
+    spec = spec.unwrap()
+    answer = ask(
+        lambda fut: messages.SubmitNamed(name, spec, fut),
+        chain.wait_of(req, NAMED_WAIT),
+    )
+    return _respond(name, answer, len(spec.tasks))
+
+
 def _get_job(ask, req, job):
     identity.parse_job(job)
     wait = chain.wait_of(req, 0.0)
--- a/packages/daemon/src/cardamompathd/controllers/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/__init__.py
@@ -2,10 +2,16 @@
 
 from cardamompathd.controllers import backends
 from cardamompathd.controllers import configuration
+from cardamompathd.controllers import fence
 from cardamompathd.controllers import jobs
+from cardamompathd.controllers import journal
+from cardamompathd.controllers import journal_store
 
 __all__ = [
     "backends",
     "configuration",
+    "fence",
     "jobs",
+    "journal",
+    "journal_store",
 ]
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -10,10 +10,12 @@
 from collections.abc import Sequence
 from typing import Any
 
+from cardamompath_core import leases
 from cardamompath_core import outcomes
 from cardamompath_core import routing
 from cardamompath_core import types
 from cardamompathd import messages
+from cardamompathd.controllers import fence
 
 __all__ = [
     "BackendsState",
@@ -41,6 +43,7 @@
         self.queues: dict[str, collections.deque] = {}
         self.queued: dict[str, dict[int, types.TaskSpec]] = {}
         self.jobs: dict[str, messages.Enqueue] = {}
+        self.leases: dict[str, float] = {}
 
 
 def make_controller(choose: routing.Chooser) -> messages.Controller:
@@ -74,6 +77,11 @@
         if task is None:
             queue.popleft()
             continue
+        until = fence.start_by(state.leases, ref.job)
+        if not leases.may_start(until, now):
+            queue.popleft()
+            sends += fence.lapse(state.leases, ref.job)
+            continue
         chosen = state.choose(_candidates(state, service), task, now)
         if chosen is None:
             break
@@ -101,7 +109,13 @@
     return messages.Send(
         messages.CONNECTIONS,
         messages.StartTask(
-            backend.spec, ref, task.service, task.kind, task.payload, timeout
+            backend.spec,
+            ref,
+            task.service,
+            task.kind,
+            task.payload,
+            timeout,
+            fence.start_by(state.leases, ref.job),
         ),
     )
 
@@ -155,6 +169,11 @@
     return sends
 
 
+def _take_lease(state, msg, now):
+    fence.take_lease(state.leases, msg)
+    return []
+
+
 def _status(state, msg, now):
     status = {
         "queued": sum(len(left) for left in state.queued.values()),
@@ -170,6 +189,7 @@
     messages.ConfigurationChanged: _configure,
     messages.Enqueue: _enqueue,
     messages.GetStatus: _status,
+    messages.LeaseChanged: _take_lease,
     messages.TaskEnded: _ended,
     messages.Withdraw: _withdraw,
 }
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -1,4 +1,4 @@
-"""Jobs that this incarnation owns, and their answers."""
+"""Jobs that this process owns, and their answers."""
 
 from __future__ import annotations
 
@@ -6,69 +6,48 @@
 from typing import Any
 
 from cardamompath_core import identity
+from cardamompath_core import leases
+from cardamompath_core import ownership
 from cardamompath_core import types
 from cardamompathd import messages
+from cardamompathd.controllers import fence
+from cardamompathd.controllers import job_leases
+from cardamompathd.controllers import job_store
 
 __all__ = [
-    "JobsState",
     "make_controller",
 ]
 
 NOT_STARTED = types.TaskResult("not_started")
 UNKNOWN = types.TaskResult("unknown")
+DRAINING = types.Refused("draining", "the instance is leaving", 0.1)
+LAPSED = types.Refused(
+    "lease_lapsed",
+    "the identifier's lease lapsed before it was submitted; get another",
+    0.0,
+)
+LOG_UNAVAILABLE = types.Refused(
+    "log_unavailable",
+    "the log did not take the claim of the name; nothing ran",
+    1.0,
+)
 
+AT_ONCE = ("deadline", "lease_lapsed")
+"""Reasons for which a job ends without the answers in flight."""
 
-class Job:
-    """One accepted job until its answer is forgotten."""
-
-    __slots__ = (
-        "answer",
-        "cancelled",
-        "deadline",
-        "job",
-        "open",
-        "results",
-        "spec",
-        "waiters",
-    )
-
-    def __init__(self, job: str, spec: types.JobSpec, deadline: float):
-        self.job = job
-        self.spec = spec
-        self.deadline = deadline
-        self.results: list[types.TaskResult | None] = [None] * len(spec.tasks)
-        self.open = len(spec.tasks)
-        self.waiters: list[Any] = []
-        self.answer: types.Answer | None = None
-        self.cancelled = ""
-
-
-class JobsState:
-    """All jobs of one incarnation.
-
-    Parameters
-    ----------
-    owner : Incarnation
-        The incarnation whose identifiers are issued.
-    answer_ttl : float
-        Seconds for which an answer can be asked for again.
-    """
-
-    def __init__(self, owner: identity.Incarnation, answer_ttl: float):
-        self.owner = owner
-        self.answer_ttl = answer_ttl
-        self.counter = 0
-        self.jobs: dict[str, Job] = {}
-        self.services: frozenset[str] = frozenset()
-        self.draining: Any = None
-        self.addresses: dict[tuple[str, str], tuple[str, int]] = {}
+
+def _conflict(name):
+    reason = f"{name!r} was submitted with another body"
+    return types.Refused("conflict", reason)
 
 
 def make_controller(
-    owner: identity.Incarnation, answer_ttl: float = 300.0
+    owner: identity.Incarnation,
+    answer_ttl: float = 300.0,
+    answer_bytes: int = 256 << 20,
 ) -> messages.Controller:
-    """Make the controller of the jobs that `owner` accepts."""
-    state = JobsState(owner, answer_ttl)
+    """Make the controller of the jobs that a process owns."""
+    state = job_store.JobsState(owner, answer_ttl, answer_bytes)
 
     def receive(msg: Any, now: float) -> Sequence[messages.Send]:
         return _HANDLERS[type(msg)](state, msg, now)
@@ -81,60 +60,63 @@
 
 
 def _issue(state, msg, now):
-    return [_reply(msg.reply, _next_id(state))]
-
-
-def _next_id(state):
-    state.counter += 1
-    key = identity.JobKey(state.owner, state.counter)
-    return identity.format_job(key)
-
-
-def _is_own(state, job):
-    key = identity.parse_job(job)
-    return key.owner == state.owner and key.counter <= state.counter
-
-
-def _not_owner(state, msg):
-    owner = identity.parse_job(msg.job).owner
-    address = state.addresses.get((owner.domain, owner.instance))
-    return [_reply(msg.reply, messages.NotOwner(msg.job, address))]
+    return [_reply(msg.reply, ownership.issue(state.book, now))]
 
 
 def _submit(state, msg, now):
-    if msg.job and not _is_own(state, msg.job):
-        return _not_owner(state, msg)
+    if not msg.job:
+        return _submit_request(state, msg, now)
     known = state.jobs.get(msg.job)
     if known is not None:
         return _resubmit(known, msg)
+    standing = ownership.standing(state.book, msg.job, now)
+    if standing != "open":
+        return _answer_other(state, msg, standing, len(msg.spec.tasks))
+    ownership.take(state.book, msg.job)
+    until = fence.start_by(state.leases, msg.job)
+    refusal = _refuse(state, msg.spec)
+    if not leases.may_start(until, now):
+        refusal = LAPSED
+    if refusal is not None:
+        sends = job_store.close(state, msg.job, msg.spec.digest, refusal, now)
+        return [_reply(msg.reply, refusal), *sends]
+    return _accept(state, msg.job, msg, now)
+
+
+def _submit_request(state, msg, now):
     refusal = _refuse(state, msg.spec)
     if refusal is not None:
         return [_reply(msg.reply, refusal)]
-    job = _accept(state, msg, now)
-    return [
-        messages.Send(
-            messages.BACKENDS,
-            messages.Enqueue(job.job, job.spec, job.deadline),
-        ),
-        messages.Send(
-            messages.TIMERS,
-            messages.SetTimer(
-                job.deadline, messages.JOBS, ("deadline", job.job)
-            ),
-        ),
-    ]
+    state.request_count += 1
+    return _accept(state, f"{state.requests}.{state.request_count}", msg, now)
 
 
 def _resubmit(known, msg):
-    if known.spec.digest != msg.spec.digest:
+    if known.spec.digest not in ("", msg.spec.digest):
         reason = f"job {msg.job!r} was submitted with another body"
         return [_reply(msg.reply, types.Refused("conflict", reason))]
     return _await_known(known, msg.reply)
 
 
+def _answer_other(state, msg, standing, total):
+    """Answer for an identifier that is not open here."""
+    if standing == "foreign":
+        key = identity.parse_job(msg.job)
+        place = (key.owner.domain, key.owner.instance)
+        address = state.addresses.get(place)
+        ask = messages.AskOwner(msg.job, total, address, msg.reply)
+        return [messages.Send(messages.JOURNAL, ask)]
+    if standing == "never":
+        reason = f"job {msg.job!r} was never issued"
+        return [_reply(msg.reply, types.Refused("unknown_job", reason))]
+    reason = f"job {msg.job!r} is forgotten or expired; it may have run"
+    forgotten = types.Failed("forgotten", reason, (UNKNOWN,) * total)
+    return [_reply(msg.reply, forgotten)]
+
+
 def _refuse(state, spec):
     if state.draining is not None:
-        return types.Refused("draining", "the instance is leaving", 0.1)
+        return DRAINING
     for task in spec.tasks:
         if task.service not in state.services:
             choices = ", ".join(sorted(state.services)) or "none"
@@ -143,22 +125,66 @@
     return None
 
 
-def _accept(state, msg, now):
-    name = msg.job or _next_id(state)
-    job = Job(name, msg.spec, now + msg.spec.timeout)
+def _accept(state, name, msg, now):
+    job = job_store.Job(name, msg.spec, now + msg.spec.timeout)
     job.waiters.append(msg.reply)
     state.jobs[name] = job
-    return job
+    job_store.note_change(state, job)
+    enqueue = messages.Enqueue(name, job.spec, job.deadline)
+    timer = messages.SetTimer(job.deadline, messages.JOBS, ("deadline", name))
+    return [
+        messages.Send(messages.BACKENDS, enqueue),
+        messages.Send(messages.TIMERS, timer),
+    ]
+
+
+def _submit_named(state, msg, now):
+    named = state.named.get(msg.name)
+    if named is not None:
+        if named.spec.digest != msg.spec.digest:
+            return [_reply(msg.reply, _conflict(msg.name))]
+        named.replies.append(msg.reply)
+        return []
+    refusal = _refuse(state, msg.spec)
+    if refusal is not None:
+        return [_reply(msg.reply, refusal)]
+    named = job_store.Named(ownership.issue(state.book, now), msg.spec)
+    named.replies.append(msg.reply)
+    state.named[msg.name] = named
+    claim = messages.Claim(msg.name, named.job, msg.spec.digest)
+    return [messages.Send(messages.JOURNAL, claim)]
+
+
+def _claimed(state, msg, now):
+    named = state.named.pop(msg.name, None)
+    if named is None:
+        return []
+    if msg.job != named.job:
+        ownership.take(state.book, named.job)
+    refusal = None
+    if not msg.job:
+        refusal = LOG_UNAVAILABLE
+    elif msg.digest != named.spec.digest:
+        refusal = _conflict(msg.name)
+    sends = []
+    for reply in named.replies:
+        if refusal is not None:
+            sends.append(_reply(reply, refusal))
+            continue
+        submit = messages.Submit(msg.job, named.spec, reply)
+        sends += _submit(state, submit, now)
+    return sends
 
 
 def _await(state, msg, now):
-    if not _is_own(state, msg.job):
-        return _not_owner(state, msg)
     known = state.jobs.get(msg.job)
-    if known is None:
-        reason = f"job {msg.job!r} was not submitted, or is forgotten"
-        return [_reply(msg.reply, types.Refused("unknown_job", reason))]
-    return _await_known(known, msg.reply)
+    if known is not None:
+        return _await_known(known, msg.reply)
+    standing = ownership.standing(state.book, msg.job, now)
+    if standing == "open":
+        pending = types.Pending(0, 0, "not submitted yet")
+        return [_reply(msg.reply, pending)]
+    return _answer_other(state, msg, standing, 0)
 
 
 def _await_known(known, reply):
@@ -169,14 +195,26 @@
 
 
 def _cancel(state, msg, now):
-    sends = list(_await(state, msg, now))
     known = state.jobs.get(msg.job)
+    if known is None:
+        standing = ownership.standing(state.book, msg.job, now)
+        if standing == "open":
+            return _cancel_open(state, msg, now)
+    sends = list(_await(state, msg, now))
     if known is not None and known.answer is None and not known.cancelled:
         known.cancelled = "cancelled"
         sends.append(_withdraw(known))
     return sends
 
 
+def _cancel_open(state, msg, now):
+    ownership.take(state.book, msg.job)
+    reason = "cancelled before it was submitted"
+    refused = types.Refused("cancelled", reason)
+    sends = job_store.close(state, msg.job, "", refused, now)
+    return [_reply(msg.reply, refused), *sends]
+
+
 def _withdraw(job):
     return messages.Send(messages.BACKENDS, messages.Withdraw(job.job))
 
@@ -189,6 +227,7 @@
         return []
     job.results[msg.task.index] = msg.result
     job.open -= 1
+    job_store.note_change(state, job)
     if job.open == 0:
         return _finish(state, job, now)
     if msg.result.state != "finished" and not job.cancelled:
@@ -205,7 +244,8 @@
         if job.results[index] is None:
             job.results[index] = NOT_STARTED
             job.open -= 1
-    if job.open == 0 or job.cancelled == "deadline":
+    job_store.note_change(state, job)
+    if job.open == 0 or job.cancelled in AT_ONCE:
         return _finish(state, job, now)
     return []
 
@@ -216,7 +256,7 @@
     if job is None:
         return []
     if what == "forget":
-        del state.jobs[name]
+        job_store.forget(state, name)
         return []
     if job.answer is not None:
         return []
@@ -225,37 +265,17 @@
 
 
 def _finish(state, job, now):
-    results = tuple(
-        UNKNOWN if result is None else result for result in job.results
-    )
-    job.answer = _answer(job, results)
+    job.answer = job_store.make_answer(job)
     sends = [_reply(reply, job.answer) for reply in job.waiters]
     job.waiters.clear()
     sends.append(_withdraw(job))
-    sends.append(
-        messages.Send(
-            messages.TIMERS,
-            messages.SetTimer(
-                now + state.answer_ttl, messages.JOBS, ("forget", job.job)
-            ),
-        )
-    )
+    if job.spec.single:
+        del state.jobs[job.job]
+    else:
+        sends += job_store.keep(state, job, now)
     return sends + _check_drained(state)
 
 
-def _answer(job, results):
-    if all(result.state == "finished" for result in results):
-        return types.Complete(results)
-    code = job.cancelled or "task_failed"
-    if all(result.state == "not_started" for result in results):
-        return types.Refused(code, f"nothing of the job ran: {code}")
-    states = [result.state for result in results]
-    counts = ", ".join(
-        f"{states.count(one)} {one}" for one in sorted(set(states))
-    )
-    return types.Failed(code, f"{code}: {counts}", results)
-
-
 def _configure(state, msg, now):
     state.services = frozenset(one.name for one in msg.cfg.services)
     return []
@@ -286,9 +306,10 @@
 def _status(state, msg, now):
     waiting = sum(job.answer is None for job in state.jobs.values())
     status = {
-        "owner": identity.format_incarnation(state.owner),
+        "owner": state.book.owner,
         "jobs": len(state.jobs),
         "unanswered": waiting,
+        "answer_bytes": state.held,
     }
     return [_reply(msg.reply, status)]
 
@@ -296,12 +317,17 @@
 _HANDLERS = {
     messages.AwaitJob: _await,
     messages.CancelJob: _cancel,
+    messages.Claimed: _claimed,
+    messages.CollectProgress: job_leases.collect,
     messages.ConfigurationChanged: _configure,
     messages.Drain: _drain,
     messages.GetStatus: _status,
     messages.IssueJob: _issue,
+    messages.LeaseChanged: job_leases.take_lease,
+    messages.OwnerChanged: job_leases.change_owner,
     messages.PeersChanged: _see_peers,
     messages.Submit: _submit,
+    messages.SubmitNamed: _submit_named,
     messages.TaskSettled: _settle,
     messages.TimerFired: _timer,
     messages.Withdrawn: _withdrawn,
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/journal.py
@@ -0,0 +1,274 @@
+"""Leases of this process's incarnations, and its journal on the log.
+
+One append is in flight at a time.  When its answer is lost, the stream
+is read back for the records' identifiers before anything else is
+appended.  A lease is extended only once the renewal was read in log
+order, so that a death before it is seen first.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+
+from cardamompath_core import identity
+from cardamompath_core import settlement
+from cardamompathd import messages
+from cardamompathd.controllers import journal_leases
+from cardamompathd.controllers import journal_store
+
+__all__ = [
+    "COMMIT",
+    "STREAM",
+    "make_controller",
+]
+
+STREAM = "journal"
+
+COMMIT = ("commit",)
+"""Key of the timer that commits; it is told once to begin with."""
+
+MAX_JOBS_A_RECORD = 1000
+"""Most jobs in one progress record."""
+
+MAX_PENDING = 20_000
+"""Most jobs whose progress waits for an append; the oldest are left
+out, and are settled as unknown if their owner dies."""
+
+
+def make_controller(
+    owner: identity.Incarnation,
+    draw: Callable[[], str],
+    terms: journal_store.JournalTerms | None = None,
+) -> messages.Controller:
+    """Make the controller of leases and journal.
+
+    Parameters
+    ----------
+    owner : Incarnation
+        The first incarnation of this process.
+    draw : callable
+        Draws the nonce of a further incarnation.
+    terms : journal_store.JournalTerms, optional
+        Times and budget.
+    """
+    state = journal_store.JournalState(
+        owner, draw, terms or journal_store.JournalTerms()
+    )
+
+    def receive(msg: Any, now: float) -> Sequence[messages.Send]:
+        return _HANDLERS[type(msg)](state, msg, now)
+
+    return messages.Controller(messages.JOURNAL, receive)
+
+
+def _commit(state, msg, now):
+    interval = _interval(state)
+    timer = messages.SetTimer(now + interval, messages.JOURNAL, COMMIT)
+    sends = [messages.Send(messages.TIMERS, timer)]
+    sends += journal_leases.check_leases(state, now)
+    _forget(state, now)
+    if state.batch is None:
+        collect = messages.CollectProgress(now - interval)
+        sends.append(messages.Send(messages.JOBS, collect))
+    elif state.reading_back and not state.read_asked:
+        sends.append(_read_back(state))
+    return sends
+
+
+def _interval(state):
+    live = len(settlement.live_owners(state.ledger))
+    return max(state.terms.interval, live / state.terms.budget)
+
+
+def _forget(state, now):
+    state.marks.append((now, state.ledger.offset + 1))
+    while state.marks[0][0] < now - state.terms.settlement_ttl:
+        settlement.prune(state.ledger, state.marks.popleft()[1])
+    replaced = now - state.terms.hold
+    state.own = {
+        owner: own
+        for owner, own in state.own.items()
+        if own.replaced > replaced
+    }
+    live = settlement.live_owners(state.ledger)
+    state.heard = {owner: state.heard[owner] for owner in live}
+    horizon = now - state.terms.lease.length
+    state.sent = {
+        record: sent for record, sent in state.sent.items() if sent > horizon
+    }
+
+
+def _collected(state, msg, now):
+    for job, one in msg.jobs.items():
+        state.progress.pop(job, None)
+        state.progress[job] = one
+    while len(state.progress) > MAX_PENDING:
+        del state.progress[next(iter(state.progress))]
+    if state.batch is not None:
+        return []
+    return _append(state, now)
+
+
+def _append(state, now):
+    renewals, first_announced = journal_leases.lease_records(state, now)
+    jobs = _take_progress(state)
+    records = [
+        *renewals,
+        *journal_leases.death_records(state, now),
+        *_claim_records(state),
+        *_progress_records(state, jobs),
+    ]
+    if not records:
+        return []
+    sends = journal_leases.begin_leases(state, first_announced, now)
+    state.batch = journal_store.Batch(
+        tuple(records), now, state.ledger.offset + 1, jobs, first_announced
+    )
+    append = messages.Append(STREAM, state.batch.records)
+    return [*sends, messages.Send(messages.APPENDER, append)]
+
+
+def _claim_records(state):
+    claims, state.claims = state.claims, {}
+    state.claiming |= claims
+    return [
+        settlement.claim(
+            one.name,
+            settlement.Claim(one.job, one.digest),
+            journal_store.record_id(state),
+        )
+        for one in claims.values()
+    ]
+
+
+def _take_progress(state):
+    jobs = dict(list(state.progress.items())[:MAX_JOBS_A_RECORD])
+    for job in jobs:
+        del state.progress[job]
+    return jobs
+
+
+def _progress_records(state, jobs):
+    by_owner: dict[str, dict[str, settlement.Progress]] = {}
+    for job, one in jobs.items():
+        owner = job.rpartition(".")[0]
+        by_owner.setdefault(owner, {})[job] = one
+    return [
+        settlement.progress(owner, some, journal_store.record_id(state))
+        for owner, some in by_owner.items()
+    ]
+
+
+def _append_ended(state, msg, now):
+    if msg.outcome == "done":
+        state.batch = None
+        return []
+    if msg.outcome == "unknown":
+        state.reading_back = True
+        return [_read_back(state)]
+    return [*journal_leases.take_back(state), *_give_back(state)]
+
+
+def _read_back(state):
+    state.read_asked = True
+    read = messages.ReadBack(STREAM, state.batch.offset)
+    return messages.Send(messages.APPENDER, read)
+
+
+def _read_back_ended(state, msg, now):
+    state.read_asked = False
+    if msg.records is None or not state.reading_back:
+        return []
+    state.reading_back = False
+    found = {record.get("id") for record in msg.records}
+    if all(record["id"] in found for record in state.batch.records):
+        state.batch = None
+        return []
+    return _give_back(state)
+
+
+def _give_back(state):
+    """Let everything of a batch that is not in the log be sent again."""
+    state.progress = state.batch.jobs | state.progress
+    state.batch = None
+    sends = []
+    refused = state.claims | state.claiming
+    state.claims = {}
+    state.claiming = {}
+    for name in refused:
+        claimed = messages.Claimed(name, "")
+        sends.append(messages.Send(messages.JOBS, claimed))
+    return sends
+
+
+def _read(state, msg, now):
+    if now - state.read_at > state.terms.lease.length / 2.0:
+        # The log or this process was away: peers get their time anew.
+        state.heard = dict.fromkeys(state.heard, now)
+    sends = []
+    for offset, record in msg.records:
+        if not settlement.apply(state.ledger, offset, record):
+            continue
+        if record.get("kind") in ("announce", "renew"):
+            sends += journal_leases.renewal_read(state, record, now)
+        if record.get("kind") == "claim":
+            sends += _claim_read(state, record)
+    state.read_at = now
+    state.at_head = not msg.records or msg.records[-1][0] + 1 >= msg.head
+    return [*sends, *journal_leases.check_deaths(state, now)]
+
+
+def _claim(state, msg, now):
+    won = state.ledger.names.get(msg.name)
+    if won is not None:
+        claimed = messages.Claimed(msg.name, *won)
+        return [messages.Send(messages.JOBS, claimed)]
+    if state.reading_back:
+        claimed = messages.Claimed(msg.name, "")
+        return [messages.Send(messages.JOBS, claimed)]
+    state.claims.setdefault(msg.name, msg)
+    return []
+
+
+def _claim_read(state, record):
+    name = record["name"]
+    state.claims.pop(name, None)
+    state.claiming.pop(name, None)
+    won = state.ledger.names[name]
+    return [messages.Send(messages.JOBS, messages.Claimed(name, *won))]
+
+
+def _ask_owner(state, msg, now):
+    owner = msg.job.rpartition(".")[0]
+    answer = settlement.settle(state.ledger, owner, msg.job, msg.total)
+    if answer is None:
+        answer = messages.NotOwner(msg.job, msg.address)
+    return [messages.Send(messages.CALLERS, messages.Reply(msg.reply, answer))]
+
+
+def _status(state, msg, now):
+    status = {
+        "owner": state.owner,
+        "own": sorted(state.own),
+        "live": settlement.live_owners(state.ledger),
+        "offset": state.ledger.offset,
+        "unjournalled": len(state.progress),
+        "appending": state.batch is not None,
+        "at_head": state.at_head,
+    }
+    return [messages.Send(messages.CALLERS, messages.Reply(msg.reply, status))]
+
+
+_HANDLERS = {
+    messages.AppendEnded: _append_ended,
+    messages.AskOwner: _ask_owner,
+    messages.Claim: _claim,
+    messages.GetStatus: _status,
+    messages.LeaseChanged: journal_leases.lapse,
+    messages.ProgressCollected: _collected,
+    messages.ReadBackEnded: _read_back_ended,
+    messages.RecordsRead: _read,
+    messages.TimerFired: _commit,
+}
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -7,15 +7,21 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
+from typing import Literal
 from typing import NamedTuple
 
+from cardamompath_core import settlement
 from cardamompath_core import types
 
 __all__ = [
     "APPENDER",
+    "Append",
+    "AppendEnded",
+    "AskOwner",
     "AwaitJob",
     "BackendsLeaving",
     "InstancesListed",
@@ -30,6 +36,9 @@
     "CONFIGURATION",
     "CONNECTIONS",
     "CancelJob",
+    "Claim",
+    "Claimed",
+    "CollectProgress",
     "ConfigurationChanged",
     "Controller",
     "Drain",
@@ -39,13 +48,19 @@
     "GetStatus",
     "IssueJob",
     "JOBS",
+    "LeaseChanged",
     "NotOwner",
+    "OwnerChanged",
+    "ProgressCollected",
+    "ReadBack",
+    "ReadBackEnded",
     "RecordsRead",
     "Reply",
     "Send",
     "SetTimer",
     "StartTask",
     "Submit",
+    "SubmitNamed",
     "TIMERS",
     "TaskEnded",
     "TaskSettled",
@@ -110,6 +125,14 @@
     reply: Any
 
 
+class SubmitNamed(NamedTuple):
+    """Submit a job under an identifier of the caller's own."""
+
+    name: str
+    spec: types.JobSpec
+    reply: Any
+
+
 class NotOwner(NamedTuple):
     """The job belongs to another incarnation."""
 
@@ -156,6 +179,8 @@
     payload: bytes
     timeout: float
     """Seconds until the exchange is given up."""
+    start_by: float = math.inf
+    """When the lease ends under which the task may start."""
 
 
 class TaskEnded(NamedTuple):
@@ -229,6 +254,88 @@
     load: types.LoadHint
 
 
+class LeaseChanged(NamedTuple):
+    """An incarnation of this process may start tasks until a time."""
+
+    owner: str
+    until: float
+
+
+class OwnerChanged(NamedTuple):
+    """Identifiers are issued under another incarnation from now on."""
+
+    owner: str
+
+
+class AskOwner(NamedTuple):
+    """Answer for a job of another instance: settled, or not our own."""
+
+    job: str
+    total: int
+    """Number of tasks, 0 when it is not known."""
+    address: tuple[str, int] | None
+    """Where the owner's instance listens for peers, if that is known."""
+    reply: Any
+
+
+class Claim(NamedTuple):
+    """Claim a caller's own identifier in the log."""
+
+    name: str
+    job: str
+    digest: str
+
+
+class Claimed(NamedTuple):
+    """How a claim ended."""
+
+    name: str
+    job: str
+    """The job that won the name; empty if the log did not take it."""
+    digest: str = ""
+
+
+class CollectProgress(NamedTuple):
+    """Ask the jobs controller for what is to be journalled.
+
+    Jobs accepted before a time are told, and those that ended.
+    """
+
+    accepted_before: float
+
+
+class ProgressCollected(NamedTuple):
+    """What is new of the jobs since the last time."""
+
+    jobs: dict[str, settlement.Progress]
+
+
+class Append(NamedTuple):
+    """Append records to a stream."""
+
+    stream: str
+    records: tuple[dict[str, Any], ...]
+
+
+class AppendEnded(NamedTuple):
+    """How the last append ended."""
+
+    outcome: Literal["done", "refused", "unknown"]
+
+
+class ReadBack(NamedTuple):
+    """Read a stream from an offset to its head."""
+
+    stream: str
+    offset: int
+
+
+class ReadBackEnded(NamedTuple):
+    """What was read back; None while the log cannot be read."""
+
+    records: tuple[dict[str, Any], ...] | None
+
+
 class GetConfiguration(NamedTuple):
     """Ask for the configuration in force."""
 
--- a/packages/daemon/src/cardamompathd/platform/log_client.py
+++ b/packages/daemon/src/cardamompathd/platform/log_client.py
@@ -23,6 +23,10 @@
 ]
 
 
+REFUSED = (429, 503)
+"""Statuses with which the log says that it appended nothing."""
+
+
 class LogClient:
     """A connection to the log, for one task.
 
@@ -58,8 +62,10 @@
             raise errors.LogUnavailable(repr(exc)) from exc
         except urllib3.exceptions.HTTPError as exc:
             raise errors.AppendUnknown(repr(exc)) from exc
-        if response.status != 201:
+        if response.status in REFUSED:
             raise errors.LogUnavailable(f"status {response.status}")
+        if response.status != 201:
+            raise errors.AppendUnknown(f"status {response.status}")
         return response.json()["offset"]
 
     def read(
--- a/packages/daemon/src/cardamompathd/platform/reader.py
+++ b/packages/daemon/src/cardamompathd/platform/reader.py
@@ -37,6 +37,8 @@
         Called with each `RecordsRead`.
     rng : random.Random
         Spreads the attempts while the log is down.
+    wait : float
+        Seconds that a read waits for a record.
     """
 
     def __init__(
@@ -45,12 +47,14 @@
         stream: str,
         tell: Callable[[messages.RecordsRead], None],
         rng: random.Random,
+        wait: float,
     ):
         super().__init__(name=f"reader-{stream}", daemon=True)
         self._client = client
         self._stream = stream
         self._tell = tell
         self._rng = rng
+        self._wait = wait
         self._ended = threading.Event()
 
     def stop(self) -> None:
@@ -63,7 +67,7 @@
         down = False
         while not self._ended.is_set():
             try:
-                read = self._client.read(self._stream, offset, WAIT)
+                read = self._client.read(self._stream, offset, self._wait)
             except errors.LogUnavailable as exc:
                 if not down:
                     loguru.logger.warning("platform: log is down: {}", exc)
@@ -76,12 +80,13 @@
             offset = read.head
             if read.records:
                 offset = read.records[-1][0] + 1
-            self._tell(read)
+            if not self._ended.is_set():
+                self._tell(read)
         self._client.close()
 
 
-def start(client, stream, tell, rng) -> ReaderTask:
+def start(client, stream, tell, rng, wait=WAIT) -> ReaderTask:
     """Start the task that follows `stream`."""
-    task = ReaderTask(client, stream, tell, rng)
+    task = ReaderTask(client, stream, tell, rng, wait)
     task.start()
     return task
--- a/packages/daemon/src/cardamompathd/settings/table.py
+++ b/packages/daemon/src/cardamompathd/settings/table.py
@@ -143,6 +143,16 @@
         "seconds",
         "For how long an answer can be asked for again.",
     ),
+    _number(
+        "callers",
+        "answer_bytes",
+        int,
+        256 << 20,
+        1 << 20,
+        1 << 40,
+        "bytes",
+        "Memory for answers that can be asked for again.",
+    ),
     _address(
         "operators", "listen", None, "Where operators reach the instance."
     ),
@@ -159,6 +169,16 @@
         "seconds",
         "Time for one call to the platform.",
     ),
+    _number(
+        "platform",
+        "append_budget",
+        float,
+        100.0,
+        1,
+        10000,
+        "appends/s",
+        "Appends to the journal by all instances together.",
+    ),
     _number(
         "backends",
         "connect_timeout",
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/fakes.py
@@ -0,0 +1,230 @@
+"""Instances made of the real controllers, on a fake log and clock."""
+
+import collections
+import heapq
+import itertools
+
+from cardamompath_core import identity
+from cardamompath_core import routing
+from cardamompath_core import types
+from cardamompathd import controllers
+from cardamompathd import messages
+
+STEP = 0.25
+WORK = 1.0
+CFG = types.Configuration(
+    1,
+    0,
+    (types.ServiceSpec("booking"),),
+    tuple(
+        types.BackendSpec(f"e-{one}", "booking", "pocitos", "::1", 1, 2)
+        for one in (1, 2)
+    ),
+)
+
+
+def make_spec(count=6, digest="one"):
+    task = types.TaskSpec("booking", "reserve", b"payload")
+    return types.JobSpec("box-office", (task,) * count, 30.0, digest)
+
+
+class World:
+    """A clock, a log, backend servers and instances."""
+
+    def __init__(self, count=3):
+        self.now = 100.0
+        self.events = []
+        self.order = itertools.count()
+        self.records = []
+        self.mode = "up"
+        self.delay = 0.0
+        self.starts = collections.Counter()
+        self.ended_twice = False
+        self.answers = []
+        self.nodes = [Node(self, f"entry-{one}") for one in range(count)]
+
+    def at(self, when, action):
+        heapq.heappush(self.events, (when, next(self.order), action))
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            when, _, action = heapq.heappop(self.events)
+            self.now = max(self.now, when)
+            action()
+        self.now = end
+
+    def ask(self, node, message):
+        """Ask one instance, which relays once; return the answer list."""
+        got = []
+        job = getattr(message, "job", "")
+        node.receive(
+            messages.JOBS, message._replace(reply=(self, job, got, node))
+        )
+        return got
+
+    def reply(self, job, got, node, answer):
+        if isinstance(answer, messages.NotOwner):
+            node.relay(answer.job, got)
+            return
+        got.append(answer)
+        self.answers.append((job, answer))
+
+    def submit(self, node, job, spec=None):
+        return self.ask(node, messages.Submit(job, spec or make_spec(), None))
+
+    def issue(self, node):
+        return self.ask(node, messages.IssueJob(None))[0]
+
+    def check(self, test):
+        """Check every answer given against the starts recorded."""
+        test.assertLessEqual(max(self.starts.values(), default=0), 1)
+        for job, answer in self.answers:
+            if isinstance(answer, types.Refused) and answer.code != "conflict":
+                ran = [one for one in self.starts if one[0] == job]
+                test.assertEqual([], ran, answer)
+            for index, one in enumerate(getattr(answer, "results", ())):
+                started = self.starts[job, index]
+                if one.state in ("finished", "failed"):
+                    test.assertEqual(1, started, answer)
+                if one.state == "not_started":
+                    test.assertEqual(0, started, answer)
+
+
+class Node:
+    """One instance."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.alive = True
+        self.paused = False
+        self.cut = False
+        self.inbox = []
+        self.read_to = 0
+        nonces = (f"{name}n{one:08d}" for one in itertools.count())
+        owner = identity.Incarnation(
+            "pocitos", name, next(nonces).replace("-", "")
+        )
+        self.controllers = {
+            one.name: one.receive
+            for one in (
+                controllers.jobs.make_controller(owner),
+                controllers.backends.make_controller(
+                    routing.least_in_flight()
+                ),
+                controllers.journal.make_controller(
+                    owner, lambda: next(nonces).replace("-", "")
+                ),
+            )
+        }
+        self.receive(messages.JOBS, messages.ConfigurationChanged(CFG))
+        self.receive(messages.BACKENDS, messages.ConfigurationChanged(CFG))
+        commit = messages.TimerFired(controllers.journal.COMMIT)
+        self.receive(messages.JOURNAL, commit)
+        self.poll()
+
+    def receive(self, name, msg):
+        if not self.alive:
+            return
+        if self.paused:
+            self.inbox.append((name, msg))
+            return
+        pending = collections.deque([messages.Send(name, msg)])
+        while pending:
+            send = pending.popleft()
+            run = self.controllers.get(send.to)
+            if run is not None:
+                pending.extend(run(send.msg, self.world.now))
+            elif send.to in self.OUTSIDE:
+                self.OUTSIDE[send.to](self, send.msg)
+
+    def later(self, seconds, name, msg):
+        when = self.world.now + seconds
+        self.world.at(when, lambda: self.receive(name, msg))
+
+    def set_timer(self, msg):
+        left = msg.at - self.world.now
+        self.later(left, msg.to, messages.TimerFired(msg.key))
+
+    def reply(self, msg):
+        world, job, got, node = msg.reply
+        world.reply(job, got, node, msg.answer)
+
+    def start(self, msg):
+        """Do what a connection does: check the lease, then send."""
+        answer = types.BackendAnswer("connect")
+        if self.world.now < msg.start_by:
+            self.world.starts[msg.task.job, msg.task.index] += 1
+            answer = types.BackendAnswer("done", 200, b"result")
+        ended = messages.TaskEnded(msg.backend.name, msg.task, answer)
+        self.later(WORK, messages.BACKENDS, ended)
+        if self.world.ended_twice:
+            settled = messages.TaskSettled(
+                msg.task, types.TaskResult("finished", 200, b"result")
+            )
+            self.later(WORK * 3, messages.JOBS, settled)
+
+    def log_mode(self):
+        return "silent" if self.cut else self.world.mode
+
+    def append(self, msg):
+        mode, world = self.log_mode(), self.world
+        if isinstance(msg, messages.ReadBack):
+            records = None
+            if mode in ("up", "lost", "slow"):
+                records = tuple(world.records[msg.offset :])
+            ended = messages.ReadBackEnded(records)
+            self.later(0.01 + world.delay, messages.JOURNAL, ended)
+            return
+        if mode in ("up", "lost"):
+            world.records.extend(msg.records)
+        if mode == "slow":
+            world.at(
+                world.now + world.delay,
+                lambda: world.records.extend(msg.records),
+            )
+        outcome = {"up": "done", "slow": "done", "down": "refused"}
+        ended = messages.AppendEnded(outcome.get(mode, "unknown"))
+        self.later(0.01 + world.delay, messages.JOURNAL, ended)
+
+    def poll(self):
+        self.world.at(self.world.now + STEP, self.poll)
+        if self.paused or self.log_mode() in ("down", "silent"):
+            return
+        records = self.world.records
+        read = messages.RecordsRead(
+            "journal",
+            tuple(enumerate(records[self.read_to :], self.read_to)),
+            0,
+            len(records),
+        )
+        self.read_to = len(records)
+        self.receive(messages.JOURNAL, read)
+
+    def relay(self, job, got):
+        """Ask the owner's instance when it can be reached."""
+        spec, place = make_spec(), job.split(".")[1]
+        for owner in self.world.nodes:
+            reachable = owner.alive and not (owner.cut or self.cut)
+            if owner.name == place and owner is not self and reachable:
+                reply = (self.world, job, got, owner)
+                owner.receive(messages.JOBS, messages.Submit(job, spec, reply))
+                return
+        got.append(types.Pending(0, 0, "the owner cannot be reached"))
+
+    def pause(self):
+        self.paused = True
+
+    def resume(self):
+        self.paused = False
+        inbox, self.inbox = self.inbox, []
+        for name, msg in inbox:
+            self.receive(name, msg)
+
+    OUTSIDE = {
+        messages.APPENDER: append,
+        messages.CALLERS: reply,
+        messages.CONNECTIONS: start,
+        messages.TIMERS: set_timer,
+    }
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_recovery.py
@@ -0,0 +1,269 @@
+"""Each failure alone and in pairs; starts recorded against answers."""
+
+import itertools
+import unittest
+
+from cardamompath_core import settlement
+from cardamompath_core import types
+from cardamompathd import messages
+from cardamompathd.tests import fakes
+
+OUTAGE = 16.0
+"""Longer than a lease and its margin, in seconds."""
+
+
+def log_mode(mode, delay=0.0):
+    def begin(world):
+        world.mode, world.delay = mode, delay
+
+    def end(world):
+        world.mode, world.delay = "up", 0.0
+
+    return begin, end
+
+
+def owner_state(key, index=0):
+    def begin(world):
+        setattr(world.nodes[index], key, True)
+
+    def end(world):
+        setattr(world.nodes[index], key, False)
+
+    return begin, end
+
+
+def kill(world):
+    world.nodes[0].alive = False
+
+
+def end_twice(world):
+    world.ended_twice = True
+
+
+def nothing(world):
+    return
+
+
+FAULTS = {
+    "log down": log_mode("down"),
+    "log silent": log_mode("silent"),
+    "log slow": log_mode("slow", 2.0),
+    "answers lost": log_mode("lost"),
+    "owner dies": (kill, nothing),
+    "owner pauses": (
+        lambda world: world.nodes[0].pause(),
+        lambda world: world.nodes[0].resume(),
+    ),
+    "owner cut off": owner_state("cut"),
+    "peer cut off": owner_state("cut", 1),
+    "answers doubled": (end_twice, nothing),
+}
+
+
+class FaultsTest(unittest.TestCase):
+    def run_faults(self, faults, start):
+        world = fakes.World()
+        world.advance(2.0)
+        jobs = [world.issue(world.nodes[0]) for _ in range(3)]
+        world.submit(world.nodes[0], jobs[0])
+        world.advance(start)
+        for begin, _ in faults:
+            begin(world)
+        for node in world.nodes:
+            world.submit(node, jobs[0])
+            world.submit(node, jobs[1])
+        for _ in range(4):
+            world.advance(OUTAGE / 4)
+            for node in world.nodes:
+                world.submit(node, jobs[0])
+        for _, end in faults:
+            end(world)
+        world.advance(60.0)
+        self.check_settled(world, jobs)
+        return world
+
+    def check_settled(self, world, jobs):
+        for job in jobs:
+            for node in world.nodes:
+                got = world.submit(node, job)
+                world.advance(10.0)
+                if node.alive:
+                    self.assertEqual(1, len(got), (job, node.name))
+                    self.assertNotIsInstance(got[0], types.Pending)
+        world.check(self)
+
+    def test_each_fault_alone_at_each_time(self):
+        for name, fault in FAULTS.items():
+            for start in (0.0, 0.5, 1.5, 3.5):
+                with self.subTest(name, start=start):
+                    self.run_faults([fault], start)
+
+    def test_faults_in_pairs(self):
+        for one, two in itertools.combinations(FAULTS, 2):
+            with self.subTest(f"{one} and {two}"):
+                self.run_faults([FAULTS[one], FAULTS[two]], 1.5)
+
+
+class OwnerTest(unittest.TestCase):
+    def setUp(self):
+        self.world = fakes.World()
+        self.owner, self.two, self.three = self.world.nodes
+        self.world.advance(2.0)
+        self.job = self.world.issue(self.owner)
+
+    def states(self, answer):
+        return [one.state for one in answer.results]
+
+    def test_three_instances_at_once_start_once(self):
+        got = [self.world.submit(node, self.job) for node in self.world.nodes]
+        self.world.advance(5.0)
+        self.assertIsInstance(got[0][0], types.Complete)
+        self.assertEqual([got[0]] * 3, got)
+        self.assertEqual(6, sum(self.world.starts.values()))
+
+    def test_settlement_is_the_same_at_every_peer(self):
+        self.world.submit(self.owner, self.job)
+        self.world.advance(1.75)
+        self.owner.alive = False
+        early = self.world.submit(self.two, self.job)
+        self.assertIsInstance(early[0], types.Pending)
+        self.world.advance(20.0)
+        two = self.world.submit(self.two, self.job)
+        three = self.world.submit(self.three, self.job)
+        self.assertEqual(two, three)
+        self.assertEqual("owner_died", two[0].code)
+        self.assertEqual(4, self.states(two[0]).count("finished"))
+        self.assertEqual(2, self.states(two[0]).count("unknown"))
+
+    def test_job_ended_before_any_start_is_settled_as_not_run(self):
+        spec = fakes.make_spec()
+        spec = spec._replace(timeout=1.5)
+        blocker = self.world.issue(self.owner)
+        self.world.submit(self.owner, blocker, fakes.make_spec(8))
+        self.world.submit(self.owner, self.job, spec)
+        self.world.advance(3.0)
+        self.owner.alive = False
+        self.world.advance(20.0)
+        answer = self.world.submit(self.two, self.job)[0]
+        self.assertIsInstance(answer, types.Refused)
+        self.world.check(self)
+
+    def test_pause_beyond_the_lease_is_noticed_before_a_start(self):
+        self.world.submit(self.owner, self.job)
+        self.owner.pause()
+        before = sum(self.world.starts.values())
+        self.world.advance(30.0)
+        got = self.world.submit(self.owner, self.job)
+        self.owner.resume()
+        self.world.advance(5.0)
+        self.assertEqual(before, sum(self.world.starts.values()))
+        self.assertEqual("lease_lapsed", got[0].code)
+        fresh = self.world.issue(self.owner)
+        done = self.world.submit(self.owner, fresh)
+        self.world.advance(5.0)
+        self.assertIsInstance(done[0], types.Complete)
+
+    def test_identifier_of_a_lapsed_lease_is_refused_for_good(self):
+        self.owner.cut = True
+        self.world.advance(12.0)
+        self.owner.cut = False
+        self.world.advance(5.0)
+        for _ in range(2):
+            answer = self.world.submit(self.owner, self.job)[0]
+            self.assertEqual("lease_lapsed", answer.code)
+        self.assertEqual(0, sum(self.world.starts.values()))
+
+    def test_long_outage_of_the_log_stops_no_new_job(self):
+        for mode in ("down", "silent"):
+            self.world.mode = mode
+            for _ in range(12):
+                self.world.advance(5.0)
+                job = self.world.issue(self.owner)
+                got = self.world.submit(self.owner, job)
+                self.world.advance(4.0)
+                self.assertIsInstance(got[0], types.Complete, mode)
+            self.world.mode = "up"
+            self.world.advance(20.0)
+        dead = [one for one in self.world.records if one["kind"] == "death"]
+        self.assertEqual([], dead)
+
+    def test_job_kept_from_ending_by_an_outage_ends_at_the_lapse(self):
+        self.world.submit(self.owner, self.job, fakes.make_spec(200))
+        self.world.mode = "down"
+        self.world.advance(12.0)
+        answer = self.world.submit(self.owner, self.job, fakes.make_spec(200))[
+            0
+        ]
+        self.assertEqual("lease_lapsed", answer.code)
+        self.world.check(self)
+
+
+class JournalTest(unittest.TestCase):
+    def test_lost_answer_is_read_back_and_not_appended_again(self):
+        world = fakes.World(1)
+        world.mode = "lost"
+        world.advance(30.0)
+        ids = [record["id"] for record in world.records]
+        self.assertEqual(len(ids), len(set(ids)))
+        self.assertLess(len(ids), 12)
+        self.assertTrue(world.issue(world.nodes[0]).endswith("n00000000.1"))
+
+    def test_death_loses_against_a_renewal_it_has_not_seen(self):
+        ledger = settlement.Ledger()
+        owner = "pocitos.entry-1.0123456789ab"
+        records = [
+            settlement.announce(owner, "1"),
+            settlement.renew(owner, "2"),
+            settlement.death(owner, 0, "3"),
+        ]
+        for offset, record in enumerate(records):
+            self.assertTrue(settlement.apply(ledger, offset, record))
+        self.assertFalse(ledger.lives[owner].dead)
+        settlement.apply(ledger, 3, settlement.death(owner, 1, "4"))
+        settlement.apply(ledger, 4, settlement.renew(owner, "5"))
+        self.assertTrue(ledger.lives[owner].dead)
+
+    def test_malformed_records_are_skipped(self):
+        ledger = settlement.Ledger()
+        records = [
+            None,
+            {},
+            {"kind": []},
+            {"kind": "renew", "owner": 1},
+            {"kind": "death", "owner": "x"},
+            {"kind": "progress", "owner": "x", "jobs": 3},
+        ]
+        for offset, record in enumerate(records):
+            settlement.apply(ledger, offset, record)
+        self.assertEqual((5, {}), (ledger.offset, ledger.lives))
+
+    def test_memory_of_the_ledger_is_bounded(self):
+        ledger = settlement.Ledger(limit=1000)
+        settlement.apply(ledger, 0, settlement.announce("o", "1"))
+        for offset in range(1, 200):
+            jobs = {f"o.{offset}": settlement.Progress("f1u2", True)}
+            record = settlement.progress("o", jobs, str(offset))
+            settlement.apply(ledger, offset, record)
+        self.assertLessEqual(ledger.size, 1000)
+        self.assertIn("o.199", ledger.lives["o"].jobs)
+        settlement.prune(ledger, 200)
+        self.assertEqual((0, {}), (ledger.size, ledger.lives["o"].jobs))
+
+    def test_commits_stay_within_the_budget_shared(self):
+        world = fakes.World(8)
+        world.advance(10.0)
+        appended = []
+        for node in world.nodes:
+            tell = node.OUTSIDE[messages.APPENDER]
+            node.OUTSIDE = node.OUTSIDE | {
+                messages.APPENDER: lambda one, msg, tell=tell: (
+                    appended.append(msg),
+                    tell(one, msg),
+                )
+            }
+        for _ in range(40):
+            for node in world.nodes:
+                world.submit(node, world.issue(node), fakes.make_spec(1))
+            world.advance(0.25)
+        self.assertLessEqual(len(appended), 8 * 10.0 / 0.5)
+        self.assertGreater(len(appended), 8 * 10.0 / 0.5 / 2)
