End the tasks that tell the actors before the actors

Cause: timers and readers told actors that had ended, and died with a traceback at each shutdown.

Change: an instance carries the functions that end these tasks; stop calls them first. A log that refuses appends is logged once, not at each commit.

--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -52,8 +52,8 @@
     peers: Any
     drain: Any
     """Waits until nothing is in flight; called with seconds."""
-    log_tasks: list
-    """The tasks that read the log."""
+    stops: list
+    """Functions that end the tasks which tell the actors."""
 
 
 class DispatchActor(actors.ControllerActor):
@@ -102,14 +102,15 @@
         name: handlers.make_ask(table[name])
         for name in (messages.JOBS, messages.BACKENDS, messages.CONFIGURATION)
     }
-    tasks = _start_journal(cfg, table)
+    stops = _start_journal(cfg, table)
+    stops.append(lambda: table[messages.TIMERS](None))
     callers, operators = _start_listeners(cfg, asks, clock)
     peers = _start_peers(cfg, asks)
-    tasks.append(_follow_log(cfg, table))
+    stops.append(_follow_log(cfg, table).stop)
     loguru.logger.info(
         "instance: {} is up", identity.format_incarnation(owner)
     )
-    return Instance(owner, callers, operators, peers, _make_drain(asks), tasks)
+    return Instance(owner, callers, operators, peers, _make_drain(asks), stops)
 
 
 def _draw_nonce():
@@ -219,7 +220,8 @@
 
 def _start_journal(cfg, table):
     tell = table[messages.JOURNAL]
-    table[messages.APPENDER] = appender.start(_make_client(cfg), tell).tell
+    appending = appender.start(_make_client(cfg), tell)
+    table[messages.APPENDER] = appending.tell
     following = reader.start(
         _make_client(cfg),
         controllers.journal.STREAM,
@@ -228,7 +230,7 @@
         JOURNAL_WAIT,
     )
     tell(messages.TimerFired(controllers.journal.COMMIT))
-    return [following]
+    return [following.stop, lambda: appending.tell(None)]
 
 
 def _follow_log(cfg, table):
@@ -266,7 +268,7 @@
     instance.callers.stop()
     instance.operators.stop()
     instance.peers.stop()
-    for one in instance.log_tasks:
-        one.stop()
+    for stop_task in instance.stops:
+        stop_task()
     pykka.ActorRegistry.stop_all(block=False)
     return drained
--- a/packages/daemon/src/cardamompathd/platform/appender.py
+++ b/packages/daemon/src/cardamompathd/platform/appender.py
@@ -40,6 +40,7 @@
         super().__init__(name="appender", daemon=True)
         self._client = client
         self._answer = answer
+        self._down = False
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
 
     def tell(self, msg: messages.Append | messages.ReadBack | None) -> None:
@@ -64,11 +65,14 @@
         try:
             self._client.append(msg.stream, msg.records)
         except errors.LogUnavailable as exc:
-            loguru.logger.warning("platform: append refused: {}", exc)
+            if not self._down:
+                loguru.logger.warning("platform: append refused: {}", exc)
+            self._down = True
             return "refused"
         except errors.AppendUnknown as exc:
             loguru.logger.warning("platform: append answer lost: {}", exc)
             return "unknown"
+        self._down = False
         return "done"
 
     def _read_back(self, msg):
