Test claims, the fence and the end of identifiers

Change: tests on the real controllers for each state of the log during a claim, for a death read by its owner, for a forgotten identifier, and of the lease check in the connection against a real listener.

Conclusion: no code changed.

--- a/packages/daemon/src/cardamompathd/tests/fakes.py
+++ b/packages/daemon/src/cardamompathd/tests/fakes.py
@@ -57,22 +57,25 @@
     def ask(self, node, message):
         """Ask one instance, which relays once; return the answer list."""
         got = []
-        job = getattr(message, "job", "")
-        node.receive(
-            messages.JOBS, message._replace(reply=(self, job, got, node))
-        )
+        reply = (self, message, got, node)
+        node.receive(messages.JOBS, message._replace(reply=reply))
         return got
 
-    def reply(self, job, got, node, answer):
+    def reply(self, message, got, node, answer):
         if isinstance(answer, messages.NotOwner):
-            node.relay(answer.job, got)
+            node.relay(answer.job, message, got)
             return
         got.append(answer)
+        job = getattr(message, "job", "")
         self.answers.append((job, answer))
 
     def submit(self, node, job, spec=None):
         return self.ask(node, messages.Submit(job, spec or make_spec(), None))
 
+    def submit_named(self, node, name, spec=None):
+        message = messages.SubmitNamed(name, spec or make_spec(), None)
+        return self.ask(node, message)
+
     def issue(self, node):
         return self.ask(node, messages.IssueJob(None))[0]
 
@@ -148,8 +151,8 @@
         self.later(left, msg.to, messages.TimerFired(msg.key))
 
     def reply(self, msg):
-        world, job, got, node = msg.reply
-        world.reply(job, got, node, msg.answer)
+        world, message, got, node = msg.reply
+        world.reply(message, got, node, msg.answer)
 
     def start(self, msg):
         """Do what a connection does: check the lease, then send."""
@@ -202,14 +205,14 @@
         self.read_to = len(records)
         self.receive(messages.JOURNAL, read)
 
-    def relay(self, job, got):
+    def relay(self, job, message, got):
         """Ask the owner's instance when it can be reached."""
-        spec, place = make_spec(), job.split(".")[1]
+        place = job.split(".")[1]
         for owner in self.world.nodes:
             reachable = owner.alive and not (owner.cut or self.cut)
             if owner.name == place and owner is not self and reachable:
-                reply = (self.world, job, got, owner)
-                owner.receive(messages.JOBS, messages.Submit(job, spec, reply))
+                reply = (self.world, message, got, owner)
+                owner.receive(messages.JOBS, message._replace(reply=reply))
                 return
         got.append(types.Pending(0, 0, "the owner cannot be reached"))
 
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_fence.py
@@ -0,0 +1,58 @@
+import queue
+import unittest
+
+from cardamompath_core import leases
+from cardamompath_core import routing
+from cardamompath_core import types
+from cardamompath_standins import backend
+from cardamompathd import controllers
+from cardamompathd import messages
+from cardamompathd.backends import connections
+from cardamompathd.tests import fakes
+
+JOB = "pocitos.entry-1.0123456789ab.1"
+OWNER = JOB.rpartition(".")[0]
+
+
+class FenceTest(unittest.TestCase):
+    def setUp(self):
+        self.backends = controllers.backends.make_controller(
+            routing.least_in_flight()
+        )
+        self.backends.receive(messages.ConfigurationChanged(fakes.CFG), 0.0)
+
+    def enqueue(self, until, now):
+        changed = messages.LeaseChanged(OWNER, until)
+        self.backends.receive(changed, 0.0)
+        msg = messages.Enqueue(JOB, fakes.make_spec(1), now + 10.0)
+        return [one.msg for one in self.backends.receive(msg, now)]
+
+    def test_task_starts_under_its_lease(self):
+        starts = self.enqueue(9.0, 8.9)
+        self.assertEqual(9.0, starts[0].start_by)
+
+    def test_nothing_starts_after_the_lease(self):
+        lapsed = messages.LeaseChanged(OWNER, leases.NEVER)
+        self.assertEqual([lapsed, lapsed], self.enqueue(9.0, 9.0))
+        self.assertEqual([], self.enqueue(20.0, 10.0))
+
+    def test_connection_sends_nothing_after_the_lease(self):
+        running = backend.start()
+        self.addCleanup(running.stop)
+        ended = queue.SimpleQueue()
+        conn = connections.ConnectionActor.start(
+            connections.ConnectionLimits(), ended.put, lambda: 9.0
+        )
+        self.addCleanup(conn.stop)
+        spec = types.BackendSpec(
+            "e-1", "booking", "pocitos", running.host, running.port
+        )
+        for start_by, phase in ((9.0, "connect"), (9.1, "done")):
+            task = types.TaskRef(JOB, 0)
+            conn.tell(
+                messages.StartTask(
+                    spec, task, "booking", "x", b"{}", 5.0, start_by
+                )
+            )
+            answer = ended.get(timeout=10.0).ended.answer
+            self.assertEqual(phase, answer.phase)
--- a/packages/daemon/src/cardamompathd/tests/test_jobs.py
+++ b/packages/daemon/src/cardamompathd/tests/test_jobs.py
@@ -51,6 +51,45 @@
         ask = messages.AskOwner(job, 2, None, "a")
         self.assertEqual([messages.Send(messages.JOURNAL, ask)], sends)
 
+    def test_identifier_is_pending_until_it_is_submitted(self):
+        job = self.issue()
+        answer = self.replies(self.tell(messages.AwaitJob(job, "a")))[0]
+        self.assertIsInstance(answer, types.Pending)
+
+    def test_refusal_and_cancellation_are_final(self):
+        refused, cancelled = self.issue(), self.issue()
+        other = types.TaskSpec("unknown", "reserve", b"")
+        spec = make_spec()._replace(tasks=(other,))
+        first = self.tell(messages.Submit(refused, spec, "a"))
+        self.tell(messages.CancelJob(cancelled, "a"))
+        service = types.ServiceSpec("unknown")
+        cfg = CFG._replace(services=(*CFG.services, service))
+        self.tell(messages.ConfigurationChanged(cfg))
+        again = self.tell(messages.Submit(refused, spec, "b"))
+        self.assertEqual("unknown_service", self.replies(again)[0].code)
+        self.assertEqual(self.replies(first), self.replies(again))
+        late = self.tell(messages.Submit(cancelled, make_spec(), "b"))
+        self.assertEqual("cancelled", self.replies(late)[0].code)
+
+    def test_identifier_that_was_never_issued_is_refused(self):
+        job = identity.format_incarnation(OWNER) + ".7"
+        answer = self.replies(self.tell(messages.Submit(job, make_spec(), 1)))
+        self.assertEqual("unknown_job", answer[0].code)
+
+    def test_answers_are_bounded_in_bytes(self):
+        self.jobs = controllers.jobs.make_controller(OWNER, 300.0, 5000)
+        self.tell(messages.ConfigurationChanged(CFG))
+        done = types.TaskResult("finished", 200, b"x" * 1000)
+        jobs = [self.issue() for _ in range(5)]
+        for job in jobs:
+            self.tell(messages.Submit(job, make_spec(1), "a"))
+            self.tell(messages.TaskSettled(types.TaskRef(job, 0), done))
+        kinds = [
+            type(self.replies(self.tell(messages.AwaitJob(job, "b")))[0])
+            for job in jobs
+        ]
+        self.assertEqual([types.Failed] * 2 + [types.Complete] * 3, kinds)
+
     def test_failed_task_withdraws_the_rest(self):
         job = self.issue()
         self.tell(messages.Submit(job, make_spec(3), "a"))
--- a/packages/daemon/src/cardamompathd/tests/test_recovery.py
+++ b/packages/daemon/src/cardamompathd/tests/test_recovery.py
@@ -197,6 +197,105 @@
         self.assertEqual("lease_lapsed", answer.code)
         self.world.check(self)
 
+    def test_death_read_by_its_owner_stops_it(self):
+        self.world.submit(self.owner, self.job)
+        owner = self.job.rpartition(".")[0]
+        seen = len(self.world.records)
+        self.world.records.append(settlement.death(owner, seen, "x"))
+        self.world.advance(10.0)
+        self.assertEqual(4, sum(self.world.starts.values()))
+        answer = self.world.submit(self.owner, self.job)[0]
+        self.assertEqual("lease_lapsed", answer.code)
+        fresh = self.world.issue(self.owner)
+        self.assertNotEqual(owner, fresh.rpartition(".")[0])
+        self.world.check(self)
+
+    def test_forgotten_job_does_not_run_again(self):
+        self.world.submit(self.owner, self.job)
+        unused = self.world.issue(self.owner)
+        self.world.advance(400.0)
+        for job in (self.job, unused):
+            answer = self.world.submit(self.two, job)[0]
+            self.assertEqual("forgotten", answer.code)
+        self.assertEqual(6, sum(self.world.starts.values()))
+        self.world.check(self)
+
+    def test_complete_job_is_settled_as_finished(self):
+        self.world.submit(self.owner, self.job)
+        self.world.advance(5.0)
+        self.owner.alive = False
+        self.world.advance(20.0)
+        answer = self.world.submit(self.three, self.job)[0]
+        self.assertIsInstance(answer, types.Failed)
+        self.assertEqual(["finished"] * 6, self.states(answer))
+
+    def test_replaced_incarnation_keeps_its_answers(self):
+        first = self.world.submit(self.owner, self.job)
+        self.world.advance(3.0)
+        self.world.mode = "down"
+        self.world.advance(20.0)
+        self.world.mode = "up"
+        self.world.advance(60.0)
+        again = self.world.submit(self.two, self.job)
+        self.assertIsInstance(again[0], types.Complete)
+        self.assertEqual(first, again)
+
+    def test_single_request_needs_no_lease(self):
+        self.owner.cut = True
+        single = fakes.make_spec(1)._replace(single=True)
+        self.world.advance(9.5)
+        got = self.world.submit(self.owner, "", single)
+        self.world.advance(2.0)
+        self.assertIsInstance(got[0], types.Complete)
+
+
+class NamedTest(unittest.TestCase):
+    def setUp(self):
+        self.world = fakes.World()
+        self.world.advance(2.0)
+
+    def submit_everywhere(self):
+        return [
+            self.world.submit_named(node, "evening")
+            for node in self.world.nodes
+        ]
+
+    def test_three_instances_at_once_start_once(self):
+        got = self.submit_everywhere()
+        self.world.advance(5.0)
+        self.assertIsInstance(got[0][0], types.Complete)
+        self.assertEqual([got[0]] * 3, got)
+        self.assertEqual(6, sum(self.world.starts.values()))
+
+    def test_each_state_of_the_log(self):
+        for mode in ("down", "silent", "lost", "slow"):
+            with self.subTest(mode):
+                self.setUp()
+                self.world.mode = mode
+                got = self.submit_everywhere()
+                self.world.advance(5.0)
+                started = sum(self.world.starts.values())
+                self.assertEqual(6 if mode in ("lost", "slow") else 0, started)
+                self.world.mode = "up"
+                self.world.advance(20.0)
+                again = self.submit_everywhere()
+                self.world.advance(10.0)
+                for one in again:
+                    self.assertIsInstance(one[0], types.Complete)
+                self.assertEqual(6, sum(self.world.starts.values()))
+                if mode == "down":
+                    self.assertEqual("log_unavailable", got[0][0].code)
+
+    def test_another_body_is_a_conflict(self):
+        self.submit_everywhere()
+        other = fakes.make_spec(digest="two")
+        got = [
+            self.world.submit_named(node, "evening", other)
+            for node in self.world.nodes
+        ]
+        self.world.advance(5.0)
+        self.assertEqual(["conflict"] * 3, [one[0].code for one in got])
+
 
 class JournalTest(unittest.TestCase):
     def test_lost_answer_is_read_back_and_not_appended_again(self):
