--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -22,6 +22,9 @@
 from cardamompathd.callers import server
 from cardamompathd.filters import chain
 from cardamompathd.operators import handlers as operator_handlers
+from cardamompathd.peers import relay
+from cardamompathd.peers import server as peer_server
+from cardamompathd.platform import appender
 from cardamompathd.platform import log_client
 from cardamompathd.platform import reader
 from cardamompathd.runtime import actors
@@ -34,6 +37,10 @@
 
 OPERATOR_THREADS = 4
 
+JOURNAL_WAIT = 2.0
+"""Seconds that a read of the journal waits: a connection that went
+silent has to be noticed well within a lease."""
+
 
 class Instance(NamedTuple):
     """A running instance."""
@@ -41,8 +48,11 @@
     owner: identity.Incarnation
     callers: Any
     operators: Any
+    peers: Any
     drain: Any
     """Waits until nothing is in flight; called with seconds."""
+    stops: list
+    """Functions that end the tasks which tell the actors."""
 
 
 class DispatchActor(actors.ControllerActor):
@@ -75,7 +85,7 @@
     owner = identity.Incarnation(
         cfg["instance", "domain"],
         cfg["instance", "name"],
-        secrets.token_hex(6),
+        _draw_nonce(),
     )
     table: dict[str, Any] = {
         messages.CALLERS: lambda msg: msg.reply.set(msg.answer)
@@ -86,12 +96,18 @@
         name: handlers.make_ask(table[name])
         for name in (messages.JOBS, messages.BACKENDS, messages.CONFIGURATION)
     }
+    stops = _start_journal(cfg, table)
     callers, operators = _start_listeners(cfg, asks, clock)
-    _follow_log(cfg, table)
+    peers = _start_peers(cfg, asks)
+    stops.append(_follow_log(cfg, table).stop)
     loguru.logger.info(
         "instance: {} is up", identity.format_incarnation(owner)
     )
-    return Instance(owner, callers, operators, _make_drain(asks))
+    return Instance(owner, callers, operators, peers, _make_drain(asks), stops)
+
+
+def _draw_nonce():
+    return secrets.token_hex(6)
 
 
 def _start_controllers(cfg, owner, table, deliver, clock):
@@ -101,9 +117,18 @@
     dispatch = DispatchActor.start(
         [
             controllers.jobs.make_controller(
-                owner, cfg["callers", "answer_ttl"]
+                owner,
+                cfg["callers", "answer_ttl"],
+                cfg["callers", "answer_bytes"],
             ),
             controllers.backends.make_controller(routing.least_in_flight()),
+            controllers.journal.make_controller(
+                owner,
+                _draw_nonce,
+                controllers.journal_store.JournalTerms(
+                    budget=cfg["platform", "append_budget"]
+                ),
+            ),
         ],
         deliver,
         clock,
@@ -114,6 +139,7 @@
     )
     table[messages.JOBS] = _teller(dispatch, messages.JOBS)
     table[messages.BACKENDS] = _teller(dispatch, messages.BACKENDS)
+    table[messages.JOURNAL] = _teller(dispatch, messages.JOURNAL)
     table[messages.CONFIGURATION] = _teller(
         configuration, messages.CONFIGURATION
     )
@@ -132,6 +158,9 @@
             filters.access.make_filter(clock),
             filters.failures.answer_failures,
             filters.bodies.make_filter(cfg["callers", "body_limit"]),
+            filters.relay.make_filter(
+                relay.make_relay(cfg["peers", "addresses"], clock)
+            ),
         ),
         handlers.make_handler(asks[messages.JOBS]),
     )
@@ -168,11 +197,38 @@
     return listener
 
 
-def _follow_log(cfg, table):
+def _start_peers(cfg, asks):
+    owner_chain = chain.compose(
+        (filters.failures.answer_failures,),
+        handlers.make_handler(asks[messages.JOBS]),
+    )
+    services = [relay.make_service(owner_chain)]
+    return peer_server.start(cfg["peers", "listen"], services)
+
+
+def _make_client(cfg):
     host, port = cfg["platform", "address"]
-    client = log_client.make_client(host, port, cfg["platform", "timeout"])
-    reader.start(
-        client,
+    return log_client.make_client(host, port, cfg["platform", "timeout"])
+
+
+def _start_journal(cfg, table):
+    tell = table[messages.JOURNAL]
+    appending = appender.start(_make_client(cfg), tell)
+    table[messages.APPENDER] = appending.tell
+    following = reader.start(
+        _make_client(cfg),
+        controllers.journal.STREAM,
+        tell,
+        random.Random(),
+        JOURNAL_WAIT,
+    )
+    tell(messages.TimerFired(controllers.journal.COMMIT))
+    return [following.stop, lambda: appending.tell(None)]
+
+
+def _follow_log(cfg, table):
+    return reader.start(
+        _make_client(cfg),
         "configuration",
         table[messages.CONFIGURATION],
         random.Random(),
@@ -204,5 +260,8 @@
     drained = instance.drain(grace)
     instance.callers.stop()
     instance.operators.stop()
+    instance.peers.stop()
+    for stop_task in instance.stops:
+        stop_task()
     pykka.ActorRegistry.stop_all(block=False)
     return drained
--- a/packages/daemon/src/cardamompathd/backends/connections.py
+++ b/packages/daemon/src/cardamompathd/backends/connections.py
@@ -147,6 +147,11 @@
         exchange = None
         try:
             exchange = self._take(msg.backend, now)
+            if self._clock() >= msg.start_by:
+                self._release(exchange)
+                lapsed = types.BackendAnswer(phase, error="the lease lapsed")
+                self._end(msg, lapsed)
+                return
             phase = "send"
             exchange.task = msg
             exchange.began = now
@@ -160,6 +165,10 @@
         heapq.heappush(self._due, due)
         self._set_due()
 
+    def _release(self, exchange):
+        exchange.used = self._clock()
+        self._free.append(exchange)
+
     def _take(self, backend, now):
         while self._free:
             exchange = self._free.pop()
