Take an answer only when it is whole

Cause: with http.client a read with a bound does not fail when the answer ends early, so that half an answer passed for a whole one; the test of a cut connection found it. Change: the length that is left is checked; an answer without a length is unknown. Conclusion: a task whose answer was cut is unknown, never finished.

--- a/packages/daemon/src/cardamompathd/backends/connections.py
+++ b/packages/daemon/src/cardamompathd/backends/connections.py
@@ -273,5 +273,11 @@
     if len(payload) > MAX_ANSWER:
         error = f"answer is larger than {MAX_ANSWER} bytes"
         return types.BackendAnswer("answer", error=error)
+    if response.length is None and not response.chunked:
+        error = "answer without a length may be cut short"
+        return types.BackendAnswer("answer", error=error)
+    if response.length:
+        error = f"answer ended {response.length} bytes early"
+        return types.BackendAnswer("answer", error=error)
     not_run = response.headers.get(NOT_RUN_HEADER) == "no"
     return types.BackendAnswer("done", response.status, payload, not_run)
--- a/packages/daemon/src/cardamompathd/tests/test_fence.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fence.py
@@ -40,7 +40,7 @@
         running = backend.start()
         self.addCleanup(running.stop)
         ended = queue.SimpleQueue()
-        conn = connections.ConnectionActor.start(
+        conn = connections.start(
             connections.ConnectionLimits(), ended.put, lambda: 9.0
         )
         self.addCleanup(conn.stop)
@@ -54,5 +54,5 @@
                     spec, task, "booking", "x", b"{}", 5.0, start_by
                 )
             )
-            answer = ended.get(timeout=10.0).ended.answer
+            answer = ended.get(timeout=10.0).answer
             self.assertEqual(phase, answer.phase)
