--- a/packages/daemon/src/cardamompathd/controllers/journal.py
+++ b/packages/daemon/src/cardamompathd/controllers/journal.py
@@ -217,7 +217,7 @@
             sends += _claim_read(state, record)
     state.read_at = now
     state.at_head = not msg.records or msg.records[-1][0] + 1 >= msg.head
-    return [*sends, *journal_leases.check_deaths(state, now)]
+    return [*sends, *journal_leases.check_deaths(state)]
 
 
 def _claim(state, msg, now):
--- a/packages/daemon/src/cardamompathd/controllers/journal_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/journal_leases.py
@@ -148,8 +148,6 @@
         own.until = leases.NEVER
         return []
     own.renewed = max(own.renewed, sent)
-    if own.lapsed:
-        return []
     own.until = leases.lasts_until(own.renewed, state.terms.lease)
     return _tell_lease(owner, own.until)
 
@@ -158,18 +156,12 @@
     state: journal_store.JournalState, msg: messages.LeaseChanged, now: float
 ) -> list[messages.Send]:
     """Take the word of the fence that an own lease lapsed."""
-    own = state.own.get(msg.owner)
-    if own is None or own.lapsed:
-        return []
-    own.lapsed = True
-    if msg.owner != state.owner:
-        return []
-    return _begin_incarnation(state, now)
+    if msg.owner in state.own:
+        state.own[msg.owner].lapsed = True
+    return []
 
 
-def check_deaths(
-    state: journal_store.JournalState, now: float
-) -> list[messages.Send]:
+def check_deaths(state: journal_store.JournalState) -> list[messages.Send]:
     """End the leases of own incarnations that were declared dead."""
     sends = []
     for owner, own in state.own.items():
@@ -177,6 +169,4 @@
         if life is not None and life.dead and not own.dead:
             own.dead = own.lapsed = True
             sends += _tell_lease(owner, leases.NEVER)
-    if state.own[state.owner].dead:
-        sends += _begin_incarnation(state, now)
     return sends
--- a/packages/daemon/src/cardamompathd/tests/fakes.py
+++ b/packages/daemon/src/cardamompathd/tests/fakes.py
@@ -125,7 +125,7 @@
         self.receive(messages.BACKENDS, messages.ConfigurationChanged(CFG))
         commit = messages.TimerFired(controllers.journal.COMMIT)
         self.receive(messages.JOURNAL, commit)
-        self.poll()
+        world.at(world.now + STEP / 2, self.poll)
 
     def receive(self, name, msg):
         if not self.alive:
@@ -166,7 +166,7 @@
             settled = messages.TaskSettled(
                 msg.task, types.TaskResult("finished", 200, b"result")
             )
-            self.later(WORK * 3, messages.JOBS, settled)
+            self.later(WORK + 0.1, messages.JOBS, settled)
 
     def log_mode(self):
         return "silent" if self.cut else self.world.mode
--- a/packages/daemon/src/cardamompathd/tests/test_jobs.py
+++ b/packages/daemon/src/cardamompathd/tests/test_jobs.py
@@ -90,6 +90,14 @@
         ]
         self.assertEqual([types.Failed] * 2 + [types.Complete] * 3, kinds)
 
+    def test_result_that_comes_twice_counts_once(self):
+        job = self.issue()
+        self.tell(messages.Submit(job, make_spec(2), "a"))
+        done = types.TaskResult("finished", 200)
+        for _ in range(2):
+            msg = messages.TaskSettled(types.TaskRef(job, 0), done)
+            self.assertEqual([], self.tell(msg))
+
     def test_failed_task_withdraws_the_rest(self):
         job = self.issue()
         self.tell(messages.Submit(job, make_spec(3), "a"))
--- a/packages/daemon/src/cardamompathd/tests/test_recovery.py
+++ b/packages/daemon/src/cardamompathd/tests/test_recovery.py
@@ -3,8 +3,11 @@
 import itertools
 import unittest
 
+from cardamompath_core import identity
+from cardamompath_core import leases
 from cardamompath_core import settlement
 from cardamompath_core import types
+from cardamompathd import controllers
 from cardamompathd import messages
 from cardamompathd.tests import fakes
 
@@ -182,6 +185,12 @@
                 got = self.world.submit(self.owner, job)
                 self.world.advance(4.0)
                 self.assertIsInstance(got[0], types.Complete, mode)
+            long = fakes.make_spec(80)
+            got = self.world.submit(
+                self.owner, self.world.issue(self.owner), long
+            )
+            self.world.advance(25.0)
+            self.assertIsInstance(got[0], types.Complete, mode)
             self.world.mode = "up"
             self.world.advance(20.0)
         dead = [one for one in self.world.records if one["kind"] == "death"]
@@ -240,6 +249,37 @@
         self.assertIsInstance(again[0], types.Complete)
         self.assertEqual(first, again)
 
+    def test_late_renewal_moves_further_jobs_before_the_lapse(self):
+        self.owner.cut = True
+        self.world.advance(5.0)
+        job = self.world.issue(self.owner)
+        got = self.world.submit(self.owner, job, fakes.make_spec(40))
+        self.world.advance(12.0)
+        self.assertIsInstance(got[0], types.Complete)
+
+    def test_peer_that_was_paused_declares_nobody_dead(self):
+        self.two.pause()
+        self.world.advance(30.0)
+        self.two.resume()
+        self.world.advance(10.0)
+        dead = [
+            one["owner"].split(".")[1]
+            for one in self.world.records
+            if one["kind"] == "death"
+        ]
+        self.assertEqual({"entry-1"}, set(dead))
+
+    def test_progress_that_the_log_refused_is_sent_again(self):
+        self.world.submit(self.owner, self.job)
+        self.world.mode = "down"
+        self.world.advance(3.0)
+        self.world.mode = "up"
+        self.world.advance(2.0)
+        self.owner.alive = False
+        self.world.advance(20.0)
+        answer = self.world.submit(self.two, self.job)[0]
+        self.assertEqual(["finished"] * 6, self.states(answer))
+
     def test_single_request_needs_no_lease(self):
         self.owner.cut = True
         single = fakes.make_spec(1)._replace(single=True)
@@ -301,11 +341,85 @@
     def test_lost_answer_is_read_back_and_not_appended_again(self):
         world = fakes.World(1)
         world.mode = "lost"
-        world.advance(30.0)
-        ids = [record["id"] for record in world.records]
-        self.assertEqual(len(ids), len(set(ids)))
-        self.assertLess(len(ids), 12)
-        self.assertTrue(world.issue(world.nodes[0]).endswith("n00000000.1"))
+        for _ in range(10):
+            job = world.issue(world.nodes[0])
+            world.submit(world.nodes[0], job, fakes.make_spec(1))
+            world.advance(3.0)
+        self.assertTrue(job.endswith("n00000000.10"))
+        ended = [
+            job
+            for record in world.records
+            for job, (_, over) in record.get("jobs", {}).items()
+            if over
+        ]
+        self.assertEqual(10, len(ended))
+        self.assertEqual(10, len(set(ended)))
+
+    def make_journal(self):
+        owner = identity.Incarnation("pocitos", "entry-1", "0123456789ab")
+        self.owner = identity.format_incarnation(owner)
+        return controllers.journal.make_controller(owner, lambda: "b" * 12)
+
+    def commit(self, journal, now):
+        commit = messages.TimerFired(controllers.journal.COMMIT)
+        journal.receive(commit, now)
+        collected = messages.ProgressCollected({})
+        return [one.msg for one in journal.receive(collected, now)]
+
+    def read(self, journal, now, *records):
+        first = self.offset
+        self.offset += len(records)
+        pairs = tuple(enumerate(records, first))
+        read = messages.RecordsRead("journal", pairs, 0, self.offset)
+        return [one.msg for one in journal.receive(read, now)]
+
+    def test_lease_runs_from_before_the_renewal_was_sent(self):
+        self.offset = 0
+        journal = self.make_journal()
+        begun = messages.LeaseChanged(self.owner, 9.0)
+        *told, append = self.commit(journal, 0.0)
+        self.assertEqual([begun, begun], told)
+        self.assertEqual([begun] * 2, self.read(journal, 5.0, *append.records))
+        journal.receive(messages.AppendEnded("done"), 5.0)
+        *_, append = self.commit(journal, 5.5)
+        extended = messages.LeaseChanged(self.owner, 14.5)
+        self.assertIn(extended, self.read(journal, 8.0, *append.records))
+
+    def test_announcement_that_turns_up_late_ends_its_incarnation(self):
+        self.offset = 0
+        journal = self.make_journal()
+        *_, append = self.commit(journal, 0.0)
+        journal.receive(messages.AppendEnded("refused"), 1.0)
+        self.commit(journal, 12.0)
+        journal.receive(messages.AppendEnded("refused"), 12.0)
+        self.read(journal, 12.1, *append.records)
+        commit = messages.TimerFired(controllers.journal.COMMIT)
+        told = [one.msg for one in journal.receive(commit, 12.5)]
+        self.assertIn(messages.LeaseChanged(self.owner, leases.NEVER), told)
+        changed = messages.OwnerChanged("pocitos.entry-1.bbbbbbbbbbbb")
+        self.assertIn(changed, told)
+
+    def test_terms_of_a_lease(self):
+        terms = leases.Terms(9.0, 3.0)
+        self.assertFalse(leases.is_silent(0.0, terms, 12.0))
+        self.assertTrue(leases.is_silent(0.0, terms, 12.1))
+        self.assertFalse(leases.may_start(9.0, 9.0))
+        self.assertTrue(leases.may_start(9.0, 8.9))
+
+    def test_records_of_the_dead_change_no_settlement(self):
+        ledger = settlement.Ledger()
+        running = {"o.1": settlement.Progress("n1")}
+        ended = {"o.1": settlement.Progress("n1", True)}
+        records = [
+            settlement.announce("o", "1"),
+            settlement.progress("o", running, "2"),
+            settlement.death("o", 1, "3"),
+            settlement.progress("o", ended, "4"),
+        ]
+        for offset, record in enumerate(records):
+            settlement.apply(ledger, offset, record)
+        answer = settlement.settle(ledger, "o", "o.1", 1)
+        self.assertIsInstance(answer, types.Failed)
 
     def test_death_loses_against_a_renewal_it_has_not_seen(self):
         ledger = settlement.Ledger()
