Announce only while following the log, and mistrust a gap in it

Cause: an incarnation that was announced while the log could not be read would have lapsed although nobody knew it; records lost to retention might have held a death or an earlier claim; a leaving instance told "not run" for a name that had run.

Change: announcements wait until the log was read up to its head a moment ago; after a gap the own leases end and open claims are refused; the name is looked up before a refusal.

Conclusion: what an instance has not read it does not rely on.

--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -18,6 +18,7 @@
 from cardamompathd import messages
 from cardamompathd.backends import connections
 from cardamompathd.backends import pool
+from cardamompathd.callers import codec
 from cardamompathd.callers import handlers
 from cardamompathd.callers import server
 from cardamompathd.filters import chain
@@ -132,9 +133,7 @@
             controllers.journal.make_controller(
                 owner,
                 _draw_nonce,
-                controllers.journal_store.JournalTerms(
-                    budget=cfg["platform", "append_budget"]
-                ),
+                _journal_terms(cfg),
             ),
         ],
         deliver,
@@ -152,6 +151,15 @@
     )
 
 
+def _journal_terms(cfg):
+    ttl = cfg["callers", "answer_ttl"]
+    return controllers.journal_store.JournalTerms(
+        budget=cfg["platform", "append_budget"],
+        settlement_ttl=ttl + codec.MAX_TIMEOUT,
+        hold=2.0 * ttl + codec.MAX_TIMEOUT,
+    )
+
+
 def _teller(ref, name):
     def tell(msg):
         ref.tell(messages.Send(name, msg))
--- a/packages/daemon/src/cardamompathd/controllers/job_store.py
+++ b/packages/daemon/src/cardamompathd/controllers/job_store.py
@@ -54,11 +54,15 @@
 class Named:
     """A submission under a caller's name until its claim is decided."""
 
-    __slots__ = ("job", "replies", "spec")
+    __slots__ = ("job", "replies", "spec", "unclaimed")
 
-    def __init__(self, job: str, spec: types.JobSpec):
+    def __init__(
+        self, job: str, spec: types.JobSpec, unclaimed: types.Refused
+    ):
         self.job = job
         self.spec = spec
+        self.unclaimed = unclaimed
+        """The answer when nobody gets the name."""
         self.replies: list[Any] = []
 
 
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -146,12 +146,13 @@
         named.replies.append(msg.reply)
         return []
     refusal = _refuse(state, msg.spec)
-    if refusal is not None:
-        return [_reply(msg.reply, refusal)]
-    named = job_store.Named(ownership.issue(state.book, now), msg.spec)
+    job = "" if refusal else ownership.issue(state.book, now)
+    named = job_store.Named(job, msg.spec, refusal or LOG_UNAVAILABLE)
     named.replies.append(msg.reply)
     state.named[msg.name] = named
-    claim = messages.Claim(msg.name, named.job, msg.spec.digest)
+    claim = messages.Claim(
+        msg.name, job, msg.spec.digest, lookup=refusal is not None
+    )
     return [messages.Send(messages.JOURNAL, claim)]
 
 
@@ -163,7 +164,7 @@
         ownership.take(state.book, named.job)
     refusal = None
     if not msg.job:
-        refusal = LOG_UNAVAILABLE
+        refusal = named.unclaimed
     elif msg.digest != named.spec.digest:
         refusal = _conflict(msg.name)
     sends = []
--- a/packages/daemon/src/cardamompathd/controllers/journal.py
+++ b/packages/daemon/src/cardamompathd/controllers/journal.py
@@ -193,6 +193,10 @@
     """Let everything of a batch that is not in the log be sent again."""
     state.progress = state.batch.jobs | state.progress
     state.batch = None
+    return _refuse_claims(state)
+
+
+def _refuse_claims(state):
     sends = []
     refused = state.claims | state.claiming
     state.claims = {}
@@ -208,6 +212,9 @@
         # The log or this process was away: peers get their time anew.
         state.heard = dict.fromkeys(state.heard, now)
     sends = []
+    if msg.records and 0 <= state.ledger.offset < msg.records[0][0] - 1:
+        sends += journal_leases.miss_records(state)
+        sends += _refuse_claims(state)
     for offset, record in msg.records:
         if not settlement.apply(state.ledger, offset, record):
             continue
@@ -225,7 +232,7 @@
     if won is not None:
         claimed = messages.Claimed(msg.name, *won)
         return [messages.Send(messages.JOBS, claimed)]
-    if state.reading_back:
+    if msg.lookup or state.reading_back:
         claimed = messages.Claimed(msg.name, "")
         return [messages.Send(messages.JOBS, claimed)]
     state.claims.setdefault(msg.name, msg)
--- a/packages/daemon/src/cardamompathd/controllers/journal_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/journal_leases.py
@@ -17,6 +17,7 @@
     "death_records",
     "lapse",
     "lease_records",
+    "miss_records",
     "renewal_read",
     "take_back",
 ]
@@ -94,9 +95,13 @@
     """Make the renewals that are due; return the new incarnations too."""
     records = []
     first_announced = set()
+    following = journal_store.is_following(state, now)
     for owner, own in state.own.items():
         if own.dead or not _is_renewal_due(own, state.terms.lease, now):
             continue
+        if not own.leased and not following:
+            # An announcement that is never read would only lapse.
+            continue
         if not own.leased:
             first_announced.add(owner)
         own.asked = now
@@ -118,8 +123,7 @@
     state: journal_store.JournalState, now: float
 ) -> list[dict[str, Any]]:
     """Make the deaths of peers that were silent for too long."""
-    fresh = state.terms.lease.length / 3.0
-    if not state.at_head or now - state.read_at > fresh:
+    if not journal_store.is_following(state, now):
         return []
     seen = state.ledger.offset
     return [
@@ -161,6 +165,18 @@
     return []
 
 
+def miss_records(
+    state: journal_store.JournalState,
+) -> list[messages.Send]:
+    """End the own leases after a gap: it may have held their deaths."""
+    sends = []
+    for owner, own in state.own.items():
+        if own.leased and not own.lapsed:
+            own.until = leases.NEVER
+            sends += _tell_lease(owner, leases.NEVER)
+    return sends
+
+
 def check_deaths(state: journal_store.JournalState) -> list[messages.Send]:
     """End the leases of own incarnations that were declared dead."""
     sends = []
--- a/packages/daemon/src/cardamompathd/controllers/journal_store.py
+++ b/packages/daemon/src/cardamompathd/controllers/journal_store.py
@@ -17,6 +17,7 @@
     "JournalState",
     "JournalTerms",
     "Own",
+    "is_following",
     "record_id",
 ]
 
@@ -108,6 +109,12 @@
         """Claims that were sent, but not read yet."""
 
 
+def is_following(state: JournalState, now: float) -> bool:
+    """Return whether the log was read up to its head a moment ago."""
+    fresh = state.terms.lease.length / 3.0
+    return state.at_head and now - state.read_at <= fresh
+
+
 def record_id(state: JournalState) -> str:
     """Return a record identifier that no other record has."""
     state.sequence += 1
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -284,6 +284,8 @@
     name: str
     job: str
     digest: str
+    lookup: bool = False
+    """Only tell who won the name, if anyone did."""
 
 
 class Claimed(NamedTuple):
