--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -41,6 +41,7 @@
         self.queues: dict[str, collections.deque] = {}
         self.queued: dict[str, dict[int, types.TaskSpec]] = {}
         self.jobs: dict[str, messages.Enqueue] = {}
+        self.peers: tuple[types.PeerView, ...] = ()
 
 
 def make_controller(choose: routing.Chooser) -> messages.Controller:
@@ -155,6 +156,11 @@
     return sends
 
 
+def _take_peers(state, msg, now):
+    state.peers = msg.peers
+    return []
+
+
 def _status(state, msg, now):
     status = {
         "queued": sum(len(left) for left in state.queued.values()),
@@ -170,6 +176,7 @@
     messages.ConfigurationChanged: _configure,
     messages.Enqueue: _enqueue,
     messages.GetStatus: _status,
+    messages.PeersChanged: _take_peers,
     messages.TaskEnded: _ended,
     messages.Withdraw: _withdraw,
 }
