Order waiting tasks by expected size, with ageing

Change: sizes learned by service and kind; a job's place is its arrival plus ten times the work it has left; longest tasks first within a job; withdrawing a job costs its own tasks only.

--- a/packages/core/src/cardamompath_core/routing.py
+++ b/packages/core/src/cardamompath_core/routing.py
@@ -1,60 +1,44 @@
-"""Choice of a backend server for a task.
+"""Choice of a backend server for a task that waits.
 
-A chooser is a closure ``choose(candidates, task, now) -> name | None``.
-Candidates have a free place within their limit already.
+A task is bound to a backend server only when it starts.
 """
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Callable
+import random
 from collections.abc import Sequence
-from typing import NamedTuple
-
-from cardamompath_core import types
 
 __all__ = [
-    "Candidate",
-    "Chooser",
-    "least_in_flight",
-    "round_robin",
-]
-
-
-class Candidate(NamedTuple):
-    """A backend server that could take a task now."""
-
-    name: str
-    domain: str
-    in_flight: int
-    limit: int
-
-
-Chooser = Callable[
-    [Sequence[Candidate], types.TaskSpec, float], "Candidate | None"
+    "Server",
+    "choose_least",
 ]
 
 
-def least_in_flight() -> Chooser:
-    """Make a chooser that prefers the fewest tasks in flight."""
-
-    def choose(candidates, task, now):
-        return min(
-            candidates,
-            key=lambda one: (one.in_flight / one.limit, one.name),
-            default=None,
-        )
+class Server:
+    """What the choice knows of one backend server.
 
-    return choose
+    Parameters
+    ----------
+    name : str
+        Name in the configuration.
+    """
 
+    __slots__ = ("in_flight", "limit", "name")
 
-def round_robin() -> Chooser:
-    """Make a chooser that takes backend servers in turn."""
-    turns = itertools.count()
+    def __init__(self, name: str):
+        self.name = name
+        self.in_flight = 0
+        self.limit = 0
 
-    def choose(candidates, task, now):
-        if not candidates:
-            return None
-        return candidates[next(turns) % len(candidates)]
 
-    return choose
+def choose_least(
+    servers: Sequence[Server], rng: random.Random
+) -> Server | None:
+    """Return the server with the fewest tasks in flight below its limit."""
+    best = None
+    for server in servers:
+        if server.in_flight >= server.limit:
+            continue
+        if best is None or server.in_flight < best.in_flight:
+            best = server
+    return best
--- /dev/null
+++ b/packages/core/src/cardamompath_core/tests/test_estimates.py
@@ -0,0 +1,40 @@
+import random
+import unittest
+
+from cardamompath_core import estimates
+
+
+class EstimatesTest(unittest.TestCase):
+    def setUp(self):
+        self.learned = estimates.Estimates()
+
+    def test_declared_counts_for_unknown_kinds_only(self):
+        self.assertEqual(2.0, self.learned.size("report", 2.0))
+        self.learned.observe("report", "b0", 0.1)
+        self.assertAlmostEqual(0.1, self.learned.size("report", 2.0))
+
+    def test_straggler_moves_the_estimate_little(self):
+        for _ in range(50):
+            self.learned.observe("confirm", "b0", 0.1)
+        self.learned.observe("confirm", "b0", 3.0)
+        self.assertLess(self.learned.size("confirm", None), 0.105)
+
+    def test_speeds_and_sizes_are_told_apart(self):
+        rng = random.Random(1)
+        sizes = {"confirm": 0.05, "fitting": 1.0}
+        speeds = {"slow": 1.0, "fast": 4.0}
+        for _ in range(1000):
+            kind, server = rng.choice([*sizes]), rng.choice([*speeds])
+            took = sizes[kind] / speeds[server] * rng.uniform(0.8, 1.2)
+            self.learned.observe(kind, server, took)
+        ratio = self.learned.speed("fast") / self.learned.speed("slow")
+        self.assertAlmostEqual(4.0, ratio, delta=0.8)
+        size = self.learned.size
+        self.assertAlmostEqual(
+            20.0, size("fitting", None) / size("confirm", None), delta=4.0
+        )
+
+    def test_number_of_kinds_is_bounded(self):
+        for one in range(estimates.MOST_KINDS + 10):
+            self.learned.observe(f"kind-{one}", "b0", 0.1)
+        self.assertFalse(self.learned.knows(f"kind-{estimates.MOST_KINDS}"))
--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -12,7 +12,6 @@
 import pykka
 
 from cardamompath_core import identity
-from cardamompath_core import routing
 from cardamompathd import controllers
 from cardamompathd import filters
 from cardamompathd import messages
@@ -109,7 +108,7 @@
             controllers.jobs.make_controller(
                 owner, cfg["callers", "answer_ttl"]
             ),
-            controllers.backends.make_controller(routing.least_in_flight()),
+            controllers.backends.make_controller(random.Random()),
         ],
         deliver,
         clock,
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -6,14 +6,17 @@
 
 from __future__ import annotations
 
-import collections
+import random
 from collections.abc import Sequence
 from typing import Any
+from typing import NamedTuple
 
 from cardamompath_core import outcomes
+from cardamompath_core import queueing
 from cardamompath_core import routing
 from cardamompath_core import types
 from cardamompathd import messages
+from cardamompathd.controllers import service_state
 
 __all__ = [
     "BackendsState",
@@ -21,32 +24,34 @@
 ]
 
 
-class Backend:
-    """One backend server and what is in flight to it."""
+class _Work(NamedTuple):
+    """A job whose tasks are queued or in flight."""
 
-    __slots__ = ("in_flight", "spec")
-
-    def __init__(self, spec: types.BackendSpec):
-        self.spec = spec
-        self.in_flight = 0
+    enqueued: messages.Enqueue
+    queued: dict[str, queueing.QueuedJob]
+    """What waits of it, by service."""
 
 
 class BackendsState:
-    """The queue of each service and the state of each backend server."""
-
-    def __init__(self, choose: routing.Chooser):
-        self.choose = choose
-        self.backends: dict[str, Backend] = {}
-        self.timeouts: dict[str, float] = {}
-        self.queues: dict[str, collections.deque] = {}
-        self.queued: dict[str, dict[int, types.TaskSpec]] = {}
-        self.jobs: dict[str, messages.Enqueue] = {}
+    """The services, their backend servers and the jobs with tasks here."""
+
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+        self.services: dict[str, service_state.Service] = {}
+        self.backends: dict[str, service_state.Backend] = {}
+        self.jobs: dict[str, _Work] = {}
         self.peers: tuple[types.PeerView, ...] = ()
 
 
-def make_controller(choose: routing.Chooser) -> messages.Controller:
-    """Make the controller of the queue and the backend servers."""
-    state = BackendsState(choose)
+def make_controller(rng: random.Random) -> messages.Controller:
+    """Make the controller of the queue and the backend servers.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Where choices among equals come from.
+    """
+    state = BackendsState(rng)
 
     def receive(msg: Any, now: float) -> Sequence[messages.Send]:
         return _HANDLERS[type(msg)](state, msg, now)
@@ -54,51 +59,61 @@
     return messages.Controller(messages.BACKENDS, receive)
 
 
+def _service(state, name):
+    known = state.services.get(name)
+    if known is None:
+        known = service_state.Service(name, state.rng)
+        state.services[name] = known
+    return known
+
+
 def _enqueue(state, msg, now):
-    state.jobs[msg.job] = msg
-    state.queued[msg.job] = dict(enumerate(msg.spec.tasks))
+    work = _Work(msg, {})
+    state.jobs[msg.job] = work
+    by_service = {}
     for index, task in enumerate(msg.spec.tasks):
-        queue = state.queues.setdefault(task.service, collections.deque())
-        queue.append(types.TaskRef(msg.job, index))
+        by_service.setdefault(task.service, []).append((index, task))
     sends = []
-    for service in {task.service for task in msg.spec.tasks}:
+    for name, tasks in by_service.items():
+        service = _service(state, name)
+        queued = queueing.QueuedJob(msg.job, now, msg.deadline)
+        work.queued[name] = queued
+        found = [_queued_task(service, index, task) for index, task in tasks]
+        service.queue.add(queued, found, service.width())
         sends += _start_ready(state, service, now)
     return sends
 
 
-def _start_ready(state, service, now):
-    sends = []
-    queue = state.queues.get(service, ())
-    while queue:
-        ref = queue[0]
-        task = state.queued.get(ref.job, {}).get(ref.index)
-        if task is None:
-            queue.popleft()
-            continue
-        chosen = state.choose(_candidates(state, service), task, now)
-        if chosen is None:
-            break
-        queue.popleft()
-        sends.append(_start(state, ref, task, chosen.name, now))
-    return sends
-
-
-def _candidates(state, service):
-    return [
-        routing.Candidate(
-            one.spec.name, one.spec.domain, one.in_flight, one.spec.slots
-        )
-        for one in state.backends.values()
-        if one.spec.service == service and one.in_flight < one.spec.slots
-    ]
+def _queued_task(service, index, task):
+    size = service.learned.size(task.kind, task.declared)
+    return queueing.QueuedTask(size, index, queueing.SHORT)
 
 
-def _start(state, ref, task, name, now):
-    del state.queued[ref.job][ref.index]
+def _start_ready(state, service, now):
+    sends = []
+    while True:
+        head = service.queue.head(queueing.SHORT)
+        if head is None:
+            return sends
+        server = routing.choose_least(service.servers, service.rng)
+        if server is None:
+            return sends
+        queued = head[1]
+        task = service.queue.take(queueing.SHORT, service.width())
+        sends.append(_start(state, queued, task, server.name, now))
+
+
+def _start(state, queued, chosen, name, now):
     backend = state.backends[name]
-    backend.in_flight += 1
-    left = state.jobs[ref.job].deadline - now
-    timeout = min(left, state.timeouts.get(task.service, left))
+    enqueued = state.jobs[queued.job].enqueued
+    task = enqueued.spec.tasks[chosen.index]
+    ref = types.TaskRef(queued.job, chosen.index)
+    queued.started = True
+    backend.server.in_flight += 1
+    backend.flights[ref] = service_state.Flight(
+        now, task, chosen.size, chosen.lane
+    )
+    timeout = min(queued.deadline - now, backend.service.timeout)
     return messages.Send(
         messages.CONNECTIONS,
         messages.StartTask(
@@ -109,23 +124,31 @@
 
 def _ended(state, msg, now):
     backend = state.backends.get(msg.backend)
-    if backend is not None:
-        backend.in_flight -= 1
+    flight = backend.flights.pop(msg.task, None) if backend else None
     verdict = outcomes.judge(msg.answer)
-    enqueued = state.jobs.get(msg.task.job)
+    if flight is not None:
+        _learn(backend, flight, msg.answer, verdict)
+    work = state.jobs.get(msg.task.job)
     sends = []
-    if enqueued is not None:
-        sends += _settle(state, enqueued, msg, verdict)
-    for service in state.queues:
-        sends += _start_ready(state, service, now)
+    if work is not None:
+        sends += _settle(state, work, msg, verdict)
+    if backend is not None:
+        sends += _start_ready(state, backend.service, now)
     return sends
 
 
-def _settle(state, enqueued, msg, verdict):
-    task = enqueued.spec.tasks[msg.task.index]
+def _learn(backend, flight, answer, verdict):
+    backend.server.in_flight -= 1
+    if verdict == "finished":
+        backend.service.learned.observe(
+            flight.task.kind, backend.spec.name, answer.elapsed
+        )
+
+
+def _settle(state, work, msg, verdict):
+    task = work.enqueued.spec.tasks[msg.task.index]
     if verdict == "not_run":
-        state.queued[msg.task.job][msg.task.index] = task
-        state.queues[task.service].append(msg.task)
+        _requeue(state, work, msg.task, task)
         return []
     answer = msg.answer
     result = types.TaskResult(
@@ -135,9 +158,19 @@
     return [messages.Send(messages.JOBS, settled)]
 
 
+def _requeue(state, work, ref, task):
+    service = _service(state, task.service)
+    queued = work.queued[task.service]
+    again = _queued_task(service, ref.index, task)
+    service.queue.add(queued, [again], service.width())
+
+
 def _withdraw(state, msg, now):
-    state.jobs.pop(msg.job, None)
-    left = state.queued.pop(msg.job, {})
+    work = state.jobs.pop(msg.job, None)
+    left = []
+    if work is not None:
+        for name, queued in work.queued.items():
+            left += state.services[name].queue.withdraw(queued)
     withdrawn = messages.Withdrawn(msg.job, tuple(left))
     return [messages.Send(messages.JOBS, withdrawn)]
 
@@ -145,13 +178,24 @@
 def _configure(state, msg, now):
     known = state.backends
     state.backends = {}
+    for one in msg.cfg.services:
+        _service(state, one.name).timeout = one.timeout
     for spec in msg.cfg.backends:
-        backend = known.get(spec.name) or Backend(spec)
+        service = _service(state, spec.service)
+        backend = known.get(spec.name)
+        if backend is None or backend.service is not service:
+            backend = service_state.Backend(spec, service)
         backend.spec = spec
+        backend.server.limit = spec.slots
         state.backends[spec.name] = backend
-    state.timeouts = {one.name: one.timeout for one in msg.cfg.services}
     sends = []
-    for service in state.queues:
+    for service in state.services.values():
+        service.servers = [
+            one.server
+            for one in state.backends.values()
+            if one.service is service
+        ]
+        state.rng.shuffle(service.servers)
         sends += _start_ready(state, service, now)
     return sends
 
@@ -163,9 +207,9 @@
 
 def _status(state, msg, now):
     status = {
-        "queued": sum(len(left) for left in state.queued.values()),
+        "queued": sum(len(one.queue) for one in state.services.values()),
         "in_flight": {
-            name: one.in_flight for name, one in state.backends.items()
+            name: one.server.in_flight for name, one in state.backends.items()
         },
     }
     reply = messages.Reply(msg.reply, status)
--- a/packages/proof/src/cardamompath_proof/bench/__main__.py
+++ b/packages/proof/src/cardamompath_proof/bench/__main__.py
@@ -8,7 +8,6 @@
 import sys
 import time
 
-from cardamompath_core import routing
 from cardamompath_proof.bench import baselines
 from cardamompath_proof.bench import cluster
 from cardamompath_proof.bench import oracle
@@ -26,7 +25,7 @@
 
 
 def _ours(owner, rng):
-    return controllers.backends.make_controller(routing.least_in_flight())
+    return controllers.backends.make_controller(rng)
 
 
 def _round_robin(owner, rng):
