Give each instance home slots and borrow idle ones within a limit

Cause: eight instances that each fill every backend server put 64 tasks into its queue at the crest, where no order holds any more. Change: slots are dealt to the live instances, own failure domain first; idle slots of others are borrowed within a limit that grows with tasks that did not wait and shrinks with those that did or were refused; never more in flight than the slots or this instance's share of connections.

--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -108,7 +108,7 @@
             controllers.jobs.make_controller(
                 owner, cfg["callers", "answer_ttl"]
             ),
-            controllers.backends.make_controller(random.Random()),
+            controllers.backends.make_controller(owner, random.Random()),
         ],
         deliver,
         clock,
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -11,9 +11,10 @@
 from typing import Any
 from typing import NamedTuple
 
+from cardamompath_core import identity
 from cardamompath_core import outcomes
 from cardamompath_core import queueing
-from cardamompath_core import routing
+from cardamompath_core import subsets
 from cardamompath_core import types
 from cardamompathd import messages
 from cardamompathd.controllers import service_state
@@ -24,6 +25,10 @@
 ]
 
 
+_SHARING = ("alive", "suspect")
+"""Status of the peers that have a share of the backend servers."""
+
+
 class _Work(NamedTuple):
     """A job whose tasks are queued or in flight."""
 
@@ -35,23 +40,28 @@
 class BackendsState:
     """The services, their backend servers and the jobs with tasks here."""
 
-    def __init__(self, rng: random.Random):
+    def __init__(self, owner: identity.Incarnation, rng: random.Random):
+        self.own = subsets.Member(owner.instance, owner.domain)
         self.rng = rng
         self.services: dict[str, service_state.Service] = {}
         self.backends: dict[str, service_state.Backend] = {}
         self.jobs: dict[str, _Work] = {}
-        self.peers: tuple[types.PeerView, ...] = ()
+        self.instances: tuple[subsets.Member, ...] = (self.own,)
 
 
-def make_controller(rng: random.Random) -> messages.Controller:
+def make_controller(
+    owner: identity.Incarnation, rng: random.Random
+) -> messages.Controller:
     """Make the controller of the queue and the backend servers.
 
     Parameters
     ----------
+    owner : Incarnation
+        This instance.
     rng : random.Random
         Where choices among equals come from.
     """
-    state = BackendsState(rng)
+    state = BackendsState(owner, rng)
 
     def receive(msg: Any, now: float) -> Sequence[messages.Send]:
         return _HANDLERS[type(msg)](state, msg, now)
@@ -79,7 +89,7 @@
         queued = queueing.QueuedJob(msg.job, now, msg.deadline)
         work.queued[name] = queued
         found = [_queued_task(service, index, task) for index, task in tasks]
-        service.queue.add(queued, found, service.width())
+        service.queue.add(queued, found, service.width)
         sends += _start_ready(state, service, now)
     return sends
 
@@ -95,11 +105,11 @@
         head = service.queue.head(queueing.SHORT)
         if head is None:
             return sends
-        server = routing.choose_least(service.servers, service.rng)
+        server = service.choose()
         if server is None:
             return sends
         queued = head[1]
-        task = service.queue.take(queueing.SHORT, service.width())
+        task = service.queue.take(queueing.SHORT, service.width)
         sends.append(_start(state, queued, task, server.name, now))
 
 
@@ -109,9 +119,9 @@
     task = enqueued.spec.tasks[chosen.index]
     ref = types.TaskRef(queued.job, chosen.index)
     queued.started = True
-    backend.server.in_flight += 1
+    borrowed = backend.service.started(backend.server)
     backend.flights[ref] = service_state.Flight(
-        now, task, chosen.size, chosen.lane
+        now, task, chosen.size, chosen.lane, borrowed
     )
     timeout = min(queued.deadline - now, backend.service.timeout)
     return messages.Send(
@@ -127,7 +137,7 @@
     flight = backend.flights.pop(msg.task, None) if backend else None
     verdict = outcomes.judge(msg.answer)
     if flight is not None:
-        _learn(backend, flight, msg.answer, verdict)
+        _learn(backend, flight, msg.answer, verdict, now)
     work = state.jobs.get(msg.task.job)
     sends = []
     if work is not None:
@@ -137,12 +147,20 @@
     return sends
 
 
-def _learn(backend, flight, answer, verdict):
-    backend.server.in_flight -= 1
-    if verdict == "finished":
-        backend.service.learned.observe(
-            flight.task.kind, backend.spec.name, answer.elapsed
-        )
+def _learn(backend, flight, answer, verdict, now):
+    service = backend.service
+    service.ended(backend.server)
+    if verdict == "not_run" and flight.borrowed:
+        service.borrow.shrink(flight.began, now)
+    if verdict != "finished":
+        return
+    name = backend.spec.name
+    if flight.borrowed:
+        expected = flight.size / service.learned.speed(name)
+        expected += backend.server.extra
+        elapsed = answer.elapsed
+        service.borrow.observe(expected, elapsed, flight.began, now)
+    service.learned.observe(flight.task.kind, name, answer.elapsed)
 
 
 def _settle(state, work, msg, verdict):
@@ -162,7 +180,7 @@
     service = _service(state, task.service)
     queued = work.queued[task.service]
     again = _queued_task(service, ref.index, task)
-    service.queue.add(queued, [again], service.width())
+    service.queue.add(queued, [again], service.width)
 
 
 def _withdraw(state, msg, now):
@@ -186,23 +204,32 @@
         if backend is None or backend.service is not service:
             backend = service_state.Backend(spec, service)
         backend.spec = spec
-        backend.server.limit = spec.slots
         state.backends[spec.name] = backend
+    return _assign(state, now)
+
+
+def _assign(state, now):
     sends = []
     for service in state.services.values():
-        service.servers = [
-            one.server
-            for one in state.backends.values()
-            if one.service is service
+        backends = [
+            one for one in state.backends.values() if one.service is service
         ]
-        state.rng.shuffle(service.servers)
+        service.assign(backends, state.own, state.instances)
         sends += _start_ready(state, service, now)
     return sends
 
 
 def _take_peers(state, msg, now):
-    state.peers = msg.peers
-    return []
+    instances = {state.own}
+    for peer in msg.peers:
+        if peer.status in _SHARING:
+            owner = identity.parse_incarnation(peer.incarnation)
+            instances.add(subsets.Member(owner.instance, owner.domain))
+    found = tuple(sorted(instances))
+    if found == state.instances:
+        return []
+    state.instances = found
+    return _assign(state, now)
 
 
 def _status(state, msg, now):
--- a/packages/daemon/src/cardamompathd/controllers/service_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/service_state.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cardamompath_core import estimates
+from cardamompath_core import limits
 from cardamompath_core import queueing
 from cardamompath_core import routing
+from cardamompath_core import subsets
 from cardamompath_core import types
 
 __all__ = [
@@ -16,6 +20,9 @@
     "Service",
 ]
 
+FAR_SECONDS = 0.003
+"""Time that an exchange across failure domains takes longer."""
+
 
 class Flight(NamedTuple):
     """A task that a backend server has."""
@@ -26,6 +33,8 @@
     size: float
     """Expected seconds at speed 1."""
     lane: int
+    borrowed: bool
+    """Whether it took a slot beyond this instance's own."""
 
 
 class Backend:
@@ -57,8 +66,69 @@
         self.timeout = float("inf")
         self.queue = queueing.TaskQueue()
         self.learned = estimates.Estimates()
+        self.backends: list[Backend] = []
         self.servers: list[routing.Server] = []
-
-    def width(self) -> float:
-        """Return how many tasks of a job can be expected to run at once."""
-        return max(1.0, float(sum(one.limit for one in self.servers)))
+        self.homes: list[routing.Server] = []
+        self.borrowed = 0
+        self.borrow = limits.BorrowLimit()
+        self.width = 1.0
+        """Tasks of a job that can be expected to run at once."""
+
+    def assign(
+        self,
+        backends: Iterable[Backend],
+        own: subsets.Member,
+        instances: Sequence[subsets.Member],
+    ) -> None:
+        """Take over the backend servers and the live instances.
+
+        Parameters
+        ----------
+        backends : iterable of Backend
+            All backend servers of the service.
+        own : Member
+            This instance.
+        instances : sequence of Member
+            All live instances, this one included.
+        """
+        self.backends = list(backends)
+        members = [
+            subsets.Member(one.spec.name, one.spec.domain, one.spec.slots)
+            for one in self.backends
+        ]
+        homes = subsets.home_slots(members, instances)[own.name]
+        for one in self.backends:
+            server = one.server
+            server.home = homes.get(server.name, 0)
+            share = limits.connection_share(
+                one.spec.connections, len(instances)
+            )
+            server.home = min(server.home, share)
+            server.limit = min(one.spec.slots, share)
+            near = one.spec.domain == own.domain
+            server.extra = 0.0 if near else FAR_SECONDS
+        self.servers = [one.server for one in self.backends]
+        self.homes = [one for one in self.servers if one.home]
+        self.width = float(max(1, sum(one.home for one in self.homes)))
+        self.borrowed = sum(
+            max(0, one.in_flight - one.home) for one in self.servers
+        )
+
+    def started(self, server: routing.Server) -> bool:
+        """Count a task in; return whether its slot is borrowed."""
+        server.in_flight += 1
+        borrowed = server.in_flight > server.home
+        self.borrowed += borrowed
+        return borrowed
+
+    def ended(self, server: routing.Server) -> None:
+        """Count a task out."""
+        self.borrowed -= server.in_flight > server.home
+        server.in_flight -= 1
+
+    def choose(self) -> routing.Server | None:
+        """Return the backend server for the next task, if any is free."""
+        server = routing.choose_home(self.homes)
+        if server is None and self.borrowed < self.borrow.present:
+            server = routing.choose_borrowed(self.servers, self.rng)
+        return server
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_backends.py
@@ -0,0 +1,174 @@
+import random
+import unittest
+
+from cardamompath_core import identity
+from cardamompath_core import types
+from cardamompathd import controllers
+from cardamompathd import messages
+
+OWNER = identity.Incarnation("pocitos", "entry-0", "0123456789ab")
+FINISHED = types.BackendAnswer("done", 200)
+NOT_RUN = types.BackendAnswer("done", 503, not_run=True)
+FAILED = types.BackendAnswer("done", 500)
+
+
+def make_backends(count, slots=8, domains=("pocitos",)):
+    return tuple(
+        types.BackendSpec(
+            f"b{one}",
+            "booking",
+            domains[one % len(domains)],
+            "127.0.0.1",
+            7000 + one,
+            slots,
+        )
+        for one in range(count)
+    )
+
+
+def make_peers(count, status="alive", **load):
+    return tuple(
+        types.PeerView(
+            f"pocitos.entry-{one}.0123456789ab",
+            "127.0.0.1",
+            8000 + one,
+            status,
+            types.LoadHint(**load),
+        )
+        for one in range(1, count + 1)
+    )
+
+
+class BackendsCase(unittest.TestCase):
+    """Drives the controller; what starts is kept in `flying`."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.jobs = 0
+        self.flying = {}
+        self.settled = {}
+        self.sends = []
+        self.controller = controllers.backends.make_controller(
+            OWNER, random.Random(1)
+        )
+
+    def configure(self, *backends):
+        services = (types.ServiceSpec("booking"),)
+        cfg = types.Configuration(1, 0, services, backends)
+        self.tell(messages.ConfigurationChanged(cfg))
+
+    def tell(self, msg):
+        self.sends = list(self.controller.receive(msg, self.now))
+        for _, sent in self.sends:
+            if isinstance(sent, messages.StartTask):
+                self.flying[sent.task] = sent
+            if isinstance(sent, messages.TaskSettled):
+                self.settled[sent.task] = sent.result
+
+    def submit(self, count=1, kind="reserve", declared=None, **fields):
+        """Enqueue a job; return its name."""
+        self.jobs += 1
+        name = f"job-{self.jobs}"
+        task = types.TaskSpec("booking", kind, b"", declared)
+        spec = types.JobSpec("team", (task,) * count, 60.0, name, **fields)
+        self.tell(messages.Enqueue(name, spec, self.now + 60.0))
+        return name
+
+    def end(self, ref, answer=FINISHED, elapsed=0.1):
+        backend = self.flying.pop(ref).backend.name
+        ended = answer._replace(elapsed=elapsed)
+        self.tell(messages.TaskEnded(backend, ref, ended))
+
+    def in_flight(self):
+        """Return the tasks in flight by backend server."""
+        found = {}
+        for sent in self.flying.values():
+            found.setdefault(sent.backend.name, []).append(sent.task)
+        return {name: len(refs) for name, refs in sorted(found.items())}
+
+    def refs_on(self, name):
+        return [
+            ref
+            for ref, sent in self.flying.items()
+            if sent.backend.name == name
+        ]
+
+
+class SharingTest(BackendsCase):
+    def test_tasks_wait_here_until_a_slot_is_free(self):
+        self.configure(*make_backends(2))
+        self.submit(40)
+        self.assertEqual({"b0": 8, "b1": 8}, self.in_flight())
+        self.end(self.refs_on("b1")[0])
+        self.assertEqual({"b0": 8, "b1": 8}, self.in_flight())
+
+    def test_own_slots_fill_before_borrowed_ones(self):
+        self.tell(messages.PeersChanged(make_peers(3)))
+        self.configure(*make_backends(4))
+        self.submit(8)
+        self.assertEqual(
+            {"b0": 2, "b1": 2, "b2": 2, "b3": 2}, self.in_flight()
+        )
+
+    def test_borrowed_tasks_stay_within_the_limit(self):
+        self.tell(messages.PeersChanged(make_peers(3)))
+        self.configure(*make_backends(4))
+        self.submit(100)
+        self.assertEqual(8 + 8, len(self.flying))
+
+    def test_connections_stay_within_the_share(self):
+        self.tell(messages.PeersChanged(make_peers(15)))
+        self.configure(*make_backends(2, slots=16))
+        self.submit(100)
+        self.assertEqual({"b0": 4, "b1": 4}, self.in_flight())
+
+    def test_borrowing_grows_while_slots_are_idle(self):
+        self.tell(messages.PeersChanged(make_peers(7)))
+        self.configure(*make_backends(24))
+        self.submit(400)
+        first = len(self.flying)
+        for _ in range(3):
+            self.now += 0.1
+            for ref in [*self.flying]:
+                self.end(ref)
+        self.assertGreater(len(self.flying), 2 * first)
+
+    def test_borrowing_shrinks_when_borrowed_tasks_wait(self):
+        self.tell(messages.PeersChanged(make_peers(7)))
+        self.configure(*make_backends(24))
+        self.submit(400)
+        for _ in range(12):
+            self.now += 0.4
+            for ref in [*self.flying]:
+                mine = sum(self.in_flight().values()) <= 24
+                self.end(ref, elapsed=0.1 if mine else 0.4)
+        self.assertLessEqual(len(self.flying), 24 + 3)
+
+    def test_a_dead_peer_leaves_its_share(self):
+        self.tell(messages.PeersChanged(make_peers(1)))
+        self.configure(*make_backends(1))
+        self.tell(messages.PeersChanged(make_peers(1, "dead")))
+        self.submit(20)
+        self.assertEqual({"b0": 8}, self.in_flight())
+
+
+class NotRunTest(BackendsCase):
+    def test_refused_task_starts_again(self):
+        self.configure(*make_backends(2))
+        self.submit()
+        (ref,) = self.flying
+        self.end(ref, NOT_RUN)
+        self.now += 1.0
+        self.submit()
+        self.assertIn(ref, self.flying)
+        self.assertEqual({}, self.settled)
+
+    def test_withdrawn_tasks_do_not_start_again(self):
+        self.configure(*make_backends(1, slots=1))
+        job = self.submit(3)
+        self.tell(messages.Withdraw(job))
+        withdrawn = self.sends[0].msg
+        self.assertEqual(2, len(withdrawn.indexes))
+        (ref,) = self.flying
+        self.end(ref, NOT_RUN)
+        self.assertEqual({}, self.flying)
--- a/packages/proof/src/cardamompath_proof/bench/__main__.py
+++ b/packages/proof/src/cardamompath_proof/bench/__main__.py
@@ -25,7 +25,7 @@
 
 
 def _ours(owner, rng):
-    return controllers.backends.make_controller(rng)
+    return controllers.backends.make_controller(owner, rng)
 
 
 def _round_robin(owner, rng):
@@ -61,7 +61,8 @@
             runs[load.name] = _run_all(load, args)
     rows = table.rows_of(runs)
     _add_recorded(rows)
-    names = [one.name for one in POLICIES] + [table.BEST, PREVIOUS]
+    names = [one.name for one in POLICIES[: 1 if args.ours else None]]
+    names += [table.BEST, PREVIOUS]
     print(table.format_rows(rows, names))
     print(f"{time.perf_counter() - began:.1f} s")
     if args.record:
