Choose backend servers by expected end, or wait for a faster one

Change: speeds learned beside sizes; a task takes the home slot where it is expected to end soonest, and waits for a faster server if that gains a fifth after the work that waits already.

--- a/packages/core/src/cardamompath_core/queueing.py
+++ b/packages/core/src/cardamompath_core/queueing.py
@@ -85,6 +85,8 @@
         self._heaps = ([], [])
         self._order = itertools.count()
         self._lengths = [0, 0]
+        self.work = 0.0
+        """Expected seconds of work that wait."""
 
     def __len__(self):
         """Return the number of tasks that wait."""
@@ -112,6 +114,7 @@
             queued.lanes[task.lane].append(task)
             self._lengths[task.lane] += 1
             queued.work += task.size
+            self.work += task.size
         for lane, left in enumerate(queued.lanes):
             if left:
                 left.sort()
@@ -133,6 +136,7 @@
         task = queued.lanes[lane].pop()
         self._lengths[lane] -= 1
         queued.work -= task.size
+        self.work = self.work - task.size if len(self) else 0.0
         heap = self._heaps[lane]
         if queued.lanes[lane]:
             # Its place only moved forward, so it stays at the front.
@@ -149,6 +153,7 @@
             self._lengths[lane] -= len(tasks)
             tasks.clear()
         queued.withdrawn = True
+        self.work = self.work - queued.work if len(self) else 0.0
         self._compact()
         return left
 
--- a/packages/core/src/cardamompath_core/routing.py
+++ b/packages/core/src/cardamompath_core/routing.py
@@ -7,15 +7,31 @@
 
 import random
 from collections.abc import Sequence
+from typing import NamedTuple
 
 __all__ = [
     "Server",
+    "Wanted",
     "choose_borrowed",
     "choose_home",
 ]
 
 SAMPLE = 4
 """Backend servers looked at for a borrowed slot."""
+EVENNESS = 0.1
+"""Share of its time by which a full server counts as slower."""
+WAIT_MARGIN = 0.8
+"""A task waits for a faster server only if it gains more than the rest."""
+
+
+class Wanted(NamedTuple):
+    """A task that is to be started, or to wait."""
+
+    size: float
+    """Expected seconds at speed 1."""
+    now: float
+    waiting: float
+    """Work that waits, this task's own included, in the same unit."""
 
 
 class Server:
@@ -27,7 +43,15 @@
         Name in the configuration.
     """
 
-    __slots__ = ("extra", "home", "in_flight", "limit", "name")
+    __slots__ = (
+        "extra",
+        "home",
+        "in_flight",
+        "limit",
+        "name",
+        "next_free",
+        "speed",
+    )
 
     def __init__(self, name: str):
         self.name = name
@@ -38,23 +62,59 @@
         """Most tasks in flight, borrowed slots included."""
         self.extra = 0.0
         """Seconds that an exchange takes longer than a near one."""
+        self.speed = 1.0
+        self.next_free = 0.0
+        """When the first of its tasks is expected to end."""
 
 
-def choose_home(homes: Sequence[Server]) -> Server | None:
-    """Return the home server with the largest share of free slots."""
+def choose_home(
+    homes: Sequence[Server], wanted: Wanted
+) -> tuple[Server | None, bool]:
+    """Return the home server on which a task is expected to end soonest.
+
+    Parameters
+    ----------
+    homes : sequence of Server
+        Backend servers with slots of this instance's own.
+    wanted : Wanted
+        What is to be started.
+
+    Returns
+    -------
+    server : Server or None
+        None when no slot is free, or when the task is expected to end
+        sooner if it waits for a faster server.
+    waits : bool
+        Whether a free slot was left out for that reason.
+    """
     best = None
-    best_use = 1.0
+    best_cost = float("inf")
+    full_soonest = float("inf")
+    full_rate = 0.0
+    size = wanted.size
     for server in homes:
-        if server.in_flight >= server.home:
+        speed = server.speed
+        used = server.in_flight
+        if used >= server.home:
+            ends = server.next_free - wanted.now
+            ends = max(ends, 0.0) + size / speed + server.extra
+            full_soonest = min(full_soonest, ends)
+            full_rate += server.home * speed
             continue
-        use = server.in_flight / server.home
-        if use < best_use:
-            best, best_use = server, use
-    return best
+        cost = size / speed + server.extra
+        cost *= 1.0 + EVENNESS * used / server.home
+        if cost < best_cost:
+            best, best_cost = server, cost
+    if best is None or not full_rate:
+        return best, False
+    behind = wanted.waiting / full_rate
+    if full_soonest + behind < WAIT_MARGIN * best_cost:
+        return None, True
+    return best, False
 
 
 def choose_borrowed(
-    servers: Sequence[Server], rng: random.Random
+    servers: Sequence[Server], wanted: Wanted, rng: random.Random
 ) -> Server | None:
     """Return the best of a few servers whose slots are all not our own."""
     best = None
@@ -63,7 +123,9 @@
         server = servers[int(rng.random() * len(servers))]
         if server.in_flight >= server.limit:
             continue
-        cost = (server.in_flight - server.home, server.extra)
-        if best is None or cost < best_cost:
+        cost = wanted.size / server.speed + server.extra
+        beyond = max(0, server.in_flight - server.home)
+        cost *= 1.0 + EVENNESS * beyond
+        if cost < best_cost:
             best, best_cost = server, cost
     return best
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -105,10 +105,11 @@
         head = service.queue.head(queueing.SHORT)
         if head is None:
             return sends
-        server = service.choose()
+        queued = head[1]
+        first = queued.lanes[queueing.SHORT][-1]
+        server = service.choose(first, now)
         if server is None:
             return sends
-        queued = head[1]
         task = service.queue.take(queueing.SHORT, service.width)
         sends.append(_start(state, queued, task, server.name, now))
 
@@ -119,10 +120,7 @@
     task = enqueued.spec.tasks[chosen.index]
     ref = types.TaskRef(queued.job, chosen.index)
     queued.started = True
-    borrowed = backend.service.started(backend.server)
-    backend.flights[ref] = service_state.Flight(
-        now, task, chosen.size, chosen.lane, borrowed
-    )
+    backend.start(ref, task, chosen, now)
     timeout = min(queued.deadline - now, backend.service.timeout)
     return messages.Send(
         messages.CONNECTIONS,
@@ -134,7 +132,7 @@
 
 def _ended(state, msg, now):
     backend = state.backends.get(msg.backend)
-    flight = backend.flights.pop(msg.task, None) if backend else None
+    flight = backend.end(msg.task) if backend else None
     verdict = outcomes.judge(msg.answer)
     if flight is not None:
         _learn(backend, flight, msg.answer, verdict, now)
@@ -149,18 +147,18 @@
 
 def _learn(backend, flight, answer, verdict, now):
     service = backend.service
-    service.ended(backend.server)
     if verdict == "not_run" and flight.borrowed:
         service.borrow.shrink(flight.began, now)
     if verdict != "finished":
         return
     name = backend.spec.name
     if flight.borrowed:
-        expected = flight.size / service.learned.speed(name)
+        expected = flight.size / backend.server.speed
         expected += backend.server.extra
         elapsed = answer.elapsed
         service.borrow.observe(expected, elapsed, flight.began, now)
     service.learned.observe(flight.task.kind, name, answer.elapsed)
+    backend.server.speed = service.learned.speed(name)
 
 
 def _settle(state, work, msg, verdict):
--- a/packages/daemon/src/cardamompathd/controllers/service_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/service_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import operator
 import random
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -35,6 +36,11 @@
     lane: int
     borrowed: bool
     """Whether it took a slot beyond this instance's own."""
+    ends: float
+    """When it is expected to end."""
+
+
+_ENDS = operator.attrgetter("ends")
 
 
 class Backend:
@@ -48,6 +54,33 @@
         self.server = routing.Server(spec.name)
         self.flights: dict[types.TaskRef, Flight] = {}
 
+    def start(
+        self,
+        ref: types.TaskRef,
+        task: types.TaskSpec,
+        queued: queueing.QueuedTask,
+        now: float,
+    ) -> None:
+        """Count a task in."""
+        server = self.server
+        borrowed = self.service.started(server)
+        ends = now + queued.size / server.speed + server.extra
+        self.flights[ref] = Flight(
+            now, task, queued.size, queued.lane, borrowed, ends
+        )
+        if len(self.flights) == 1 or ends < server.next_free:
+            server.next_free = ends
+
+    def end(self, ref: types.TaskRef) -> Flight | None:
+        """Count a task out; return what was known of it."""
+        flight = self.flights.pop(ref, None)
+        if flight is None:
+            return None
+        self.service.ended(self.server)
+        if self.flights:
+            self.server.next_free = min(map(_ENDS, self.flights.values()))
+        return flight
+
 
 class Service:
     """One service.
@@ -126,9 +159,22 @@
         self.borrowed -= server.in_flight > server.home
         server.in_flight -= 1
 
-    def choose(self) -> routing.Server | None:
-        """Return the backend server for the next task, if any is free."""
-        server = routing.choose_home(self.homes)
-        if server is None and self.borrowed < self.borrow.present:
-            server = routing.choose_borrowed(self.servers, self.rng)
-        return server
+    def choose(
+        self, task: queueing.QueuedTask, now: float
+    ) -> routing.Server | None:
+        """Return the backend server for the next task, if any.
+
+        Parameters
+        ----------
+        task : QueuedTask
+            The task that goes first.
+        now : float
+            The present time in seconds.
+        """
+        wanted = routing.Wanted(task.size, now, self.queue.work)
+        server, waits = routing.choose_home(self.homes, wanted)
+        if server is not None or waits:
+            return server
+        if self.borrowed < self.borrow.present:
+            return routing.choose_borrowed(self.servers, wanted, self.rng)
+        return None
