--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -12,7 +12,6 @@
 import pykka
 
 from cardamompath_core import identity
-from cardamompath_core import routing
 from cardamompathd import controllers
 from cardamompathd import filters
 from cardamompathd import messages
@@ -122,7 +121,7 @@
                 cfg["callers", "answer_ttl"],
                 cfg["callers", "answer_bytes"],
             ),
-            controllers.backends.make_controller(routing.least_in_flight()),
+            controllers.backends.make_controller(owner, random.Random()),
             controllers.journal.make_controller(
                 owner,
                 _draw_nonce,
--- a/packages/daemon/src/cardamompathd/tests/test_fence.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fence.py
@@ -1,8 +1,9 @@
 import queue
+import random
 import unittest
 
+from cardamompath_core import identity
 from cardamompath_core import leases
-from cardamompath_core import routing
 from cardamompath_core import types
 from cardamompath_standins import backend
 from cardamompathd import controllers
@@ -17,7 +18,7 @@
 class FenceTest(unittest.TestCase):
     def setUp(self):
         self.backends = controllers.backends.make_controller(
-            routing.least_in_flight()
+            identity.parse_incarnation(OWNER), random.Random(1)
         )
         self.backends.receive(messages.ConfigurationChanged(fakes.CFG), 0.0)
 
