--- a/packages/core/src/cardamompath_core/release_notes.py
+++ b/packages/core/src/cardamompath_core/release_notes.py
@@ -11,12 +11,17 @@
 from typing import NamedTuple
 from typing import TypedDict
 
+import xxhash
+
+from cardamompath_core import notes
 from cardamompath_core import types
 
 __all__ = [
     "NoteFields",
     "NoteResult",
     "apply_note",
+    "compare",
+    "fingerprint",
 ]
 
 Section = dict[str, dict[str, Any]]
@@ -34,6 +39,7 @@
     id: str
     base: int
     operator: str
+    comment: str
     added: dict[str, Section]
     changed: dict[str, Section]
     withdrawn: dict[str, list[str]]
@@ -46,13 +52,6 @@
     errors: tuple[str, ...] = ()
 
 
-_SPECS: dict[str, Any] = {
-    "services": types.ServiceSpec,
-    "backends": types.BackendSpec,
-    "teams": types.TeamSpec,
-}
-
-
 def apply_note(
     cfg: types.Configuration, note: NoteFields, offset: int
 ) -> NoteResult:
@@ -63,7 +62,7 @@
     cfg : Configuration
         The configuration before the note.
     note : NoteFields
-        The record as read from the log.
+        The record as read from the log; a broken one is refused.
     offset : int
         Offset of the record in the log.
 
@@ -73,45 +72,45 @@
         The new configuration; on a refusal the old one with its offset
         moved on, and every reason.
     """
+    checked = notes.check_note(cfg, note)
     moved = cfg._replace(offset=offset)
-    base = note.get("base")
-    if base != cfg.revision:
-        reason = f"note was made against revision {base!r}, "
-        return NoteResult(moved, (reason + f"not {cfg.revision}",))
-    sections = {}
-    faults: list[str] = []
-    for section, spec in _SPECS.items():
-        sections[section] = _fold_section(cfg, note, section, spec, faults)
-    if faults:
-        return NoteResult(moved, tuple(faults))
+    if checked.faults:
+        return NoteResult(moved, checked.faults)
+    sections = {
+        section: tuple(entries[name] for name in sorted(entries))
+        for section, entries in checked.entries.items()
+    }
     return NoteResult(moved._replace(revision=cfg.revision + 1, **sections))
 
 
-def _fold_section(cfg, note, section, spec, faults):
-    entries = {entry.name: entry for entry in getattr(cfg, section)}
-    for name, fields in note.get("added", {}).get(section, {}).items():
-        if name in entries:
-            faults.append(f"added {section} {name!r} exists already")
-            continue
-        _put(entries, spec, name, fields, faults, section)
-    for name, fields in note.get("changed", {}).get(section, {}).items():
-        if name not in entries:
-            faults.append(f"changed {section} {name!r} does not exist")
-            continue
-        merged = entries[name]._asdict() | fields
-        _put(entries, spec, name, merged, faults, section)
-    for name in note.get("withdrawn", {}).get(section, []):
-        if entries.pop(name, None) is None:
-            faults.append(f"withdrawn {section} {name!r} does not exist")
-    return tuple(entries.values())
-
-
-def _put(entries, spec, name, fields, faults, section):
-    unknown = sorted(set(fields) - set(spec._fields))
-    if unknown:
-        faults.append(f"{section} {name!r} has unknown keys {unknown!r}")
-        return
-    try:
-        entries[name] = spec(**(fields | {"name": name}))
-    except TypeError as exc:
-        faults.append(f"{section} {name!r} lacks keys: {exc}")
+def fingerprint(cfg: types.Configuration) -> str:
+    """Return a hash of what is in force, the offset left aside."""
+    text = repr(cfg._replace(offset=-1))
+    return xxhash.xxh3_64_hexdigest(text.encode())
+
+
+def compare(
+    before: types.Configuration, after: types.Configuration
+) -> tuple[str, ...]:
+    """List the differences between two configurations, one a line."""
+    lines = []
+    for section in ("services", "backends", "teams"):
+        old = {one.name: one for one in getattr(before, section)}
+        new = {one.name: one for one in getattr(after, section)}
+        for name in sorted(old.keys() | new.keys()):
+            line = f"{section} {name!r}"
+            if name not in old:
+                lines.append(f"added {line}")
+            elif name not in new:
+                lines.append(f"withdrawn {line}")
+            else:
+                lines += _changes(line, old[name], new[name])
+    return tuple(lines)
+
+
+def _changes(line, old, new):
+    return [
+        f"changed {line}: {key} from {before!r} to {after!r}"
+        for key, before, after in zip(old._fields, old, new, strict=True)
+        if before != after and key != "since"
+    ]
--- a/packages/core/src/cardamompath_core/types.py
+++ b/packages/core/src/cardamompath_core/types.py
@@ -143,6 +143,10 @@
     port: int
     slots: int = 8
     connections: int = 64
+    leaving: bool = False
+    """Whether the configuration itself says that it gets no new work."""
+    since: int = 0
+    """Revision that last added or changed it; set by the fold."""
 
 
 class ServiceSpec(NamedTuple):
@@ -161,6 +165,8 @@
     name: str
     share: float
     """Tasks in flight over all instances that the team is entitled to."""
+    services: tuple[str, ...] = ()
+    """Services that the quota is for; empty for all."""
 
 
 class InstanceEntry(NamedTuple):
