--- a/packages/core/src/cardamompath_core/membership.py
+++ b/packages/core/src/cardamompath_core/membership.py
@@ -19,9 +19,11 @@
     "MAX_MEMBERS",
     "RUMOURS",
     "STATUSES",
+    "SUSPECT_FAILURES",
     "Digest",
     "Entry",
     "Member",
+    "choose_check",
     "choose_rumours",
     "choose_targets",
     "is_newer",
@@ -46,6 +48,12 @@
 SENDS = 8
 """Digests in which a changed entry goes before unchanged ones."""
 
+SUSPECT_FAILURES = 3
+"""Exchanges that fail in a row before an instance is suspect."""
+
+CHECK_AFTER = 6.0
+"""Seconds after which a suspicion of others is checked by a call."""
+
 SEED_SHARE = 0.125
 """Share of rounds that also call an instance out of reach."""
 
@@ -155,6 +163,21 @@
     return targets
 
 
+def choose_check(members: Iterable[Member], now: float) -> Member | None:
+    """Choose a member that has to be called again or checked, if any."""
+    due = [one for one in members if _needs_check(one, now)]
+    return min(due, key=lambda one: one.retry_at, default=None)
+
+
+def _needs_check(member, now):
+    if member.retry_at > now:
+        return False
+    if member.entry.status == "alive":
+        return member.failures > 0
+    heard = member.entry.status == "suspect" and member.failures == 0
+    return heard and now - member.changed_at >= CHECK_AFTER
+
+
 def make_bitmap(names: Sequence[str], marked: Iterable[str]) -> bytes:
     """Return a bit for each name, set for the marked ones."""
     places = {name: place for place, name in enumerate(names)}
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -12,10 +12,13 @@
 from typing import Any
 from typing import NamedTuple
 
+from cardamompath_core import log_fold
+from cardamompath_core import membership
 from cardamompath_core import types
 
 __all__ = [
     "APPENDER",
+    "AppendSnapshot",
     "AwaitJob",
     "BackendsLeaving",
     "InstancesListed",
@@ -31,17 +34,30 @@
     "CONNECTIONS",
     "CancelJob",
     "ConfigurationChanged",
+    "ConfigurationFetched",
     "Controller",
+    "DigestReceived",
     "Drain",
     "Drained",
     "Enqueue",
+    "ExchangeDigest",
+    "ExchangeEnded",
+    "FetchConfiguration",
+    "GetBody",
     "GetConfiguration",
     "GetStatus",
+    "INSTANCES",
+    "InstanceLeaving",
     "IssueJob",
     "JOBS",
+    "LOGS",
+    "LogLine",
     "NotOwner",
+    "PeerConfiguration",
+    "ReadInstances",
     "RecordsRead",
     "Reply",
+    "SNAPSHOTS",
     "Send",
     "SetTimer",
     "StartTask",
@@ -65,6 +81,9 @@
 MEMBERSHIP = "membership"
 PEERS = "peers"
 QUOTAS = "quotas"
+SNAPSHOTS = "snapshots"
+INSTANCES = "instances"
+LOGS = "logs"
 
 
 class Send(NamedTuple):
@@ -209,8 +228,16 @@
     entries: tuple[types.InstanceEntry, ...]
 
 
+class ReadInstances(NamedTuple):
+    """Read the platform's list of instances now."""
+
+
 class BackendsLeaving(NamedTuple):
-    """Backend servers that must get no new work, by name."""
+    """Backend servers that must get no new work, by name.
+
+    From the membership this is the whole set, which replaces the
+    earlier one; to the membership it is what the sender saw itself.
+    """
 
     names: frozenset[str]
 
@@ -221,6 +248,73 @@
     peers: tuple[types.PeerView, ...]
 
 
+class ExchangeDigest(NamedTuple):
+    """Send a digest to a peer and get the one of the peer."""
+
+    address: tuple[str, int]
+    digest: membership.Digest
+
+
+class ExchangeEnded(NamedTuple):
+    """An exchange of digests ended, without a digest when it failed."""
+
+    address: tuple[str, int]
+    digest: membership.Digest | None
+
+
+class DigestReceived(NamedTuple):
+    """A peer sent its digest and waits for the one of this instance."""
+
+    digest: membership.Digest
+    reply: Any
+
+
+class PeerConfiguration(NamedTuple):
+    """What a peer says that it has in force."""
+
+    address: tuple[str, int]
+    revision: int
+    offset: int
+    fingerprint: str
+
+
+class FetchConfiguration(NamedTuple):
+    """Ask a peer for what it folded after an offset."""
+
+    address: tuple[str, int]
+    after: int
+
+
+class ConfigurationFetched(NamedTuple):
+    """What a peer handed over; None when it did not answer."""
+
+    body: log_fold.Body | None
+
+
+class GetBody(NamedTuple):
+    """A peer asks for what was folded after an offset."""
+
+    after: int
+    reply: Any
+
+
+class AppendSnapshot(NamedTuple):
+    """Append a snapshot to the configuration's stream, once."""
+
+    record: Any
+
+
+class InstanceLeaving(NamedTuple):
+    """The instance drains and will not come back."""
+
+
+class LogLine(NamedTuple):
+    """Something for the log of the process."""
+
+    level: str
+    text: str
+
+
 class LoadReport(NamedTuple):
     """Load of this instance, for its peers."""
 
