Ask a peer that is ahead again, and call only those that answer

Cause: a lost fetch cost a second, and news went to instances that had just failed to answer.

Change: a fetch is repeated after 0.5 s, with another peer first; random calls leave out instances with a failed exchange, which are called again one a round.

--- a/packages/core/src/cardamompath_core/membership.py
+++ b/packages/core/src/cardamompath_core/membership.py
@@ -147,7 +147,7 @@
     near = {
         (one.entry.host, one.entry.port)
         for one in members
-        if one.entry.status != "dead" and one.retry_at <= now
+        if one.entry.status != "dead" and one.failures == 0
     }
     far = {
         (one.entry.host, one.entry.port)
@@ -172,10 +172,10 @@
 def _needs_check(member, now):
     if member.retry_at > now:
         return False
-    if member.entry.status == "alive":
-        return member.failures > 0
-    heard = member.entry.status == "suspect" and member.failures == 0
-    return heard and now - member.changed_at >= CHECK_AFTER
+    status = member.entry.status
+    if member.failures > 0:
+        return status != "dead"
+    return status == "suspect" and now - member.changed_at >= CHECK_AFTER
 
 
 def make_bitmap(names: Sequence[str], marked: Iterable[str]) -> bytes:
--- a/packages/daemon/src/cardamompathd/controllers/configuration.py
+++ b/packages/daemon/src/cardamompathd/controllers/configuration.py
@@ -32,6 +32,9 @@
 MAX_AHEAD = 4
 """Peers known to be ahead that may be asked."""
 
+MAX_ASKS = 2
+"""Fetches from one peer for what it said once."""
+
 SNAPSHOT_CHECK = 30.0
 """Seconds between looks at the age of the newest snapshot."""
 
@@ -75,7 +78,8 @@
         self.append_set = False
         self.oldest = 0
         self.head = 0
-        self.ahead: dict[tuple[str, int], messages.PeerConfiguration] = {}
+        self.ahead: dict[messages.PeerConfiguration, int] = {}
+        """Fetches from each peer that is ahead, the next to ask first."""
         self.fetch_set = False
         self.hedge_at = 0.0
         self.log_behind = False
@@ -212,7 +216,7 @@
         return _take(state, log_fold.Folded(state.fold, faults=(fault,)))
     if not _is_ahead(state, msg):
         return []
-    state.ahead[msg.address] = msg
+    state.ahead.setdefault(msg, 0)
     if len(state.ahead) > MAX_AHEAD:
         del state.ahead[next(iter(state.ahead))]
     if state.fetch_set:
@@ -241,27 +245,27 @@
 def _fetch(state, now):
     state.fetch_set = False
     state.ahead = {
-        address: peer
-        for address, peer in state.ahead.items()
-        if _is_ahead(state, peer)
+        peer: asks
+        for peer, asks in state.ahead.items()
+        if asks < MAX_ASKS and _is_ahead(state, peer)
     }
     if not state.ahead:
         return []
-    address = max(state.ahead, key=lambda one: state.ahead[one].offset)
-    del state.ahead[address]
+    peer = next(iter(state.ahead))
+    state.ahead[peer] = state.ahead.pop(peer) + 1
     state.hedge_at = now + FETCH_HEDGE
-    fetch = messages.FetchConfiguration(address, state.fold.cfg.offset)
-    sends = [messages.Send(messages.PEERS, fetch)]
-    if state.ahead:
-        state.fetch_set = True
-        sends.append(_timer(state.hedge_at, _FETCH))
-    return sends
+    state.fetch_set = True
+    fetch = messages.FetchConfiguration(peer.address, state.fold.cfg.offset)
+    return [
+        messages.Send(messages.PEERS, fetch),
+        _timer(state.hedge_at, _FETCH),
+    ]
 
 
 def _fetched(state, msg, now):
-    state.hedge_at = 0.0
     if msg.body is None:
-        return [] if state.fetch_set else _fetch(state, now)
+        return []
+    state.hedge_at = 0.0
     before = state.fold.cfg.revision
     sends = _take(state, log_fold.take_body(state.fold, msg.body))
     if state.fold.cfg.revision > before:
--- a/packages/daemon/src/cardamompathd/controllers/membership.py
+++ b/packages/daemon/src/cardamompathd/controllers/membership.py
@@ -23,19 +23,19 @@
     "make_controller",
 ]
 
-ROUND = 1.5
+ROUND = 2.0
 """Mean seconds between rounds."""
 
 FANOUT = 1
 """Instances that a round calls."""
 
-NEWS_INTERVAL = 0.25
+NEWS_INTERVAL = 0.15
 """Mean seconds between quick rounds while there are news."""
 
 NEWS_FANOUT = 2
 """Instances that a quick round calls."""
 
-NEWS_ROUNDS = 10
+NEWS_ROUNDS = 12
 """Most quick rounds for one piece of news."""
 
 NEWS_MISSES = 6
