--- a/packages/core/src/cardamompath_core/routing.py
+++ b/packages/core/src/cardamompath_core/routing.py
@@ -1,60 +1,131 @@
-"""Choice of a backend server for a task.
+"""Choice of a backend server for a task that waits.
 
-A chooser is a closure ``choose(candidates, task, now) -> name | None``.
-Candidates have a free place within their limit already.
+A task is bound to a backend server only when it starts.
 """
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Callable
+import random
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from cardamompath_core import types
-
 __all__ = [
-    "Candidate",
-    "Chooser",
-    "least_in_flight",
-    "round_robin",
-]
-
-
-class Candidate(NamedTuple):
-    """A backend server that could take a task now."""
-
-    name: str
-    domain: str
-    in_flight: int
-    limit: int
-
-
-Chooser = Callable[
-    [Sequence[Candidate], types.TaskSpec, float], "Candidate | None"
+    "Server",
+    "Wanted",
+    "choose_borrowed",
+    "choose_home",
 ]
 
-
-def least_in_flight() -> Chooser:
-    """Make a chooser that prefers the fewest tasks in flight."""
-
-    def choose(candidates, task, now):
-        return min(
-            candidates,
-            key=lambda one: (one.in_flight / one.limit, one.name),
-            default=None,
-        )
-
-    return choose
-
-
-def round_robin() -> Chooser:
-    """Make a chooser that takes backend servers in turn."""
-    turns = itertools.count()
-
-    def choose(candidates, task, now):
-        if not candidates:
-            return None
-        return candidates[next(turns) % len(candidates)]
-
-    return choose
+SAMPLE = 4
+"""Backend servers looked at for a borrowed slot."""
+EVENNESS = 0.1
+"""Share of its time by which a full server counts as slower."""
+WAIT_MARGIN = 0.8
+"""A task waits for a faster server only if it gains more than the rest."""
+
+
+class Wanted(NamedTuple):
+    """A task that is to be started, or to wait."""
+
+    size: float
+    """Expected seconds at speed 1."""
+    now: float
+    waiting: float
+    """Work that waits, this task's own included, in the same unit."""
+
+
+class Server:
+    """What the choice knows of one backend server.
+
+    Parameters
+    ----------
+    name : str
+        Name in the configuration.
+    """
+
+    __slots__ = (
+        "extra",
+        "home",
+        "in_flight",
+        "limit",
+        "name",
+        "next_free",
+        "speed",
+    )
+
+    def __init__(self, name: str):
+        self.name = name
+        self.in_flight = 0
+        self.home = 0
+        """Slots that are this instance's own."""
+        self.limit = 0
+        """Most tasks in flight, borrowed slots included."""
+        self.extra = 0.0
+        """Seconds that an exchange takes longer than a near one."""
+        self.speed = 1.0
+        self.next_free = 0.0
+        """When the first of its tasks is expected to end."""
+
+
+def choose_home(
+    homes: Sequence[Server], wanted: Wanted
+) -> tuple[Server | None, bool]:
+    """Return the home server on which a task is expected to end soonest.
+
+    Parameters
+    ----------
+    homes : sequence of Server
+        Backend servers with slots of this instance's own.
+    wanted : Wanted
+        What is to be started.
+
+    Returns
+    -------
+    server : Server or None
+        None when no slot is free, or when the task is expected to end
+        sooner if it waits for a faster server.
+    waits : bool
+        Whether a free slot was left out for that reason.
+    """
+    best = None
+    best_cost = float("inf")
+    full_soonest = float("inf")
+    full_rate = 0.0
+    size = wanted.size
+    for server in homes:
+        speed = server.speed
+        used = server.in_flight
+        if used >= server.home:
+            ends = server.next_free - wanted.now
+            ends = max(ends, 0.0) + size / speed + server.extra
+            full_soonest = min(full_soonest, ends)
+            full_rate += server.home * speed
+            continue
+        cost = size / speed + server.extra
+        cost *= 1.0 + EVENNESS * used / server.home
+        if cost < best_cost:
+            best, best_cost = server, cost
+    if best is None or not full_rate:
+        return best, False
+    behind = wanted.waiting / full_rate
+    if full_soonest + behind < WAIT_MARGIN * best_cost:
+        return None, True
+    return best, False
+
+
+def choose_borrowed(
+    servers: Sequence[Server], wanted: Wanted, rng: random.Random
+) -> Server | None:
+    """Return the best of a few servers whose slots are all not our own."""
+    best = None
+    best_cost = float("inf")
+    for _ in range(min(SAMPLE, len(servers))):
+        server = servers[int(rng.random() * len(servers))]
+        if server.in_flight >= server.limit:
+            continue
+        cost = wanted.size / server.speed + server.extra
+        beyond = max(0, server.in_flight - server.home)
+        cost *= 1.0 + EVENNESS * beyond
+        if cost < best_cost:
+            best, best_cost = server, cost
+    return best
--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -12,21 +12,23 @@
 import pykka
 
 from cardamompath_core import identity
-from cardamompath_core import routing
 from cardamompathd import controllers
 from cardamompathd import filters
 from cardamompathd import messages
 from cardamompathd.backends import connections
 from cardamompathd.backends import pool
+from cardamompathd.callers import codec
 from cardamompathd.callers import handlers
 from cardamompathd.callers import server
 from cardamompathd.filters import chain
 from cardamompathd.operators import handlers as operator_handlers
+from cardamompathd.peers import relay
+from cardamompathd.peers import server as peer_server
+from cardamompathd.platform import appender
 from cardamompathd.platform import log_client
 from cardamompathd.platform import reader
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import clocks
-from cardamompathd.runtime import timers
 
 __all__ = [
     "Instance",
@@ -35,6 +37,10 @@
 
 OPERATOR_THREADS = 4
 
+JOURNAL_WAIT = 2.0
+"""Seconds that a read of the journal waits: a connection that went
+silent has to be noticed well within a lease."""
+
 
 class Instance(NamedTuple):
     """A running instance."""
@@ -42,24 +48,23 @@
     owner: identity.Incarnation
     callers: Any
     operators: Any
+    peers: Any
     drain: Any
     """Waits until nothing is in flight; called with seconds."""
+    stops: list
+    """Functions that end the tasks which tell the actors."""
 
 
 class DispatchActor(actors.ControllerActor):
-    """Owns the jobs, the backend servers' state and their connections."""
+    """Owns the jobs and the state of the backend servers."""
 
     def __init__(self, controllers, deliver, clock, limits):
         super().__init__(controllers, self._deliver_or_start, clock)
         self._elsewhere = deliver
-        self._pool = pool.make_pool(limits, self.actor_ref.tell, clock)
+        self._pool = pool.make_pool(limits, self._take_back, clock)
 
-    def on_receive(self, message):
-        """Take back the connection of an exchange that ended."""
-        if isinstance(message, connections.ConnectionEnded):
-            self._pool.release(message)
-            message = messages.Send(messages.BACKENDS, message.ended)
-        super().on_receive(message)
+    def _take_back(self, ended):
+        self.actor_ref.tell(messages.Send(messages.BACKENDS, ended))
 
     def _deliver_or_start(self, send):
         if send.to == messages.CONNECTIONS:
@@ -80,24 +85,29 @@
     owner = identity.Incarnation(
         cfg["instance", "domain"],
         cfg["instance", "name"],
-        secrets.token_hex(6),
+        _draw_nonce(),
     )
     table: dict[str, Any] = {
         messages.CALLERS: lambda msg: msg.reply.set(msg.answer)
     }
     deliver = actors.make_router(table)
     _start_controllers(cfg, owner, table, deliver, clock)
-    table[messages.TIMERS] = timers.start(deliver, clock).tell
     asks = {
         name: handlers.make_ask(table[name])
         for name in (messages.JOBS, messages.BACKENDS, messages.CONFIGURATION)
     }
+    stops = _start_journal(cfg, table)
     callers, operators = _start_listeners(cfg, asks, clock)
-    _follow_log(cfg, table)
+    peers = _start_peers(cfg, asks)
+    stops.append(_follow_log(cfg, table).stop)
     loguru.logger.info(
         "instance: {} is up", identity.format_incarnation(owner)
     )
-    return Instance(owner, callers, operators, _make_drain(asks))
+    return Instance(owner, callers, operators, peers, _make_drain(asks), stops)
+
+
+def _draw_nonce():
+    return secrets.token_hex(6)
 
 
 def _start_controllers(cfg, owner, table, deliver, clock):
@@ -107,9 +117,16 @@
     dispatch = DispatchActor.start(
         [
             controllers.jobs.make_controller(
-                owner, cfg["callers", "answer_ttl"]
+                owner,
+                cfg["callers", "answer_ttl"],
+                cfg["callers", "answer_bytes"],
+            ),
+            controllers.backends.make_controller(owner, random.Random()),
+            controllers.journal.make_controller(
+                owner,
+                _draw_nonce,
+                _journal_terms(cfg),
             ),
-            controllers.backends.make_controller(routing.least_in_flight()),
         ],
         deliver,
         clock,
@@ -120,11 +137,21 @@
     )
     table[messages.JOBS] = _teller(dispatch, messages.JOBS)
     table[messages.BACKENDS] = _teller(dispatch, messages.BACKENDS)
+    table[messages.JOURNAL] = _teller(dispatch, messages.JOURNAL)
     table[messages.CONFIGURATION] = _teller(
         configuration, messages.CONFIGURATION
     )
 
 
+def _journal_terms(cfg):
+    ttl = cfg["callers", "answer_ttl"]
+    return controllers.journal_store.JournalTerms(
+        budget=cfg["platform", "append_budget"],
+        settlement_ttl=ttl + codec.MAX_TIMEOUT,
+        hold=2.0 * ttl + codec.MAX_TIMEOUT,
+    )
+
+
 def _teller(ref, name):
     def tell(msg):
         ref.tell(messages.Send(name, msg))
@@ -138,6 +165,9 @@
             filters.access.make_filter(clock),
             filters.failures.answer_failures,
             filters.bodies.make_filter(cfg["callers", "body_limit"]),
+            filters.relay.make_filter(
+                relay.make_relay(cfg["peers", "addresses"], clock)
+            ),
         ),
         handlers.make_handler(asks[messages.JOBS]),
     )
@@ -174,11 +204,38 @@
     return listener
 
 
-def _follow_log(cfg, table):
+def _start_peers(cfg, asks):
+    owner_chain = chain.compose(
+        (filters.failures.answer_failures,),
+        handlers.make_handler(asks[messages.JOBS]),
+    )
+    services = [relay.make_service(owner_chain)]
+    return peer_server.start(cfg["peers", "listen"], services)
+
+
+def _make_client(cfg):
     host, port = cfg["platform", "address"]
-    client = log_client.make_client(host, port, cfg["platform", "timeout"])
-    reader.start(
-        client,
+    return log_client.make_client(host, port, cfg["platform", "timeout"])
+
+
+def _start_journal(cfg, table):
+    tell = table[messages.JOURNAL]
+    appending = appender.start(_make_client(cfg), tell)
+    table[messages.APPENDER] = appending.tell
+    following = reader.start(
+        _make_client(cfg),
+        controllers.journal.STREAM,
+        tell,
+        random.Random(),
+        JOURNAL_WAIT,
+    )
+    tell(messages.TimerFired(controllers.journal.COMMIT))
+    return [following.stop, lambda: appending.tell(None)]
+
+
+def _follow_log(cfg, table):
+    return reader.start(
+        _make_client(cfg),
         "configuration",
         table[messages.CONFIGURATION],
         random.Random(),
@@ -210,5 +267,8 @@
     drained = instance.drain(grace)
     instance.callers.stop()
     instance.operators.stop()
+    instance.peers.stop()
+    for stop_task in instance.stops:
+        stop_task()
     pykka.ActorRegistry.stop_all(block=False)
     return drained
--- a/packages/proof/src/cardamompath_proof/harness/world.py
+++ b/packages/proof/src/cardamompath_proof/harness/world.py
@@ -20,6 +20,9 @@
     "World",
 ]
 
+LIST_LAG = 1.0
+"""Seconds by which the platform's list is late."""
+
 SKEW = 1000.0
 """Seconds between the clocks of two instances."""
 
@@ -46,6 +49,8 @@
         self.callers = callers.Callers(self)
         self.operators = operators.Operators(self)
         self.trace: list[str] = []
+        self.faults: list[str] = []
+        """What controllers raised."""
         self.used: set[str] = set()
         """Failures that happened and promises that were put to use."""
 
@@ -63,7 +68,8 @@
         self, name: str, domain: str, service: str, slots: int, speed: float
     ) -> None:
         """Declare a backend server."""
-        spec = types.BackendSpec(name, service, domain, name, 80, slots)
+        host = f"10.1.0.{len(self.backends) + 1}"
+        spec = types.BackendSpec(name, service, domain, host, 80, slots)
         self.backends[name] = backends.FakeBackend(
             spec, speed, self.queue, self.net
         )
@@ -77,11 +83,35 @@
                 return one
         return None
 
+    def listed(self) -> tuple[types.InstanceEntry, ...]:
+        """Return the platform's list, as it was some time ago."""
+        now = self.queue.now
+        entries = [one.entry for one in self.instances.values()]
+        for one in self.backends.values():
+            gone = one.listed_at is not None and now >= one.listed_at
+            spec = one.spec
+            entries.append(
+                types.InstanceEntry(
+                    spec.name,
+                    "backend",
+                    spec.domain,
+                    spec.host,
+                    spec.port,
+                    "leaving" if gone else "live",
+                )
+            )
+        return tuple(entries)
+
     def peers_of(self, instance) -> list[instances.Instance]:
         """Return all other instances."""
         every = self.instances.values()
         return [one for one in every if one is not instance]
 
+    def leave(self, name: str) -> None:
+        """Let a backend server begin to leave; the list lags."""
+        self.backends[name].listed_at = self.queue.now + LIST_LAG
+        self.backends[name].left_at = self.queue.now + LIST_LAG
+
     def send(self, one: str, other: str, run: Callable[[], None]) -> bool:
         """Carry a message between two places, unless it is lost."""
         if not self.net.linked(one, other) or self.net.loses():
@@ -109,6 +139,12 @@
         """Check that a graceful stop cuts nothing off."""
         checks.check_stop(self, instance)
 
+    def fail(self, name: str, send: Any, text: str) -> None:
+        """Note that a controller raised."""
+        kind = type(send.msg).__name__
+        self.faults.append(f"{send.to} of {name} failed on {kind}")
+        self.note(text)
+
     def note(self, text: str) -> None:
         """Add a line to the trace."""
         self.trace.append(f"{self.queue.now:9.3f}  {text}")
--- /dev/null
+++ b/packages/proof/src/cardamompath_proof/tests/properties/checked.py
@@ -0,0 +1,21 @@
+"""Settings of hypothesis that give the same verdict every time."""
+
+import hypothesis
+from hypothesis import strategies
+
+checked = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=100
+)
+
+json_values = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=12),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=12,
+)
