--- a/packages/proof/src/cardamompath_proof/model/__main__.py
+++ b/packages/proof/src/cardamompath_proof/model/__main__.py
@@ -46,7 +46,23 @@
 
 WIDE = (
     ("job: one task, all at once", jobs, jobs.Bounds()),
-    ("notes: all at once", notes, notes.Bounds(bodies=1, restarts=0)),
+    (
+        "job: appends that land after they were given up",
+        jobs,
+        jobs.Bounds(
+            ticks=4,
+            renewals=0,
+            progress=2,
+            crash=False,
+            pause=False,
+            stray=True,
+        ),
+    ),
+    (
+        "notes: racing operators, a snapshot, retention and a peer",
+        notes,
+        notes.Bounds(restarts=0, forgotten=1),
+    ),
 )
 """Explored by ``make model-wide`` only, which takes minutes."""
 
--- a/packages/proof/src/cardamompath_proof/model/replay.py
+++ b/packages/proof/src/cardamompath_proof/model/replay.py
@@ -19,7 +19,7 @@
 from cardamompath_core import settlement
 from cardamompath_core import types
 from cardamompath_proof.harness import instances
-from cardamompath_proof.model import jobs
+from cardamompath_proof.model import job_rules
 from cardamompathd import controllers
 from cardamompathd import messages
 
@@ -52,7 +52,7 @@
                 journal=functools.partial(
                     controllers.journal.make_controller,
                     terms=controllers.journal_store.JournalTerms(
-                        lease=jobs.TERMS
+                        lease=job_rules.TERMS
                     ),
                 )
             ),
@@ -255,7 +255,7 @@
     pass
 
 
-RAN = jobs.EXCHANGES["answer"]
+RAN = job_rules.EXCHANGES["answer"]
 
 STEPS: tuple[tuple[str, Callable[[Rig], None]], ...] = (
     ("time passes", Rig._pass_time),
@@ -265,17 +265,20 @@
     ("another incarnation starts task 0", _nothing),
     ("owner sends task 0", Rig._send),
     ("backend server runs task 0", lambda rig: rig._arrive(RAN, 1)),
-    ("backend server runs, .*", lambda rig: rig._arrive(jobs.GIVEN_UP, 1)),
+    (
+        "backend server runs, .*",
+        lambda rig: rig._arrive(job_rules.GIVEN_UP, 1),
+    ),
     (
         "backend server refuses task 0",
-        lambda rig: rig._arrive(jobs.EXCHANGES["refuse"], 0),
+        lambda rig: rig._arrive(job_rules.EXCHANGES["refuse"], 0),
     ),
     (
         "connection fails for task 0",
-        lambda rig: rig._arrive(jobs.EXCHANGES["unreachable"], 0),
+        lambda rig: rig._arrive(job_rules.EXCHANGES["unreachable"], 0),
     ),
     ("owner hears of task 0", Rig._hear),
-    ("owner gives up task 0", lambda rig: rig._hear(jobs.GIVEN_UP)),
+    ("owner gives up task 0", lambda rig: rig._hear(job_rules.GIVEN_UP)),
     ("owner withdraws what waits", _nothing),
     ("owner ends the job", Rig._end),
     ("owner forgets the job", Rig._forget),
--- a/packages/proof/src/cardamompath_proof/model/variants.py
+++ b/packages/proof/src/cardamompath_proof/model/variants.py
@@ -9,6 +9,7 @@
 from cardamompath_core import log_fold
 from cardamompath_core import outcomes
 from cardamompath_core import types
+from cardamompath_proof.model import job_rules
 from cardamompath_proof.model import jobs
 from cardamompath_proof.model import notes
 
@@ -33,7 +34,7 @@
 
 
 def _settle_when_silent(ledger, total, silent):
-    answer = jobs.settle(ledger, total, silent)
+    answer = job_rules.settle(ledger, total, silent)
     if answer is None and silent:
         unknown = types.TaskResult("unknown")
         return types.Failed("owner_died", "", (unknown,) * total)
@@ -43,7 +44,7 @@
 def _forget_standing(submitted, forgotten):
     if forgotten:
         return "open"
-    return jobs.own_standing(submitted, forgotten)
+    return job_rules.own_standing(submitted, forgotten)
 
 
 def _read_over_gaps(state, records, oldest, head):
@@ -72,7 +73,9 @@
 
 
 def _job(name, broken, bounds, **rules):
-    protocol = jobs.make_protocol(jobs.RULES._replace(**rules), bounds, name)
+    protocol = jobs.make_protocol(
+        job_rules.RULES._replace(**rules), bounds, name
+    )
     return Variant(name, broken, protocol)
 
 
@@ -128,7 +131,7 @@
         "waiting tasks journalled as not started",
         "not run and not started are true",
         _JOURNAL,
-        letters=jobs.LETTERS | {"w": "not_started"},
+        letters=job_rules.LETTERS | {"w": "not_started"},
     ),
     _job(
         "forgotten job taken again",
