--- a/packages/proof/src/cardamompath_proof/harness/callers.py
+++ b/packages/proof/src/cardamompath_proof/harness/callers.py
@@ -94,6 +94,8 @@
     def submit(self, label: str, instance: str) -> None:
         """Submit a job, once more if it was submitted before."""
         known = self.submissions[label]
+        if not known.job and not known.spec.single:
+            return
         known.sent += 1
 
         def make(reply):
@@ -104,6 +106,8 @@
     def ask(self, label: str, instance: str, message) -> None:
         """Send a message about a job: `AwaitJob` or `CancelJob`."""
         job = self.submissions[label].job
+        if not job:
+            return
 
         def make(reply):
             return message(job, reply)
--- a/packages/proof/src/cardamompath_proof/harness/instances.py
+++ b/packages/proof/src/cardamompath_proof/harness/instances.py
@@ -180,10 +180,13 @@
 
     def pause(self) -> None:
         """Stop the process; what arrives waits."""
-        self.state = "paused"
+        if self.state == "running":
+            self.state = "paused"
 
     def resume(self) -> None:
         """Let the process run on, late."""
+        if self.state != "paused":
+            return
         self.state = "running"
         held, self.held = self.held, []
         for run in held:
