--- a/packages/daemon/src/cardamompathd/telemetry/metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/metrics.py
@@ -60,7 +60,7 @@
             export.ConsoleMetricExporter(), CONSOLE_INTERVAL
         )
         provider = _make_provider(reader, read_status)
-        return Exporter(lambda: "", provider.shutdown)
+        return Exporter(lambda: "", _make_stop(provider))
     registry = prometheus_client.CollectorRegistry()
     reader = prometheus.PrometheusMetricReader(
         disable_target_info=True, scope_info_enabled=False, registry=registry
@@ -70,7 +70,17 @@
     def scrape() -> str:
         return prometheus_client.generate_latest(registry).decode()
 
-    return Exporter(scrape, provider.shutdown)
+    return Exporter(scrape, _make_stop(provider))
+
+
+def _make_stop(provider):
+    running = [provider]
+
+    def stop() -> None:
+        while running:
+            running.pop().shutdown()
+
+    return stop
 
 
 def _make_provider(reader, read_status):
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/edge_fixtures.py
@@ -0,0 +1,128 @@
+"""A running instance with fakes for the tests of its edges."""
+
+import http.client
+import json
+import pathlib
+import socket
+import tempfile
+import unittest
+
+import loguru
+
+from cardamompath_standins import backend
+from cardamompath_standins import platform
+from cardamompathd import app
+from cardamompathd.platform import log_client
+from cardamompathd.settings import loading
+
+SETTINGS = """
+[instance]
+name = entry-1
+domain = pocitos
+leave_notice = 0
+answer_hold = {hold}
+[callers]
+listen = 127.0.0.1:0
+threads = 6
+timeout = {timeout}
+body_limit = 1000000
+payload_limit = 1000
+[operators]
+listen = {operators}
+[peers]
+listen = 127.0.0.1:0
+[platform]
+address = 127.0.0.1:{port}
+"""
+
+
+def write_settings(test, port, operators="127.0.0.1:0", hold=0, timeout=0.5):
+    folder = tempfile.TemporaryDirectory()
+    test.addCleanup(folder.cleanup)
+    file = pathlib.Path(folder.name, "entry.ini")
+    file.write_text(
+        SETTINGS.format(
+            port=port, operators=operators, hold=hold, timeout=timeout
+        )
+    )
+    return str(file)
+
+
+def publish(port, *backends):
+    added = {
+        f"executor-{index}": {
+            "service": "booking",
+            "domain": "pocitos",
+            "host": one.host,
+            "port": one.port,
+        }
+        for index, one in enumerate(backends)
+    }
+    changes = {"services": {"booking": {}}, "backends": added}
+    note = {"kind": "note", "base": 0, "added": changes}
+    client = log_client.make_client("127.0.0.1", port)
+    client.append("configuration", [note])
+    client.close()
+
+
+def call(port, method, path, body=None, headers=None):
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
+    raw = json.dumps(body) if isinstance(body, dict) else body
+    conn.request(method, path, raw, headers or {})
+    response = conn.getresponse()
+    text = response.read()
+    conn.close()
+    if response.headers["Content-Type"] == "application/json":
+        return response.status, json.loads(text)
+    return response.status, text.decode()
+
+
+def send_raw(port, raw, end=False):
+    """Send bytes and return status and body of the response."""
+    with socket.create_connection(("127.0.0.1", port), 20) as sock:
+        sock.sendall(raw)
+        if end:
+            sock.shutdown(socket.SHUT_WR)
+        response = http.client.HTTPResponse(sock)
+        response.begin()
+        return response.status, json.loads(response.read())
+
+
+def await_ready(port):
+    """Ask for readiness until it is there; each ask is a round trip."""
+    for _ in range(10_000):
+        try:
+            if call(port, "GET", "/ready")[0] == 200:
+                return
+        except OSError:
+            continue
+    raise AssertionError("the instance did not become ready")
+
+
+class InstanceCase(unittest.TestCase):
+    hold = 0
+
+    def setUp(self):
+        loguru.logger.remove()
+        self.platform = platform.start()
+        self.addCleanup(self.platform.stop)
+        self.backend = backend.start()
+        self.addCleanup(self.backend.stop)
+        publish(self.platform.port, self.backend)
+        file = write_settings(self, self.platform.port, hold=self.hold)
+        self.instance = app.start(loading.load([file]).unwrap())
+        self.addCleanup(app.stop, self.instance, 5.0)
+        self.port = self.instance.callers.port
+        self.operators = self.instance.operators.port
+        await_ready(self.operators)
+
+    def issue(self):
+        return call(self.port, "POST", "/v1/jobs")[1]["job"]
+
+    def jobs(self):
+        return call(self.operators, "GET", "/v1/jobs")[1]["jobs"]
+
+
+def job_body(count=1, work=0.0, **fields):
+    task = {"service": "booking", "payload": {"work": work}}
+    return {"tasks": [task] * count, "timeout": 20} | fields
