Complete the command line, settle withdrawn tasks, test ends and logs

Cause: a task in flight when its job was withdrawn was never settled, so a cancelled job stayed pending until its deadline. Conclusion: a cancellation ends when the tasks that started have ended.

--- /dev/null
+++ b/packages/cli/src/cardamompath_cli/answers.py
@@ -0,0 +1,52 @@
+"""Prints the answers of callers' calls and chooses the exit code."""
+
+from __future__ import annotations
+
+import collections
+import json
+
+from cardamompath_cli import client
+from cardamompath_cli import exits
+
+__all__ = [
+    "show",
+]
+
+EXITS = {
+    "complete": exits.DONE,
+    "failed": exits.FAILED,
+    "pending": exits.PENDING,
+    "refused": exits.REFUSED,
+}
+
+
+def show(called: client.Called, as_json: bool) -> int:
+    """Print an answer and return the exit code.
+
+    Raises
+    ------
+    CallError
+        If the response is not an answer.
+    """
+    body = called.body
+    if not isinstance(body, dict) or body.get("outcome") not in EXITS:
+        raise client.CallError(f"status {called.status} is no answer")
+    if as_json:
+        print(json.dumps(body))
+    else:
+        _print_text(body)
+    return EXITS[body["outcome"]]
+
+
+def _print_text(body):
+    words = (body["outcome"], body.get("job", ""), body.get("reason", ""))
+    print("  ".join(one for one in words if one))
+    if body["outcome"] == "pending":
+        print(f"{body['finished']} of {body['total']} tasks finished")
+    tasks = body.get("tasks", ())
+    for key in ("state", "backend"):
+        counts = collections.Counter(one[key] for one in tasks)
+        for name, count in sorted(counts.items()):
+            print(f"{key:<8} {name or '-':<24} {count} tasks")
+    if len(tasks) == 1 and "payload" in tasks[0]:
+        print(json.dumps(tasks[0]["payload"]))
--- a/packages/cli/src/cardamompath_cli/client.py
+++ b/packages/cli/src/cardamompath_cli/client.py
@@ -12,11 +12,15 @@
     "CallError",
     "Called",
     "call",
+    "fetch",
 ]
 
 
+HTTP_OK = 200
+
+
 class CallError(Exception):
-    """The instance cannot be reached."""
+    """The instance cannot be reached, or gave no usable response."""
 
 
 class Called(NamedTuple):
@@ -56,10 +60,26 @@
             retries=False,
             timeout=timeout,
         )
-    except urllib3.exceptions.HTTPError as exc:
+    except (urllib3.exceptions.HTTPError, ValueError) as exc:
         raise CallError(f"no answer from {address}: {exc}") from exc
     try:
         decoded = json.loads(response.data)
     except ValueError:
         decoded = response.data.decode("latin-1")
     return Called(response.status, decoded)
+
+
+def fetch(address: str, path: str) -> dict[str, Any]:
+    """Get a page of the operators' listener.
+
+    Raises
+    ------
+    CallError
+        If there is no such page now.
+    """
+    called = call(address, "GET", path)
+    if called.status != HTTP_OK or not isinstance(called.body, dict):
+        raise CallError(
+            f"{address}{path} answered {called.status}: {called.body}"
+        )
+    return called.body
--- a/packages/cli/src/cardamompath_cli/exits.py
+++ b/packages/cli/src/cardamompath_cli/exits.py
@@ -13,7 +13,7 @@
 
 DONE = 0
 REFUSED = 1
-"""Refused; nothing ran."""
+"""Refused, nothing ran; or there are stuck jobs."""
 USAGE = 2
 """Wrong arguments, settings or release note."""
 FAILED = 3
--- a/packages/cli/src/cardamompath_cli/jobs.py
+++ b/packages/cli/src/cardamompath_cli/jobs.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import collections
 import json
 import sys
 from typing import Annotated
+from urllib import parse
 
 import cappa
 
+from cardamompath_cli import answers
 from cardamompath_cli import client
 from cardamompath_cli import exits
 from cardamompath_cli import options
@@ -17,21 +18,24 @@
     "Cancel",
     "Get",
     "Job",
+    "Request",
     "Submit",
     "cancel",
     "get",
+    "request",
     "submit",
 ]
 
 WAIT = 30
 """Seconds that one call waits for an answer."""
 
-EXITS = {
-    "complete": exits.DONE,
-    "failed": exits.FAILED,
-    "pending": exits.PENDING,
-    "refused": exits.REFUSED,
-}
+CANCEL_WAIT = 5
+"""Seconds that a cancellation waits for tasks that started."""
+
+CALL_MARGIN = 10.0
+"""Seconds beyond its timeout after which a request is given up."""
+
+HTTP_CREATED = 201
 
 
 def submit(command: Submit) -> int:
@@ -42,37 +46,55 @@
     except (OSError, ValueError) as exc:
         print(f"{command.file}: {exc}", file=sys.stderr)
         return exits.USAGE
-    job = client.call(command.to, "POST", "/v1/jobs", {}).body["job"]
+    issued = client.call(command.to, "POST", "/v1/jobs")
+    if issued.status != HTTP_CREATED:
+        return answers.show(issued, command.json)
     wait = 0 if command.detach else WAIT
-    path = f"/v1/jobs/{job}?wait={wait}"
-    return _print(client.call(command.to, "PUT", path, body), command.json)
+    path = f"/v1/jobs/{issued.body['job']}?wait={wait}"
+    called = client.call(command.to, "PUT", path, body)
+    return answers.show(called, command.json)
 
 
 def get(command: Get) -> int:
     """Fetch the answer of a job."""
-    path = f"/v1/jobs/{command.job}?wait={WAIT}"
-    return _print(client.call(command.to, "GET", path), command.json)
+    path = f"{_path(command.job)}?wait={command.wait}"
+    return answers.show(client.call(command.to, "GET", path), command.json)
 
 
 def cancel(command: Cancel) -> int:
-    """Cancel a job."""
-    path = f"/v1/jobs/{command.job}"
-    return _print(client.call(command.to, "DELETE", path), command.json)
-
-
-def _print(called, as_json):
-    body = called.body
-    outcome = body["outcome"]
-    if as_json:
-        print(json.dumps(body))
-        return EXITS[outcome]
-    print(f"{outcome}  {body.get('job', '')}  {body.get('reason', '')}")
-    tasks = body.get("tasks", ())
-    for key in ("state", "backend"):
-        counts = collections.Counter(one[key] for one in tasks)
-        for name, count in sorted(counts.items()):
-            print(f"{key:<8} {name or '-':<24} {count} tasks")
-    return EXITS[outcome]
+    """Cancel a job and wait a little for the tasks that started."""
+    path = f"{_path(command.job)}?wait={CANCEL_WAIT}"
+    called = client.call(command.to, "DELETE", path)
+    return answers.show(called, command.json)
+
+
+def request(command: Request) -> int:
+    """Run a single request."""
+    try:
+        payload = json.loads(command.payload)
+    except ValueError as exc:
+        print(f"payload {command.payload!r}: {exc}", file=sys.stderr)
+        return exits.USAGE
+    body = {
+        "service": command.service,
+        "kind": command.kind,
+        "team": command.team,
+        "timeout": command.timeout,
+        "idempotent": command.idempotent,
+        "payload": payload,
+    }
+    called = client.call(
+        command.to,
+        "POST",
+        "/v1/requests",
+        body,
+        command.timeout + CALL_MARGIN,
+    )
+    return answers.show(called, command.json)
+
+
+def _path(job):
+    return "/v1/jobs/" + parse.quote(job, safe="")
 
 
 @cappa.command(invoke=submit)
@@ -92,6 +114,9 @@
     """Fetch the answer of a job."""
 
     job: Annotated[str, cappa.Arg(help="Identifier of the job.")]
+    wait: Annotated[
+        float, cappa.Arg(long="--wait", help="Seconds to wait, up to 60.")
+    ] = WAIT
     to: options.Callers = options.CALLERS
     json: options.Json = False
 
@@ -105,6 +130,31 @@
     json: options.Json = False
 
 
+@cappa.command(invoke=request)
+class Request:
+    """Run a single request and wait for its answer."""
+
+    service: Annotated[str, cappa.Arg(help="Service to ask.")]
+    payload: Annotated[str, cappa.Arg(help="Payload in JSON.")] = "null"
+    kind: Annotated[
+        str, cappa.Arg(long="--kind", help="Kind of the task.")
+    ] = "default"
+    team: Annotated[
+        str, cappa.Arg(long="--team", help="Team that is charged.")
+    ] = "default"
+    timeout: Annotated[
+        float, cappa.Arg(long="--timeout", help="Seconds until the deadline.")
+    ] = 30.0
+    idempotent: Annotated[
+        bool,
+        cappa.Arg(
+            long="--idempotent", help="It may be retried when it failed."
+        ),
+    ] = False
+    to: options.Callers = options.CALLERS
+    json: options.Json = False
+
+
 @cappa.command
 class Job:
     """Submit jobs, fetch their answers, cancel them."""
--- a/packages/cli/src/cardamompath_cli/main.py
+++ b/packages/cli/src/cardamompath_cli/main.py
@@ -13,6 +13,7 @@
 from cardamompath_cli import client
 from cardamompath_cli import exits
 from cardamompath_cli import jobs
+from cardamompath_cli import listing
 from cardamompath_cli import notes
 from cardamompath_cli import settings
 from cardamompath_cli import status
@@ -27,12 +28,18 @@
 class Cardamompath:
     """Submit jobs to cardamompath and operate it.
 
-    Exit codes: 0 done; 1 refused, not run; 2 wrong usage, settings or
-    note; 3 the job failed; 4 no answer; 5 not answered yet.
+    Exit codes: 0 done; 1 refused, not run, or there are stuck jobs; 2
+    wrong usage, settings or note; 3 failed, parts may have run; 4 the
+    instance or the platform gave no answer; 5 not answered yet.
     """
 
     command: cappa.Subcommands[
-        jobs.Job | notes.Note | settings.Settings | status.Status
+        jobs.Job
+        | jobs.Request
+        | listing.Jobs
+        | notes.Note
+        | settings.Settings
+        | status.Status
     ]
 
 
--- a/packages/cli/src/cardamompath_cli/settings.py
+++ b/packages/cli/src/cardamompath_cli/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from typing import Annotated
 
@@ -9,6 +10,7 @@
 from returns import pipeline
 
 from cardamompath_cli import exits
+from cardamompath_cli import options
 from cardamompathd.settings import loading
 from cardamompathd.settings import table
 
@@ -24,16 +26,26 @@
 def check(command: Check) -> int:
     """Print every fault of the files."""
     loaded = loading.load(command.files)
-    if pipeline.is_successful(loaded):
+    valid = pipeline.is_successful(loaded)
+    faults = () if valid else loaded.failure()
+    if command.json:
+        listed = [one._asdict() for one in faults]
+        print(json.dumps({"valid": valid, "faults": listed}))
+        return exits.DONE if valid else exits.USAGE
+    if valid:
         print("the settings are valid")
         return exits.DONE
-    for fault in loaded.failure():
+    for fault in faults:
         print(fault, file=sys.stderr)
     return exits.USAGE
 
 
 def explain(command: Explain) -> int:
     """Print the table of all settings."""
+    if command.json:
+        rows = [_row(one) for one in table.TABLE]
+        print(json.dumps({"settings": rows}))
+        return exits.DONE
     section = ""
     for one in table.TABLE:
         if one.section != section:
@@ -46,17 +58,25 @@
     return exits.DONE
 
 
+def _row(one):
+    fields = ("section", "key", "kind", "unit", "default", "allowed", "help")
+    return {name: getattr(one, name) for name in fields}
+
+
 @cappa.command(invoke=check)
 class Check:
     """Check settings files as a whole."""
 
     files: Annotated[list[str], cappa.Arg(help="INI files; later win.")]
+    json: options.Json = False
 
 
 @cappa.command(invoke=explain)
 class Explain:
     """List every setting with its default, unit and bounds."""
 
+    json: options.Json = False
+
 
 @cappa.command
 class Settings:
--- a/packages/cli/src/cardamompath_cli/status.py
+++ b/packages/cli/src/cardamompath_cli/status.py
@@ -18,14 +18,18 @@
 
 def show(command: Status) -> int:
     """Print the status of an instance."""
-    called = client.call(command.to, "GET", "/v1/status")
+    body = client.fetch(command.to, "/v1/status")
     if command.json:
-        print(json.dumps(called.body))
+        print(json.dumps(body))
         return exits.DONE
-    body = called.body
     print(f"instance    {body['jobs']['owner']}")
     print(f"revision    {body['revision']}")
+    if body["jobs"]["draining"]:
+        print("state       draining")
     print(f"unanswered  {body['jobs']['unanswered']} jobs")
+    for one in body["submissions"]["outcomes"]:
+        name = f"{one['outcome']} {one['code']}".strip()
+        print(f"ended       {one['count']:4d} {name}")
     print(f"queued      {body['backends']['queued']} tasks")
     for name, count in sorted(body["backends"]["in_flight"].items()):
         print(f"in flight   {count:4d} at {name}")
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -115,6 +115,8 @@
     sends = []
     if enqueued is not None:
         sends += _settle(state, enqueued, msg, verdict)
+    else:
+        sends.append(_settle_withdrawn(msg, verdict))
     for service in state.queues:
         sends += _start_ready(state, service, now)
     return sends
@@ -134,6 +136,17 @@
     return [messages.Send(messages.JOBS, settled)]
 
 
+def _settle_withdrawn(msg, verdict):
+    """Settle a task that was in flight when its job was withdrawn."""
+    known = "not_started" if verdict == "not_run" else verdict
+    answer = msg.answer
+    result = types.TaskResult(
+        known, answer.status, answer.payload, msg.backend
+    )
+    settled = messages.TaskSettled(msg.task, result)
+    return messages.Send(messages.JOBS, settled)
+
+
 def _withdraw(state, msg, now):
     state.jobs.pop(msg.job, None)
     left = state.queued.pop(msg.job, {})
--- a/packages/daemon/src/cardamompathd/tests/edge_fixtures.py
+++ b/packages/daemon/src/cardamompathd/tests/edge_fixtures.py
@@ -111,11 +111,18 @@
         publish(self.platform.port, self.backend)
         file = write_settings(self, self.platform.port, hold=self.hold)
         self.instance = app.start(loading.load([file]).unwrap())
-        self.addCleanup(app.stop, self.instance, 5.0)
+        self.stopped = False
+        self.addCleanup(self.stop, 5.0)
         self.port = self.instance.callers.port
         self.operators = self.instance.operators.port
         await_ready(self.operators)
 
+    def stop(self, grace):
+        if self.stopped:
+            return None
+        self.stopped = True
+        return app.stop(self.instance, grace)
+
     def issue(self):
         return call(self.port, "POST", "/v1/jobs")[1]["job"]
 
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_observations.py
@@ -0,0 +1,186 @@
+import io
+import json
+import sys
+import unittest
+from unittest import mock
+
+import loguru
+
+from cardamompath_core import identity
+from cardamompath_core import types
+from cardamompathd import controllers
+from cardamompathd import messages
+from cardamompathd.controllers import observations
+from cardamompathd.telemetry import logs
+
+OWNER = identity.Incarnation("pocitos", "entry-1", "0123456789ab")
+LIMITS = observations.BurnLimits(minutes=3, hours=2, series=3)
+
+
+def observe(
+    team="kiosk", outcome="complete", code="", seconds=0.2, late=False
+):
+    return messages.Observed(
+        "booking", team, outcome, code, seconds, not late, {"finished": 2}
+    )
+
+
+class BurnTest(unittest.TestCase):
+    def setUp(self):
+        self.ended = observations.make_controller("pocitos", LIMITS)
+
+    def burn(self, now=0.0):
+        return self.ended.receive(messages.GetBurn("fut"), now)[0].msg.answer
+
+    def test_counts_by_outcome(self):
+        for msg in (
+            observe(),
+            observe(late=True),
+            observe(outcome="refused", code="draining"),
+            observe(outcome="failed", code="deadline", seconds=9.0),
+        ):
+            self.ended.receive(msg, 61.0)
+        bucket = self.burn()["buckets"][0]
+        series = bucket["series"][0]
+        self.assertEqual((60.0, 60.0), (bucket["begin"], bucket["span"]))
+        counts = [series[key] for key in ("complete", "late", "refused")]
+        self.assertEqual([1, 1, 1], counts)
+        self.assertEqual({"draining": 1, "deadline": 1}, series["codes"])
+        # A refusal has no response time.
+        self.assertEqual(3, sum(series["seconds"].values()))
+        for bound, seconds in zip(series["seconds"], (0.2, 9.0), strict=True):
+            self.assertTrue(seconds <= float(bound) < 1.5 * seconds)
+
+    def test_minutes_fold_into_hours_and_hours_end(self):
+        for minute in range(200):
+            self.ended.receive(observe(), minute * 60.0)
+        buckets = self.burn()["buckets"]
+        self.assertEqual(
+            [3600.0] * 2 + [60.0] * 3, [b["span"] for b in buckets]
+        )
+        counts = [b["series"][0]["complete"] for b in buckets]
+        self.assertEqual([60, 17, 1, 1, 1], counts)
+
+    def test_series_are_bounded(self):
+        for team in range(50):
+            self.ended.receive(observe(team=f"team-{team}"), 0.0)
+        series = self.burn()["buckets"][0]["series"]
+        self.assertEqual(3, len(series))
+        self.assertEqual(48, series[-1]["complete"])
+        self.assertEqual("other", series[-1]["team"])
+
+
+class JobReportsTest(unittest.TestCase):
+    def setUp(self):
+        self.jobs = controllers.jobs.make_controller(OWNER)
+        service = types.ServiceSpec("booking")
+        cfg = types.Configuration(1, 0, (service,))
+        self.jobs.receive(messages.ConfigurationChanged(cfg), 0.0)
+        self.job = self.answers(messages.IssueJob("fut"))[0]
+        tasks = (types.TaskSpec("booking", "reserve", b"1"),) * 3
+        spec = types.JobSpec("kiosk", tasks, 10.0, "one")
+        self.submit = messages.Submit(self.job, spec, "first")
+        self.jobs.receive(self.submit, 5.0)
+
+    def sends(self, msg, now=5.0):
+        return list(self.jobs.receive(msg, now))
+
+    def answers(self, msg, now=5.0):
+        sends = self.sends(msg, now)
+        return [s.msg.answer for s in sends if s.to == messages.CALLERS]
+
+    def settle(self, index, now=6.0):
+        result = types.TaskResult("finished", 200)
+        ref = types.TaskRef(self.job, index)
+        return self.sends(messages.TaskSettled(ref, result), now)
+
+    def test_given_up_waits_leave_nothing(self):
+        self.settle(0)
+        msg = messages.StopWaiting(self.job, "first")
+        pending = self.answers(msg)[0]
+        self.assertEqual((1, 3), (pending.finished, pending.total))
+        self.assertEqual([], self.answers(msg))
+        self.settle(1)
+        self.assertEqual(
+            [], [s for s in self.settle(2) if s.to == messages.CALLERS]
+        )
+
+    def test_release_answers_everyone_once(self):
+        self.sends(messages.AwaitJob(self.job, "second"))
+        answers = self.answers(messages.ReleaseWaiters())
+        self.assertEqual([types.Pending] * 2, [type(one) for one in answers])
+        self.assertEqual([], self.answers(messages.ReleaseWaiters()))
+
+    def test_stuck_jobs_have_a_reason(self):
+        stuck = messages.ListJobs("fut", 10, True)
+        self.assertEqual([], self.answers(stuck, 15.0)[0])
+        self.sends(messages.TimerFired(("deadline", self.job)), 15.0)
+        line = self.answers(stuck, 16.0)[0][0]
+        self.assertEqual((11.0, 1.0), (line["age"], line["overdue"]))
+        self.assertIn("deadline", line["reason"])
+
+    def test_ends_are_observed(self):
+        for index in range(2):
+            self.settle(index)
+        sends = self.settle(2, 16.0)
+        seen = [s.msg for s in sends if s.to == messages.TELEMETRY][0]
+        self.assertEqual(
+            ("kiosk", "complete", 11.0, False, {"finished": 3}),
+            (seen.team, seen.outcome, seen.seconds, seen.in_time, seen.tasks),
+        )
+        self.sends(messages.Drain("drain"))
+        other = self.submit._replace(job="")
+        sends = self.sends(other)
+        seen = [s.msg for s in sends if s.to == messages.TELEMETRY][0]
+        self.assertEqual(("refused", "draining"), (seen.outcome, seen.code))
+
+    def test_drain_waits_for_answers_to_be_fetched(self):
+        self.sends(messages.StopWaiting(self.job, "first"))
+        self.assertEqual([], self.answers(messages.Drain("drain", 4.0)))
+        for index in range(3):
+            sends = self.settle(index)
+            self.assertNotIn(
+                "drain",
+                [s.msg.reply for s in sends if s.to == messages.CALLERS],
+            )
+        answers = self.answers(messages.AwaitJob(self.job, "late"))
+        self.assertIsInstance(answers[0], types.Complete)
+        self.assertEqual(messages.Drained(), answers[1])
+
+    def test_drain_ends_its_hold(self):
+        self.sends(messages.StopWaiting(self.job, "first"))
+        self.sends(messages.Drain("drain", 4.0))
+        for index in range(3):
+            self.settle(index)
+        fired = messages.TimerFired(("drained", ""))
+        self.assertEqual([messages.Drained()], self.answers(fired, 9.0))
+
+
+class LogsTest(unittest.TestCase):
+    def log(self, form):
+        stderr = io.StringIO()
+        with mock.patch.object(sys, "stderr", stderr):
+            logs.configure("INFO", form)
+            loguru.logger.info("jobs: accepted {}", "a.b.c.1")
+            try:
+                payload = "the-secret-payload"
+                raise ValueError(payload)
+            except ValueError:
+                loguru.logger.exception("jobs: failed")
+            loguru.logger.remove()
+        return stderr.getvalue()
+
+    def test_json_lines_have_a_part_and_no_payload(self):
+        lines = [json.loads(one) for one in self.log("json").splitlines()]
+        self.assertEqual(
+            [("jobs", "accepted a.b.c.1"), ("jobs", "failed")],
+            [(one["part"], one["message"]) for one in lines],
+        )
+        self.assertIn("ValueError at test_observations", str(lines[1]))
+        self.assertNotIn("the-secret-payload", str(lines))
+
+    def test_text_does_not_print_variables(self):
+        text = self.log("text")
+        self.assertIn("jobs: accepted a.b.c.1", text)
+        self.assertNotIn("payload = ", text)
+        self.assertNotIn("└", text)
--- a/packages/daemon/src/cardamompathd/tests/test_shutdown.py
+++ b/packages/daemon/src/cardamompathd/tests/test_shutdown.py
@@ -8,7 +8,6 @@
 
 from cardamompath_standins import backend
 from cardamompath_standins import platform
-from cardamompathd import app
 from cardamompathd import main
 from cardamompathd.tests import edge_fixtures
 from cardamompathd.tests.edge_fixtures import call
@@ -40,7 +39,7 @@
         while not self.jobs():
             pass
         call(self.port, "PUT", f"/v1/jobs/{polled}", job_body(4, 0.1))
-        stopper, drained = self.start(app.stop, self.instance, 20.0)
+        stopper, drained = self.start(self.stop, 20.0)
         self.await_draining()
         refused = call(self.port, "POST", "/v1/requests", {"service": "x"})
         self.assertEqual((503, "draining"), (refused[0], refused[1]["code"]))
@@ -61,7 +60,7 @@
         )
         while not self.jobs():
             pass
-        self.assertFalse(app.stop(self.instance, 0.05))
+        self.assertFalse(self.stop(0.05))
         caller.join()
         self.assertEqual("pending", answers[0][1]["outcome"])
 
@@ -117,7 +116,7 @@
 
 class IdleStopTest(edge_fixtures.InstanceCase):
     def test_a_long_read_does_not_delay_the_stop(self):
-        self.assertTrue(app.stop(self.instance, 1.0))
+        self.assertTrue(self.stop(1.0))
         readers = [
             one
             for one in threading.enumerate()
