--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import queue
 import random
 import secrets
@@ -20,14 +21,17 @@
 from cardamompathd import messages
 from cardamompathd.backends import connections
 from cardamompathd.backends import pool
+from cardamompathd.callers import codec
 from cardamompathd.callers import server
 from cardamompathd.operators import handlers as operator_handlers
+from cardamompathd.peers import relay
+from cardamompathd.peers import server as peer_server
+from cardamompathd.platform import appender
 from cardamompathd.platform import log_client
 from cardamompathd.platform import reader
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import asking
 from cardamompathd.runtime import clocks
-from cardamompathd.runtime import timers
 from cardamompathd.telemetry import metrics
 
 __all__ = [
@@ -36,6 +40,10 @@
     "stop",
 ]
 
+JOURNAL_WAIT = 2.0
+"""Seconds that a read of the journal waits: a connection that went
+silent has to be noticed well within a lease."""
+
 
 class Instance(NamedTuple):
     """A running instance."""
@@ -43,30 +51,28 @@
     owner: identity.Incarnation
     callers: server.Listener
     operators: server.Listener
+    peers: peer_server.Listener
     drain: Callable[[float], bool]
     """Called with seconds; whether all in flight was answered in them."""
     release: Callable[[], None]
     """Answers all who wait with what is known."""
     leave_notice: float
-    """Seconds between the refusal of work and the last response."""
-    ends: tuple[Callable[[], None], ...]
-    """Functions that end the other tasks, in this order."""
+    """Least seconds between the refusal of work and the last response."""
+    stops: tuple[Callable[[], None], ...]
+    """Functions that end the other tasks: those which tell the actors,
+    then the actors."""
 
 
 class DispatchActor(actors.ControllerActor):
-    """Owns the jobs, the backend servers' state and their connections."""
+    """Owns the jobs and the state of the backend servers."""
 
     def __init__(self, controllers, deliver, clock, limits):
         super().__init__(controllers, self._deliver_or_start, clock)
         self._elsewhere = deliver
-        self._pool = pool.make_pool(limits, self.actor_ref.tell, clock)
+        self._pool = pool.make_pool(limits, self._take_back, clock)
 
-    def on_receive(self, message):
-        """Take back the connection of an exchange that ended."""
-        if isinstance(message, connections.ConnectionEnded):
-            self._pool.release(message)
-            message = messages.Send(messages.BACKENDS, message.ended)
-        super().on_receive(message)
+    def _take_back(self, ended):
+        self.actor_ref.tell(messages.Send(messages.BACKENDS, ended))
 
     def on_stop(self):
         """Stop the connections."""
@@ -91,13 +97,11 @@
     owner = identity.Incarnation(
         cfg["instance", "domain"],
         cfg["instance", "name"],
-        secrets.token_hex(6),
+        _draw_nonce(),
     )
     table: dict[str, Any] = {messages.CALLERS: _answer}
     deliver = actors.make_router(table)
     refs = _start_controllers(cfg, owner, table, deliver, clock)
-    timer_task = timers.start(deliver, clock)
-    table[messages.TIMERS] = timer_task.tell
     asks = operator_handlers.Asks(
         asking.make_ask(table[messages.JOBS]),
         asking.make_ask(table[messages.BACKENDS]),
@@ -107,8 +111,10 @@
     exporter = metrics.start(
         cfg["metrics", "exporter"], lambda: operator_handlers.status(asks)
     )
-    callers, operators = _start_listeners(cfg, asks, exporter, clock)
-    readers = _follow_log(cfg, table)
+    callers, operators, peers = _start_listeners(cfg, asks, exporter, clock)
+    stops = _start_journal(cfg, table)
+    stops += [_follow_log(cfg, table).stop, exporter.stop]
+    stops += [_make_stop(ref) for ref in refs]
     loguru.logger.info(
         "instance: {} is up", identity.format_incarnation(owner)
     )
@@ -116,15 +122,11 @@
         owner,
         callers,
         operators,
+        peers,
         _make_drain(asks.jobs, cfg["instance", "answer_hold"]),
         lambda: table[messages.JOBS](messages.ReleaseWaiters()),
         cfg["instance", "leave_notice"],
-        (
-            *(reader.stop for reader in readers),
-            exporter.stop,
-            lambda: timer_task.tell(None),
-            *(_make_end(ref) for ref in refs),
-        ),
+        tuple(stops),
     )
 
 
@@ -135,10 +137,14 @@
         loguru.logger.error("instance: a caller was answered twice")
 
 
-def _make_end(ref):
+def _make_stop(ref):
     return lambda: ref.stop(block=False)
 
 
+def _draw_nonce():
+    return secrets.token_hex(6)
+
+
 def _start_controllers(cfg, owner, table, deliver, clock):
     limits = connections.ConnectionLimits(
         cfg["backends", "connect_timeout"], cfg["backends", "idle_limit"]
@@ -146,9 +152,16 @@
     dispatch = DispatchActor.start(
         [
             controllers.jobs.make_controller(
-                owner, cfg["callers", "answer_ttl"]
+                owner,
+                cfg["callers", "answer_ttl"],
+                cfg["callers", "answer_bytes"],
             ),
             controllers.backends.make_controller(routing.least_in_flight()),
+            controllers.journal.make_controller(
+                owner,
+                _draw_nonce,
+                _journal_terms(cfg),
+            ),
         ],
         deliver,
         clock,
@@ -165,12 +178,22 @@
     table[messages.TELEMETRY] = _teller(telemetry, messages.TELEMETRY)
     table[messages.JOBS] = _teller(dispatch, messages.JOBS)
     table[messages.BACKENDS] = _teller(dispatch, messages.BACKENDS)
+    table[messages.JOURNAL] = _teller(dispatch, messages.JOURNAL)
     table[messages.CONFIGURATION] = _teller(
         configuration, messages.CONFIGURATION
     )
     return dispatch, configuration, telemetry
 
 
+def _journal_terms(cfg):
+    ttl = cfg["callers", "answer_ttl"]
+    return controllers.journal_store.JournalTerms(
+        budget=cfg["platform", "append_budget"],
+        settlement_ttl=ttl + codec.MAX_TIMEOUT,
+        hold=2.0 * ttl + codec.MAX_TIMEOUT,
+    )
+
+
 def _teller(ref, name):
     def tell(msg):
         try:
@@ -182,29 +205,53 @@
 
 
 def _start_listeners(cfg, asks, exporter, clock):
-    caller_chain = listeners.make_caller_chain(cfg, asks.jobs, clock)
-    operator_chain = listeners.make_operator_chain(
-        asks, exporter.scrape, clock
+    relaying = relay.make_relay(cfg["peers", "addresses"], clock)
+    services = [relay.make_service(listeners.make_owner_chain(cfg, asks.jobs))]
+    starts = (
+        lambda: listeners.start_callers(
+            cfg, listeners.make_caller_chain(cfg, asks.jobs, relaying, clock)
+        ),
+        lambda: listeners.start_operators(
+            cfg, listeners.make_operator_chain(asks, exporter.scrape, clock)
+        ),
+        lambda: peer_server.start(cfg["peers", "listen"], services),
     )
-    operators = listeners.start_operators(cfg, operator_chain)
-    try:
-        callers = listeners.start_callers(cfg, caller_chain)
-    except OSError:
-        operators.stop()
-        raise
-    return callers, operators
+    with contextlib.ExitStack() as stack:
+        started = []
+        for start_one in starts:
+            started.append(start_one())
+            stack.callback(started[-1].stop)
+        stack.pop_all()
+    return started
 
 
-def _follow_log(cfg, table):
+def _make_client(cfg):
     host, port = cfg["platform", "address"]
-    client = log_client.make_client(host, port, cfg["platform", "timeout"])
-    task = reader.start(
-        client,
+    return log_client.make_client(host, port, cfg["platform", "timeout"])
+
+
+def _start_journal(cfg, table):
+    tell = table[messages.JOURNAL]
+    appending = appender.start(_make_client(cfg), tell)
+    table[messages.APPENDER] = appending.tell
+    following = reader.start(
+        _make_client(cfg),
+        controllers.journal.STREAM,
+        tell,
+        random.Random(),
+        JOURNAL_WAIT,
+    )
+    tell(messages.TimerFired(controllers.journal.COMMIT))
+    return [following.stop, lambda: appending.tell(None)]
+
+
+def _follow_log(cfg, table):
+    return reader.start(
+        _make_client(cfg),
         "configuration",
         table[messages.CONFIGURATION],
         random.Random(),
     )
-    return (task,)
 
 
 def _make_drain(ask_jobs, hold):
@@ -241,6 +288,7 @@
     instance.release()
     instance.callers.stop()
     instance.operators.stop()
-    for end in instance.ends:
-        end()
+    instance.peers.stop()
+    for stop_task in instance.stops:
+        stop_task()
     return drained
--- a/packages/daemon/src/cardamompathd/callers/handlers.py
+++ b/packages/daemon/src/cardamompathd/callers/handlers.py
@@ -24,8 +24,11 @@
     "make_handler",
 ]
 
-MAX_WAIT = 60.0
-"""Longest time that a caller waits on one connection, in seconds."""
+NAME = "[A-Za-z0-9._~-]{1,128}"
+"""What callers' own identifiers are made of."""
+
+NAMED_WAIT = 5.0
+"""Default wait for the answer to a named job, in seconds."""
 
 REPLY_TIME = 5.0
 """Seconds that a controller has for a reply that waits for no task."""
@@ -69,6 +72,7 @@
         Route("POST", re.compile("/v1/requests"), _run_request),
         Route("POST", re.compile("/v1/jobs"), _issue_job),
         Route("PUT", re.compile("/v1/jobs/([^/]+)"), _submit_job),
+        Route("PUT", re.compile(f"/v1/named-jobs/({NAME})"), _submit_named),
         Route("GET", re.compile("/v1/jobs/([^/]+)"), _get_job),
         Route("DELETE", re.compile("/v1/jobs/([^/]+)"), _cancel_job),
     )
@@ -127,6 +131,21 @@
     )
 
 
+def _submit_named(service, req, name):
+    """Submit under the caller's own identifier, claimed in the log."""
+    spec = codec.decode_job(req.body, service.payload_limit)
+    if not pipeline.is_successful(spec):
+        return _bad_body(spec.failure())
+    spec = spec.unwrap()
+    return _wait(
+        service,
+        req,
+        name,
+        lambda fut: messages.SubmitNamed(name, spec, fut),
+        NAMED_WAIT,
+    )
+
+
 def _get_job(service, req, job):
     identity.parse_job(job)
     return _wait(service, req, job, lambda fut: messages.AwaitJob(job, fut))
@@ -141,16 +160,17 @@
     return chain.fault(failure.status, failure.code, failure.reason)
 
 
-def _wait(service, req, job, make_message):
+def _wait(service, req, job, make_message, default=0.0):
     """Wait as long as the caller is ready to, then take back the wait."""
-    seconds = req.wait if req.may_wait else 0.0
     answer = service.ask(
         make_message,
-        seconds,
+        chain.wait_of(req, default),
         lambda fut: messages.StopWaiting(job, fut),
     )
     if answer is None:
         answer = types.Pending(0, 0, "not answered yet")
     if isinstance(answer, messages.NotOwner):
+        owner = chain.Owner(job, answer.address)
         answer = types.Pending(0, 0, "the owner cannot be reached")
+        return codec.encode_answer(job, answer)._replace(owner=owner)
     return codec.encode_answer(job, answer)
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -1,4 +1,4 @@
-"""Jobs that this incarnation owns, and their answers."""
+"""Jobs that this process owns, and their answers."""
 
 from __future__ import annotations
 
@@ -6,74 +6,50 @@
 from typing import Any
 
 from cardamompath_core import identity
+from cardamompath_core import leases
+from cardamompath_core import ownership
 from cardamompath_core import types
 from cardamompathd import messages
+from cardamompathd.controllers import fence
+from cardamompathd.controllers import job_leases
 from cardamompathd.controllers import job_reports
+from cardamompathd.controllers import job_store
+from cardamompathd.controllers import job_waits
 
 __all__ = [
-    "JobsState",
     "make_controller",
 ]
 
 NOT_STARTED = types.TaskResult("not_started")
 UNKNOWN = types.TaskResult("unknown")
 DRAINING = types.Refused("draining", "the instance is leaving", 0.1)
+LAPSED = types.Refused(
+    "lease_lapsed",
+    "the identifier's lease lapsed before it was submitted; get another",
+    0.0,
+)
+LOG_UNAVAILABLE = types.Refused(
+    "log_unavailable",
+    "the log did not take the claim of the name; nothing ran",
+    1.0,
+)
 
+AT_ONCE = ("deadline", "lease_lapsed")
+"""Reasons for which a job ends without the answers in flight."""
 
-class Job:
-    """One accepted job until its answer is forgotten."""
 
-    __slots__ = (
-        "answer",
-        "cancelled",
-        "deadline",
-        "fetched",
-        "job",
-        "open",
-        "results",
-        "spec",
-        "waiters",
-    )
-
-    def __init__(self, job: str, spec: types.JobSpec, deadline: float):
-        self.job = job
-        self.spec = spec
-        self.deadline = deadline
-        self.results: list[types.TaskResult | None] = [None] * len(spec.tasks)
-        self.open = len(spec.tasks)
-        self.waiters: list[Any] = []
-        self.answer: types.Answer | None = None
-        self.cancelled = ""
-        self.fetched = False
-        """Whether anyone got the answer."""
-
-
-class JobsState:
-    """All jobs of one incarnation.
-
-    Parameters
-    ----------
-    owner : Incarnation
-        The incarnation whose identifiers are issued.
-    answer_ttl : float
-        Seconds for which an answer can be asked for again.
-    """
-
-    def __init__(self, owner: identity.Incarnation, answer_ttl: float):
-        self.owner = owner
-        self.answer_ttl = answer_ttl
-        self.counter = 0
-        self.jobs: dict[str, Job] = {}
-        self.services: frozenset[str] = frozenset()
-        self.draining: messages.Drain | None = None
-        self.drained = False
+def _conflict(name):
+    reason = f"{name!r} was submitted with another body"
+    return types.Refused("conflict", reason)
 
 
 def make_controller(
-    owner: identity.Incarnation, answer_ttl: float = 300.0
+    owner: identity.Incarnation,
+    answer_ttl: float = 300.0,
+    answer_bytes: int = 256 << 20,
 ) -> messages.Controller:
-    """Make the controller of the jobs that `owner` accepts."""
-    state = JobsState(owner, answer_ttl)
+    """Make the controller of the jobs that a process owns."""
+    state = job_store.JobsState(owner, answer_ttl, answer_bytes)
 
     def receive(msg: Any, now: float) -> Sequence[messages.Send]:
         return _HANDLERS[type(msg)](state, msg, now)
@@ -88,54 +64,62 @@
 def _issue(state, msg, now):
     if state.draining is not None:
         return [_reply(msg.reply, DRAINING)]
-    return [_reply(msg.reply, _next_id(state))]
-
-
-def _next_id(state):
-    state.counter += 1
-    key = identity.JobKey(state.owner, state.counter)
-    return identity.format_job(key)
-
-
-def _is_own(state, job):
-    key = identity.parse_job(job)
-    return key.owner == state.owner and key.counter <= state.counter
+    return [_reply(msg.reply, ownership.issue(state.book, now))]
 
 
 def _submit(state, msg, now):
-    if msg.job and not _is_own(state, msg.job):
-        return [_reply(msg.reply, messages.NotOwner(msg.job))]
+    if not msg.job:
+        return _submit_request(state, msg, now)
     known = state.jobs.get(msg.job)
     if known is not None:
         return _resubmit(known, msg)
+    standing = ownership.standing(state.book, msg.job, now)
+    if standing != "open":
+        return _answer_other(state, msg, standing, len(msg.spec.tasks))
+    ownership.take(state.book, msg.job)
+    until = fence.start_by(state.leases, msg.job)
     refusal = _refuse(state, msg.spec)
+    if not leases.may_start(until, now):
+        refusal = LAPSED
     if refusal is not None:
-        return [
-            _reply(msg.reply, refusal),
-            job_reports.observe_refusal(msg.spec, refusal),
-        ]
-    job = _accept(state, msg, now)
-    return [
-        messages.Send(
-            messages.BACKENDS,
-            messages.Enqueue(job.job, job.spec, job.deadline),
-        ),
-        messages.Send(
-            messages.TIMERS,
-            messages.SetTimer(
-                job.deadline, messages.JOBS, ("deadline", job.job)
-            ),
-        ),
-    ]
+        sends = job_store.close(state, msg.job, msg.spec.digest, refusal, now)
+        sends.append(job_reports.observe_refusal(msg.spec, refusal))
+        return [_reply(msg.reply, refusal), *sends]
+    return _accept(state, msg.job, msg, now)
+
+
+def _submit_request(state, msg, now):
+    refusal = _refuse(state, msg.spec)
+    if refusal is not None:
+        observed = job_reports.observe_refusal(msg.spec, refusal)
+        return [_reply(msg.reply, refusal), observed]
+    state.request_count += 1
+    return _accept(state, f"{state.requests}.{state.request_count}", msg, now)
 
 
 def _resubmit(known, msg):
-    if known.spec.digest != msg.spec.digest:
+    if known.spec.digest not in ("", msg.spec.digest):
         reason = f"job {msg.job!r} was submitted with another body"
         return [_reply(msg.reply, types.Refused("conflict", reason))]
     return _await_known(known, msg.reply)
 
 
+def _answer_other(state, msg, standing, total):
+    """Answer for an identifier that is not open here."""
+    if standing == "foreign":
+        key = identity.parse_job(msg.job)
+        place = (key.owner.domain, key.owner.instance)
+        address = state.addresses.get(place)
+        ask = messages.AskOwner(msg.job, total, address, msg.reply)
+        return [messages.Send(messages.JOURNAL, ask)]
+    if standing == "never":
+        reason = f"job {msg.job!r} was never issued"
+        return [_reply(msg.reply, types.Refused("unknown_job", reason))]
+    reason = f"job {msg.job!r} is forgotten or expired; it may have run"
+    forgotten = types.Failed("forgotten", reason, (UNKNOWN,) * total)
+    return [_reply(msg.reply, forgotten)]
+
+
 def _refuse(state, spec):
     if state.draining is not None:
         return DRAINING
@@ -147,22 +131,68 @@
     return None
 
 
-def _accept(state, msg, now):
-    name = msg.job or _next_id(state)
-    job = Job(name, msg.spec, now + msg.spec.timeout)
+def _accept(state, name, msg, now):
+    job = job_store.Job(name, msg.spec, now + msg.spec.timeout)
     job.waiters.append(msg.reply)
     state.jobs[name] = job
-    return job
+    job_store.note_change(state, job)
+    enqueue = messages.Enqueue(name, job.spec, job.deadline)
+    timer = messages.SetTimer(job.deadline, messages.JOBS, ("deadline", name))
+    return [
+        messages.Send(messages.BACKENDS, enqueue),
+        messages.Send(messages.TIMERS, timer),
+    ]
+
+
+def _submit_named(state, msg, now):
+    named = state.named.get(msg.name)
+    if named is not None:
+        if named.spec.digest != msg.spec.digest:
+            return [_reply(msg.reply, _conflict(msg.name))]
+        named.replies.append(msg.reply)
+        return []
+    refusal = _refuse(state, msg.spec)
+    job = "" if refusal else ownership.issue(state.book, now)
+    named = job_store.Named(job, msg.spec, refusal or LOG_UNAVAILABLE)
+    named.replies.append(msg.reply)
+    state.named[msg.name] = named
+    claim = messages.Claim(
+        msg.name, job, msg.spec.digest, lookup=refusal is not None
+    )
+    return [messages.Send(messages.JOURNAL, claim)]
+
+
+def _claimed(state, msg, now):
+    named = state.named.pop(msg.name, None)
+    if named is None:
+        return []
+    if msg.job != named.job:
+        ownership.take(state.book, named.job)
+    refusal = None
+    if not msg.job:
+        refusal = named.unclaimed
+    elif msg.digest != named.spec.digest:
+        refusal = _conflict(msg.name)
+    sends = []
+    for reply in named.replies:
+        if refusal is not None:
+            sends.append(_reply(reply, refusal))
+            continue
+        submit = messages.Submit(msg.job, named.spec, reply)
+        sends += _submit(state, submit, now)
+    return sends
 
 
 def _await(state, msg, now):
-    if not _is_own(state, msg.job):
-        return [_reply(msg.reply, messages.NotOwner(msg.job))]
     known = state.jobs.get(msg.job)
-    if known is None:
-        reason = f"job {msg.job!r} was not submitted, or is forgotten"
-        return [_reply(msg.reply, types.Refused("unknown_job", reason))]
-    return [*_await_known(known, msg.reply), *_check_drained(state)]
+    if known is not None:
+        sends = _await_known(known, msg.reply)
+        return sends + job_waits.check_drained(state)
+    standing = ownership.standing(state.book, msg.job, now)
+    if standing == "open":
+        pending = types.Pending(0, 0, "not submitted yet")
+        return [_reply(msg.reply, pending)]
+    return _answer_other(state, msg, standing, 0)
 
 
 def _await_known(known, reply):
@@ -173,36 +203,27 @@
     return []
 
 
-def _stop_waiting(state, msg, now):
-    known = state.jobs.get(msg.job)
-    if known is None or msg.reply not in known.waiters:
-        return []
-    known.waiters.remove(msg.reply)
-    return [_reply(msg.reply, _pending(known))]
-
-
-def _pending(job):
-    total = len(job.results)
-    return types.Pending(total - job.open, total, "not answered yet")
-
-
-def _release(state, msg, now):
-    sends = []
-    for job in state.jobs.values():
-        sends += [_reply(reply, _pending(job)) for reply in job.waiters]
-        job.waiters.clear()
-    return sends
-
-
 def _cancel(state, msg, now):
-    sends = list(_await(state, msg, now))
     known = state.jobs.get(msg.job)
+    if known is None:
+        standing = ownership.standing(state.book, msg.job, now)
+        if standing == "open":
+            return _cancel_open(state, msg, now)
+    sends = list(_await(state, msg, now))
     if known is not None and known.answer is None and not known.cancelled:
         known.cancelled = "cancelled"
         sends.append(_withdraw(known))
     return sends
 
 
+def _cancel_open(state, msg, now):
+    ownership.take(state.book, msg.job)
+    reason = "cancelled before it was submitted"
+    refused = types.Refused("cancelled", reason)
+    sends = job_store.close(state, msg.job, "", refused, now)
+    return [_reply(msg.reply, refused), *sends]
+
+
 def _withdraw(job):
     return messages.Send(messages.BACKENDS, messages.Withdraw(job.job))
 
@@ -215,6 +236,7 @@
         return []
     job.results[msg.task.index] = msg.result
     job.open -= 1
+    job_store.note_change(state, job)
     if job.open == 0:
         return _finish(state, job, now)
     if msg.result.state != "finished" and not job.cancelled:
@@ -231,20 +253,21 @@
         if job.results[index] is None:
             job.results[index] = NOT_STARTED
             job.open -= 1
-    if job.open == 0 or job.cancelled == "deadline":
+    job_store.note_change(state, job)
+    if job.open == 0 or job.cancelled in AT_ONCE:
         return _finish(state, job, now)
     return []
 
 
 def _timer(state, msg, now):
+    if msg.key == job_waits.DRAINED:
+        return job_waits.end_hold(state)
     what, name = msg.key
-    if what == "drained":
-        return _end_hold(state)
     job = state.jobs.get(name)
     if job is None:
         return []
     if what == "forget":
-        del state.jobs[name]
+        job_store.forget(state, name)
         return []
     if job.answer is not None:
         return []
@@ -253,37 +276,17 @@
 
 
 def _finish(state, job, now):
-    results = tuple(
-        UNKNOWN if result is None else result for result in job.results
-    )
-    job.answer = _answer(job, results)
+    job.answer = job_store.make_answer(job)
     sends = [_reply(reply, job.answer) for reply in job.waiters]
     job.fetched = bool(job.waiters)
     job.waiters.clear()
     sends.append(job_reports.observe(job, now))
     sends.append(_withdraw(job))
-    sends.append(
-        messages.Send(
-            messages.TIMERS,
-            messages.SetTimer(
-                now + state.answer_ttl, messages.JOBS, ("forget", job.job)
-            ),
-        )
-    )
-    return sends + _check_drained(state)
-
-
-def _answer(job, results):
-    if all(result.state == "finished" for result in results):
-        return types.Complete(results)
-    code = job.cancelled or "task_failed"
-    if all(result.state == "not_started" for result in results):
-        return types.Refused(code, f"nothing of the job ran: {code}")
-    states = [result.state for result in results]
-    counts = ", ".join(
-        f"{states.count(one)} {one}" for one in sorted(set(states))
-    )
-    return types.Failed(code, f"{code}: {counts}", results)
+    if job.spec.single:
+        del state.jobs[job.job]
+    else:
+        sends += job_store.keep(state, job, now)
+    return sends + job_waits.check_drained(state)
 
 
 def _configure(state, msg, now):
@@ -291,35 +294,23 @@
     return []
 
 
-def _drain(state, msg, now):
-    state.draining = msg
-    timer = messages.SetTimer(now + msg.hold, messages.JOBS, ("drained", ""))
-    return [messages.Send(messages.TIMERS, timer), *_check_drained(state)]
-
-
-def _check_drained(state):
-    drain = state.draining
-    if drain is None or state.drained:
-        return []
-    for job in state.jobs.values():
-        if job.answer is None or (drain.hold and not job.fetched):
-            return []
-    state.drained = True
-    return [_reply(drain.reply, messages.Drained())]
-
-
-def _end_hold(state):
-    state.draining = state.draining._replace(hold=0.0)
-    return _check_drained(state)
+def _see_peers(state, msg, now):
+    state.addresses = {}
+    for peer in msg.peers:
+        owner = identity.parse_incarnation(peer.incarnation)
+        place = (owner.domain, owner.instance)
+        state.addresses[place] = (peer.host, peer.port)
+    return []
 
 
 def _status(state, msg, now):
     waiting = sum(job.answer is None for job in state.jobs.values())
     status = {
-        "owner": identity.format_incarnation(state.owner),
+        "owner": state.book.owner,
         "jobs": len(state.jobs),
         "unanswered": waiting,
         "draining": state.draining is not None,
+        "answer_bytes": state.held,
     }
     return [_reply(msg.reply, status)]
 
@@ -333,14 +324,20 @@
 _HANDLERS = {
     messages.AwaitJob: _await,
     messages.CancelJob: _cancel,
+    messages.Claimed: _claimed,
+    messages.CollectProgress: job_leases.collect,
     messages.ConfigurationChanged: _configure,
-    messages.Drain: _drain,
+    messages.Drain: job_waits.drain,
     messages.GetStatus: _status,
     messages.IssueJob: _issue,
-    messages.ReleaseWaiters: _release,
+    messages.LeaseChanged: job_leases.take_lease,
+    messages.OwnerChanged: job_leases.change_owner,
     messages.ListJobs: _list,
-    messages.StopWaiting: _stop_waiting,
+    messages.PeersChanged: _see_peers,
+    messages.ReleaseWaiters: job_waits.release,
+    messages.StopWaiting: job_waits.stop_waiting,
     messages.Submit: _submit,
+    messages.SubmitNamed: _submit_named,
     messages.TaskSettled: _settle,
     messages.TimerFired: _timer,
     messages.Withdrawn: _withdrawn,
--- a/packages/daemon/src/cardamompathd/filters/__init__.py
+++ b/packages/daemon/src/cardamompathd/filters/__init__.py
@@ -10,6 +10,7 @@
 from cardamompathd.filters import errors
 from cardamompathd.filters import failures
 from cardamompathd.filters import paths
+from cardamompathd.filters import relay
 from cardamompathd.filters import waiting
 
 __all__ = [
@@ -19,5 +20,6 @@
     "errors",
     "failures",
     "paths",
+    "relay",
     "waiting",
 ]
--- a/packages/daemon/src/cardamompathd/filters/chain.py
+++ b/packages/daemon/src/cardamompathd/filters/chain.py
@@ -12,13 +12,20 @@
 __all__ = [
     "Filter",
     "Handler",
+    "MAX_WAIT",
+    "Owner",
     "Request",
     "Response",
     "compose",
     "fault",
+    "wait_of",
 ]
 
 
+MAX_WAIT = 60.0
+"""Longest time that a caller waits on one connection, in seconds."""
+
+
 class Request(NamedTuple):
     """A request, free of the front end that brought it."""
 
@@ -32,18 +39,27 @@
     """Declared length of the body in bytes; None when undeclared."""
     body: Any = None
     """The decoded body, once a filter decoded it."""
-    wait: float = 0.0
-    """Seconds that the caller is ready to wait for an answer."""
+    wait: float | None = None
+    """Seconds that the caller is ready to wait, if it said so."""
     may_wait: bool = True
     """Whether the handler may wait at all."""
 
 
+class Owner(NamedTuple):
+    """The instance that has the answer, when it is another one."""
+
+    job: str
+    address: tuple[str, int] | None = None
+    """Where it listens for peers, if that is known."""
+
+
 class Response(NamedTuple):
     """What to answer; `body` is encoded by the front end."""
 
     status: int
     body: Any
     headers: tuple[tuple[str, str], ...] = ()
+    owner: Owner | None = None
 
 
 Handler = Callable[[Request], Response]
@@ -67,3 +83,8 @@
         body["retry_after"] = retry_after
         headers = (("Retry-After", str(max(1, round(retry_after)))),)
     return Response(status, body, headers)
+
+
+def wait_of(req: Request, default: float) -> float:
+    """Return the seconds for which a request may wait for its answer."""
+    return default if req.wait is None else req.wait
--- a/packages/daemon/src/cardamompathd/filters/paths.py
+++ b/packages/daemon/src/cardamompathd/filters/paths.py
@@ -8,7 +8,7 @@
 
 __all__ = [
     "limit_paths",
-    "make_wait_filter",
+    "read_wait",
 ]
 
 MAX_PATH = 512
@@ -25,22 +25,16 @@
     return call_next(req)
 
 
-def make_wait_filter(longest: float) -> chain.Filter:
-    """Make the filter that reads ``wait``, up to `longest` seconds."""
-
-    def read_wait(
-        req: chain.Request, call_next: chain.Handler
-    ) -> chain.Response:
-        text = req.query.get("wait")
-        if text is None:
-            return call_next(req)
-        try:
-            wait = float(text)
-        except ValueError:
-            wait = math.nan
-        if not 0.0 <= wait <= longest:
-            reason = f"'wait' is {text[:64]!r}; 0 to {longest:g} seconds go"
-            return chain.fault(400, "bad_query", reason)
-        return call_next(req._replace(wait=wait))
-
-    return read_wait
+def read_wait(req: chain.Request, call_next: chain.Handler) -> chain.Response:
+    """Read ``wait`` from the query."""
+    text = req.query.get("wait")
+    if text is None:
+        return call_next(req)
+    try:
+        wait = float(text)
+    except ValueError:
+        wait = math.nan
+    if not 0.0 <= wait <= chain.MAX_WAIT:
+        reason = f"'wait' is {text[:64]!r}; 0 to {chain.MAX_WAIT:g} seconds go"
+        return chain.fault(400, "bad_query", reason)
+    return call_next(req._replace(wait=wait))
--- a/packages/daemon/src/cardamompathd/filters/waiting.py
+++ b/packages/daemon/src/cardamompathd/filters/waiting.py
@@ -31,10 +31,15 @@
         try:
             tokens.get_nowait()
         except queue.Empty:
-            return call_next(req._replace(may_wait=False))
+            return call_next(_without_wait(req))
         try:
             return call_next(req)
         finally:
             tokens.put(None)
 
     return bound_waiting
+
+
+def _without_wait(req):
+    query = {**req.query, "wait": "0"}
+    return req._replace(may_wait=False, wait=0.0, query=query)
--- a/packages/daemon/src/cardamompathd/listeners.py
+++ b/packages/daemon/src/cardamompathd/listeners.py
@@ -13,6 +13,7 @@
 __all__ = [
     "make_caller_chain",
     "make_operator_chain",
+    "make_owner_chain",
     "start_callers",
     "start_operators",
 ]
@@ -26,7 +27,7 @@
 """Threads of callers that never wait, so that others get answers."""
 
 
-def make_caller_chain(cfg, ask_jobs, clock) -> chain.Handler:
+def make_caller_chain(cfg, ask_jobs, relay, clock) -> chain.Handler:
     """Compose what a caller's request passes, outermost first."""
     threads = cfg["callers", "threads"]
     places = max(1, threads - min(FREE_THREADS, threads // 2))
@@ -35,9 +36,24 @@
             filters.access.make_filter("callers", clock),
             filters.failures.make_filter("callers"),
             filters.paths.limit_paths,
-            filters.paths.make_wait_filter(handlers.MAX_WAIT),
+            filters.paths.read_wait,
             filters.bodies.make_filter(cfg["callers", "body_limit"]),
             filters.waiting.make_filter(places),
+            filters.relay.make_filter(relay),
+        ),
+        handlers.make_handler(ask_jobs, cfg["callers", "payload_limit"]),
+    )
+
+
+def make_owner_chain(cfg, ask_jobs) -> chain.Handler:
+    """Compose what a request passes that another instance hands on.
+
+    It passed the callers' chain of that instance before.
+    """
+    return chain.compose(
+        (
+            filters.failures.make_filter("peers"),
+            filters.paths.read_wait,
         ),
         handlers.make_handler(ask_jobs, cfg["callers", "payload_limit"]),
     )
--- a/packages/daemon/src/cardamompathd/runtime/__init__.py
+++ b/packages/daemon/src/cardamompathd/runtime/__init__.py
@@ -3,11 +3,11 @@
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import asking
 from cardamompathd.runtime import clocks
-from cardamompathd.runtime import timers
+from cardamompathd.runtime import inboxes
 
 __all__ = [
     "actors",
     "asking",
     "clocks",
-    "timers",
+    "inboxes",
 ]
--- a/packages/daemon/src/cardamompathd/tests/test_callers_http.py
+++ b/packages/daemon/src/cardamompathd/tests/test_callers_http.py
@@ -63,9 +63,12 @@
     def test_names_that_are_not_known(self):
         unknown = job_body(tasks=[{"service": "cinema"}])
         self.check(self.put(unknown), 404, "unknown_service")
-        job = self.issue()
-        get = call(self.port, "GET", f"/v1/jobs/{job}")
-        self.check(get, 404, "unknown_job")
+        never = self.issue().rpartition(".")[0] + ".999"
+        for method, body in (("GET", None), ("PUT", job_body())):
+            answer = call(self.port, method, f"/v1/jobs/{never}", body)
+            self.check(answer, 404, "unknown_job")
+        answer = call(self.port, "GET", f"/v1/jobs/{self.issue()}")
+        self.assertEqual((202, "pending"), (answer[0], answer[1]["outcome"]))
         self.check(call(self.port, "GET", "/nowhere"), 404, "unknown_path")
         get = call(self.port, "GET", "/v1/jobs/x")
         self.check(get, 400, "bad_identifier")
