--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	packages/proof
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test lint format demo bench bench-small
+.PHONY: setup test lint format demo idle bench bench-small
 
 setup: $(STAMP)
 
@@ -43,3 +43,7 @@
 # Short runs without the baselines, for CI; missed targets are printed.
 bench-small: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.bench --small --ours --report
+
+# Processor share and memory of an idle daemon over 30 seconds.
+idle: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.idle
