--- a/packages/daemon/src/cardamompathd/tests/edge_fixtures.py
+++ b/packages/daemon/src/cardamompathd/tests/edge_fixtures.py
@@ -101,6 +101,7 @@
 
 class InstanceCase(unittest.TestCase):
     hold = 0
+    timeout = 0.5
 
     def setUp(self):
         loguru.logger.remove()
@@ -109,7 +110,9 @@
         self.backend = backend.start()
         self.addCleanup(self.backend.stop)
         publish(self.platform.port, self.backend)
-        file = write_settings(self, self.platform.port, hold=self.hold)
+        file = write_settings(
+            self, self.platform.port, hold=self.hold, timeout=self.timeout
+        )
         self.instance = app.start(loading.load([file]).unwrap())
         self.stopped = False
         self.addCleanup(self.stop, 5.0)
--- a/packages/daemon/src/cardamompathd/tests/test_callers_http.py
+++ b/packages/daemon/src/cardamompathd/tests/test_callers_http.py
@@ -145,12 +145,16 @@
         for one in waits:
             one.join()
 
+
+class SilentTest(edge_fixtures.InstanceCase):
+    timeout = 60
+
     def test_silent_connections_take_no_thread(self):
         socks = [
             edge_fixtures.socket.create_connection(("127.0.0.1", self.port))
             for _ in range(12)
         ]
-        self.assertEqual(200, self.submit(20)[0])
+        self.assertEqual(201, call(self.port, "POST", "/v1/jobs")[0])
         for sock in socks:
             sock.close()
 
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_server.py
@@ -0,0 +1,54 @@
+import queue
+import socket
+import threading
+import unittest
+from unittest import mock
+
+from cardamompathd.callers import server
+from cardamompathd.filters import chain
+from cardamompathd.tests import edge_fixtures
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class FullServerTest(unittest.TestCase):
+    def test_no_free_thread_is_told_in_json(self):
+        entered = queue.SimpleQueue()
+        release = threading.Event()
+
+        def handle(req):
+            entered.put(None)
+            release.wait(20.0)
+            return chain.Response(200, {})
+
+        limits = server.ListenerLimits(threads=1, connections=1)
+        address = ("127.0.0.1", 0)
+        listener = server.start("test", address, handle, limits)
+        self.addCleanup(listener.stop)
+        self.addCleanup(release.set)
+        socks = []
+        for _ in range(2):
+            sock = socket.create_connection((listener.host, listener.port))
+            self.addCleanup(sock.close)
+            sock.sendall(REQUEST)
+            socks.append(sock)
+            if len(socks) == 1:
+                entered.get(timeout=20.0)
+        status, body = edge_fixtures.send_raw(listener.port, REQUEST)
+        self.assertEqual((503, "overloaded"), (status, body["code"]))
+        release.set()
+        for sock in socks:
+            self.assertTrue(sock.recv(64).startswith(b"HTTP/1.1 200"))
+
+
+class StopTest(unittest.TestCase):
+    def test_stop_does_not_wait_for_the_selector(self):
+        limits = server.ListenerLimits(threads=1)
+        with mock.patch.object(server, "EXPIRY_INTERVAL", 3600.0):
+            listener = server.start(
+                "test", ("127.0.0.1", 0), chain.Response, limits
+            )
+        stopping = threading.Thread(target=listener.stop, daemon=True)
+        stopping.start()
+        stopping.join(20.0)
+        self.assertFalse(stopping.is_alive())
