--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -14,14 +14,19 @@
 from cardamompath_core import identity
 from cardamompath_core import routing
 from cardamompathd import controllers
+from cardamompathd import coordination
 from cardamompathd import filters
 from cardamompathd import messages
 from cardamompathd.backends import connections
 from cardamompathd.backends import pool
+from cardamompathd.callers import codec
 from cardamompathd.callers import handlers
 from cardamompathd.callers import server
 from cardamompathd.filters import chain
 from cardamompathd.operators import handlers as operator_handlers
+from cardamompathd.peers import relay
+from cardamompathd.peers import server as peer_server
+from cardamompathd.platform import appender
 from cardamompathd.platform import log_client
 from cardamompathd.platform import reader
 from cardamompathd.runtime import actors
@@ -35,6 +40,10 @@
 
 OPERATOR_THREADS = 4
 
+JOURNAL_WAIT = 2.0
+"""Seconds that a read of the journal waits: a connection that went
+silent has to be noticed well within a lease."""
+
 
 class Instance(NamedTuple):
     """A running instance."""
@@ -42,8 +51,13 @@
     owner: identity.Incarnation
     callers: Any
     operators: Any
+    peers: Any
     drain: Any
     """Waits until nothing is in flight; called with seconds."""
+    leave: Any
+    """Tells the peers that the instance drains."""
+    stops: list
+    """Functions that end the tasks which tell the actors."""
 
 
 class DispatchActor(actors.ControllerActor):
@@ -80,7 +94,7 @@
     owner = identity.Incarnation(
         cfg["instance", "domain"],
         cfg["instance", "name"],
-        secrets.token_hex(6),
+        _draw_nonce(),
     )
     table: dict[str, Any] = {
         messages.CALLERS: lambda msg: msg.reply.set(msg.answer)
@@ -88,16 +102,39 @@
     deliver = actors.make_router(table)
     _start_controllers(cfg, owner, table, deliver, clock)
     table[messages.TIMERS] = timers.start(deliver, clock).tell
+    together = coordination.start(cfg, owner, table, deliver, clock)
     asks = {
         name: handlers.make_ask(table[name])
-        for name in (messages.JOBS, messages.BACKENDS, messages.CONFIGURATION)
+        for name in (
+            messages.JOBS,
+            messages.BACKENDS,
+            messages.CONFIGURATION,
+            messages.MEMBERSHIP,
+        )
     }
+    stops = _start_journal(cfg, table)
+    stops.append(lambda: table[messages.TIMERS](None))
     callers, operators = _start_listeners(cfg, asks, clock)
-    _follow_log(cfg, table)
+    peers = _start_peers(cfg, asks, together.services)
+    together.listening((peers.host, peers.port))
+    stops += together.stops
+    stops.append(_follow_log(cfg, table).stop)
     loguru.logger.info(
         "instance: {} is up", identity.format_incarnation(owner)
     )
-    return Instance(owner, callers, operators, _make_drain(asks))
+    return Instance(
+        owner,
+        callers,
+        operators,
+        peers,
+        _make_drain(asks),
+        together.leave,
+        stops,
+    )
+
+
+def _draw_nonce():
+    return secrets.token_hex(6)
 
 
 def _start_controllers(cfg, owner, table, deliver, clock):
@@ -107,21 +144,32 @@
     dispatch = DispatchActor.start(
         [
             controllers.jobs.make_controller(
-                owner, cfg["callers", "answer_ttl"]
+                owner,
+                cfg["callers", "answer_ttl"],
+                cfg["callers", "answer_bytes"],
             ),
             controllers.backends.make_controller(routing.least_in_flight()),
+            controllers.journal.make_controller(
+                owner,
+                _draw_nonce,
+                _journal_terms(cfg),
+            ),
         ],
         deliver,
         clock,
         limits,
     )
-    configuration = actors.ControllerActor.start(
-        [controllers.configuration.make_controller()], deliver, clock
-    )
     table[messages.JOBS] = _teller(dispatch, messages.JOBS)
     table[messages.BACKENDS] = _teller(dispatch, messages.BACKENDS)
-    table[messages.CONFIGURATION] = _teller(
-        configuration, messages.CONFIGURATION
+    table[messages.JOURNAL] = _teller(dispatch, messages.JOURNAL)
+
+
+def _journal_terms(cfg):
+    ttl = cfg["callers", "answer_ttl"]
+    return controllers.journal_store.JournalTerms(
+        budget=cfg["platform", "append_budget"],
+        settlement_ttl=ttl + codec.MAX_TIMEOUT,
+        hold=2.0 * ttl + codec.MAX_TIMEOUT,
     )
 
 
@@ -138,6 +186,9 @@
             filters.access.make_filter(clock),
             filters.failures.answer_failures,
             filters.bodies.make_filter(cfg["callers", "body_limit"]),
+            filters.relay.make_filter(
+                relay.make_relay(cfg["peers", "addresses"], clock)
+            ),
         ),
         handlers.make_handler(asks[messages.JOBS]),
     )
@@ -150,6 +201,7 @@
             asks[messages.JOBS],
             asks[messages.BACKENDS],
             asks[messages.CONFIGURATION],
+            asks[messages.MEMBERSHIP],
         ),
     )
     callers = _serve(
@@ -174,11 +226,38 @@
     return listener
 
 
-def _follow_log(cfg, table):
+def _start_peers(cfg, asks, services):
+    owner_chain = chain.compose(
+        (filters.failures.answer_failures,),
+        handlers.make_handler(asks[messages.JOBS]),
+    )
+    services = [relay.make_service(owner_chain), *services]
+    return peer_server.start(cfg["peers", "listen"], services)
+
+
+def _make_client(cfg):
     host, port = cfg["platform", "address"]
-    client = log_client.make_client(host, port, cfg["platform", "timeout"])
-    reader.start(
-        client,
+    return log_client.make_client(host, port, cfg["platform", "timeout"])
+
+
+def _start_journal(cfg, table):
+    tell = table[messages.JOURNAL]
+    appending = appender.start(_make_client(cfg), tell)
+    table[messages.APPENDER] = appending.tell
+    following = reader.start(
+        _make_client(cfg),
+        controllers.journal.STREAM,
+        tell,
+        random.Random(),
+        JOURNAL_WAIT,
+    )
+    tell(messages.TimerFired(controllers.journal.COMMIT))
+    return [following.stop, lambda: appending.tell(None)]
+
+
+def _follow_log(cfg, table):
+    return reader.start(
+        _make_client(cfg),
         "configuration",
         table[messages.CONFIGURATION],
         random.Random(),
@@ -207,8 +286,12 @@
     bool
         Whether everything in flight was answered.
     """
+    instance.leave()
     drained = instance.drain(grace)
     instance.callers.stop()
     instance.operators.stop()
+    instance.peers.stop()
+    for stop_task in instance.stops:
+        stop_task()
     pykka.ActorRegistry.stop_all(block=False)
     return drained
--- a/packages/daemon/src/cardamompathd/controllers/membership.py
+++ b/packages/daemon/src/cardamompathd/controllers/membership.py
@@ -90,22 +90,18 @@
 
 def make_controller(
     owner: identity.Incarnation,
-    address: tuple[str, int],
     seeds: Sequence[tuple[str, int]],
     rng: random.Random,
     listeners: Sequence[str] = (messages.BACKENDS, messages.JOBS),
 ) -> messages.Controller:
     """Make the controller of the membership.
 
-    It begins with ``TimerFired("round")`` and ``TimerFired("list")``,
-    which the runtime sends once.
+    It begins with `PeersListening`, which the runtime sends once.
 
     Parameters
     ----------
     owner : Incarnation
         This instance.
-    address : (str, int)
-        Where it listens for peers.
     seeds : sequence of (str, int)
         Addresses of instances to begin with.
     rng : random.Random
@@ -113,7 +109,7 @@
     listeners : sequence of str, optional
         Tasks that are told of the peers.
     """
-    own = membership.Entry(identity.format_incarnation(owner), *address)
+    own = membership.Entry(identity.format_incarnation(owner), "0.0.0.0", 0)
     state = MembershipState(own, seeds, rng, tuple(listeners))
 
     def receive(msg: Any, now: float) -> Sequence[messages.Send]:
@@ -122,6 +118,13 @@
     return messages.Controller(messages.MEMBERSHIP, receive)
 
 
+def _listening(state, msg, now):
+    host, port = msg.address
+    state.own = state.own._replace(host=host, port=port)
+    at = now + ROUND * state.rng.uniform(0.0, 0.2)
+    return [_timer(at, _ROUND), *_list(state, now)]
+
+
 def _round(state, now):
     _beat(state)
     _age(state, now)
@@ -432,5 +435,6 @@
     messages.InstanceLeaving: _leave,
     messages.InstancesListed: _instances,
     messages.LoadReport: _load,
+    messages.PeersListening: _listening,
     messages.TimerFired: _fired,
 }
--- a/packages/daemon/src/cardamompathd/operators/handlers.py
+++ b/packages/daemon/src/cardamompathd/operators/handlers.py
@@ -5,6 +5,7 @@
 from cardamompathd import messages
 from cardamompathd.callers import handlers
 from cardamompathd.filters import chain
+from cardamompathd.operators import configuration
 
 __all__ = [
     "make_handler",
@@ -18,6 +19,7 @@
     ask_jobs: handlers.Ask,
     ask_backends: handlers.Ask,
     ask_configuration: handlers.Ask,
+    ask_membership: handlers.Ask,
 ) -> chain.Handler:
     """Make the handler of all paths that operators can ask for."""
 
@@ -39,6 +41,7 @@
         return chain.Response(200, {"live": True})
 
     paths = {"/live": live, "/ready": ready, "/v1/status": status}
+    paths |= configuration.make_paths(ask_configuration, ask_membership)
 
     def handle(req: chain.Request) -> chain.Response:
         found = paths.get(req.path)
