--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -12,7 +12,6 @@
 import pykka
 
 from cardamompath_core import identity
-from cardamompath_core import routing
 from cardamompathd import controllers
 from cardamompathd import coordination
 from cardamompathd import filters
@@ -31,7 +30,6 @@
 from cardamompathd.platform import reader
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import clocks
-from cardamompathd.runtime import timers
 
 __all__ = [
     "Instance",
@@ -61,19 +59,15 @@
 
 
 class DispatchActor(actors.ControllerActor):
-    """Owns the jobs, the backend servers' state and their connections."""
+    """Owns the jobs and the state of the backend servers."""
 
     def __init__(self, controllers, deliver, clock, limits):
         super().__init__(controllers, self._deliver_or_start, clock)
         self._elsewhere = deliver
-        self._pool = pool.make_pool(limits, self.actor_ref.tell, clock)
+        self._pool = pool.make_pool(limits, self._take_back, clock)
 
-    def on_receive(self, message):
-        """Take back the connection of an exchange that ended."""
-        if isinstance(message, connections.ConnectionEnded):
-            self._pool.release(message)
-            message = messages.Send(messages.BACKENDS, message.ended)
-        super().on_receive(message)
+    def _take_back(self, ended):
+        self.actor_ref.tell(messages.Send(messages.BACKENDS, ended))
 
     def _deliver_or_start(self, send):
         if send.to == messages.CONNECTIONS:
@@ -101,7 +95,6 @@
     }
     deliver = actors.make_router(table)
     _start_controllers(cfg, owner, table, deliver, clock)
-    table[messages.TIMERS] = timers.start(deliver, clock).tell
     together = coordination.start(cfg, owner, table, deliver, clock)
     asks = {
         name: handlers.make_ask(table[name])
@@ -113,7 +106,6 @@
         )
     }
     stops = _start_journal(cfg, table)
-    stops.append(lambda: table[messages.TIMERS](None))
     callers, operators = _start_listeners(cfg, asks, clock)
     peers = _start_peers(cfg, asks, together.services)
     together.listening((peers.host, peers.port))
@@ -148,7 +140,7 @@
                 cfg["callers", "answer_ttl"],
                 cfg["callers", "answer_bytes"],
             ),
-            controllers.backends.make_controller(routing.least_in_flight()),
+            controllers.backends.make_controller(owner, random.Random()),
             controllers.journal.make_controller(
                 owner,
                 _draw_nonce,
@@ -159,9 +151,9 @@
         clock,
         limits,
     )
-    table[messages.JOBS] = _teller(dispatch, messages.JOBS)
-    table[messages.BACKENDS] = _teller(dispatch, messages.BACKENDS)
-    table[messages.JOURNAL] = _teller(dispatch, messages.JOURNAL)
+    table[messages.JOBS] = actors.make_teller(dispatch, messages.JOBS)
+    table[messages.BACKENDS] = actors.make_teller(dispatch, messages.BACKENDS)
+    table[messages.JOURNAL] = actors.make_teller(dispatch, messages.JOURNAL)
 
 
 def _journal_terms(cfg):
@@ -173,13 +165,6 @@
     )
 
 
-def _teller(ref, name):
-    def tell(msg):
-        ref.tell(messages.Send(name, msg))
-
-    return tell
-
-
 def _start_listeners(cfg, asks, clock):
     caller_chain = chain.compose(
         (
--- a/packages/daemon/src/cardamompathd/tests/fakes.py
+++ b/packages/daemon/src/cardamompathd/tests/fakes.py
@@ -3,9 +3,9 @@
 import collections
 import heapq
 import itertools
+import random
 
 from cardamompath_core import identity
-from cardamompath_core import routing
 from cardamompath_core import types
 from cardamompathd import controllers
 from cardamompathd import messages
@@ -113,9 +113,7 @@
             one.name: one.receive
             for one in (
                 controllers.jobs.make_controller(owner),
-                controllers.backends.make_controller(
-                    routing.least_in_flight()
-                ),
+                controllers.backends.make_controller(owner, random.Random(1)),
                 controllers.journal.make_controller(
                     owner, lambda: next(nonces).replace("-", "")
                 ),
--- a/packages/daemon/src/cardamompathd/tests/network.py
+++ b/packages/daemon/src/cardamompathd/tests/network.py
@@ -31,6 +31,7 @@
         self.domain = domain
         self.read_through = -1
         self.alive = True
+        self.listening = False
         self.bytes = 0
         self.tcp = 0
         self.leaving = frozenset()
@@ -63,6 +64,14 @@
         self.tell(name, make_message(answers.append))
         return answers[0]
 
+    def is_up(self):
+        return self.alive and self.listening
+
+    def listen(self):
+        self.listening = True
+        msg = messages.PeersListening(self.address)
+        self.tell(messages.MEMBERSHIP, msg)
+
     def cfg(self):
         return self.ask(messages.CONFIGURATION, messages.GetConfiguration)
 
@@ -78,7 +87,7 @@
         self.order = itertools.count()
         self.log = []
         self.oldest = 0
-        self.listed = None
+        self.listed = []
         self.encode = False
         self.may_talk = lambda one, other: True
         self.may_read = lambda one: True
@@ -92,11 +101,7 @@
         seeds = known[:2] + known[-2:]
         one = Instance(self, index, domain, seeds)
         self.instances.append(one)
-        listening = messages.PeersListening(one.address)
-        self.later(
-            self.rng.uniform(0.0, 2.0),
-            lambda: one.tell(messages.MEMBERSHIP, listening),
-        )
+        self.later(self.rng.uniform(0.0, 2.0), one.listen)
         self.read_log(one)
         return one
 
@@ -144,15 +149,23 @@
         elif isinstance(msg, messages.FetchConfiguration):
             self.fetch(one, msg)
         elif isinstance(msg, messages.ReadInstances):
-            if self.listed is not None and self.may_read(one):
-                listed = messages.InstancesListed(tuple(self.listed))
-                one.tell(messages.MEMBERSHIP, listed)
+            if self.may_read(one):
+                one.tell(messages.MEMBERSHIP, self.list_instances())
         elif isinstance(msg, messages.AppendSnapshot):
             one.snapshots.append(msg.record)
             self.append(msg.record)
         else:
             self.record(one, msg)
 
+    def list_instances(self):
+        live = [
+            types.InstanceEntry(
+                f"entry-{index}", "entry", one.domain, *one.address, "live"
+            )
+            for index, one in enumerate(self.instances)
+        ]
+        return messages.InstancesListed((*live, *self.listed))
+
     def record(self, one, msg):
         if isinstance(msg, messages.BackendsLeaving):
             one.leaving = msg.names
@@ -166,7 +179,7 @@
 
     def reach(self, one, address):
         for other in self.instances:
-            if other.address != address or not other.alive:
+            if other.address != address or not other.is_up():
                 continue
             if self.may_talk(one, other) and self.rng.random() >= self.loss:
                 return other
