Test exchanges over real sockets; judge a stale note by its form only

Cause: a note against an old revision was told every clash with the present configuration, which buried the reason; the transport of digests had no test with real listeners.

Change: a stale note is told its base and faults of form. The stand-in sends entity tags, so that an unchanged list costs no body.

Conclusion: digest, fetch and list work over real connections.

--- a/packages/core/src/cardamompath_core/notes.py
+++ b/packages/core/src/cardamompath_core/notes.py
@@ -59,7 +59,8 @@
     Returns
     -------
     Checked
-        The entries to be; they count only when there are no faults.
+        The entries to be; they count only when there are no faults.  Of
+        a note against another revision only the form is checked.
     """
     entries = {
         section: {one.name: one for one in getattr(cfg, section)}
@@ -68,17 +69,16 @@
     if not isinstance(note, dict):
         fault = f"note is {note_fields.quote(note)}; an object is allowed"
         return Checked(entries, (fault,))
-    faults = [*_check_keys(note), *_check_texts(note)]
-    faults += _check_base(cfg, note)
-    revision = cfg.revision + 1
+    stale = list(_check_base(cfg, note))
+    if stale:
+        return Checked(entries, (*stale, *check_shape(note)))
+    faults: list[str] = []
     shape = _Shape(faults)
-    operations = _operations(note, shape)
-    if not operations and not faults:
-        faults.append(_NOTHING)
+    operations = _check_form(note, shape)
     for operation in operations:
         _APPLY[operation.verb](entries[operation.section], operation, shape)
     faults += _check_result(entries, operations)
-    stamped = _stamp(entries, operations, revision)
+    stamped = _stamp(entries, operations, cfg.revision + 1)
     return Checked(stamped, tuple(dict.fromkeys(faults)))
 
 
@@ -87,17 +87,23 @@
     if not isinstance(note, dict):
         quoted = note_fields.quote(note)
         return (f"note is {quoted}; an object is allowed",)
-    faults = [*_check_keys(note), *_check_texts(note)]
+    faults: list[str] = []
     shape = _Shape(faults)
-    operations = _operations(note, shape)
-    if not operations and not faults:
-        faults.append(_NOTHING)
-    for operation in operations:
+    for operation in _check_form(note, shape):
         if operation.fields is not None:
             _parse_fields(operation, shape)
     return tuple(faults)
 
 
+def _check_form(note, shape):
+    shape.faults.extend(_check_keys(note))
+    shape.faults.extend(_check_texts(note))
+    operations = _operations(note, shape)
+    if not operations and not shape.faults:
+        shape.faults.append(_NOTHING)
+    return operations
+
+
 _NOTHING = "note lists nothing added, changed or withdrawn"
 
 
--- a/packages/core/src/cardamompath_core/tests/test_notes.py
+++ b/packages/core/src/cardamompath_core/tests/test_notes.py
@@ -139,6 +139,14 @@
             ("added services 'one'",), release_notes.compare(make_cfg(), first)
         )
 
+    def test_stale_note_is_checked_by_its_form_only(self):
+        note = make_note(added={"backends": {"executor-1": {"slots": 0}}})
+        self.assert_refused(
+            note | {"base": 0},
+            "base is 0; the revision in force is 1",
+            "slots is 0",
+        )
+
     def test_shape_is_checked_without_a_configuration(self):
         note = make_note(changed={"services": {"absent": {"timeout": 0}}})
         faults = notes.check_shape(note)
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_exchanges.py
@@ -0,0 +1,174 @@
+import queue
+import random
+import unittest
+
+import hypothesis
+import urllib3
+from hypothesis import strategies
+
+from cardamompath_core import identity
+from cardamompath_core import log_fold
+from cardamompath_core import membership
+from cardamompath_core import types
+from cardamompath_standins import platform
+from cardamompathd import controllers
+from cardamompathd import messages
+from cardamompathd.callers import handlers
+from cardamompathd.peers import errors
+from cardamompathd.peers import exchanges
+from cardamompathd.peers import gossip_codec
+from cardamompathd.peers import server
+from cardamompathd.peers import wire
+from cardamompathd.platform import instances
+from cardamompathd.runtime import actors
+from cardamompathd.runtime import clocks
+from cardamompathd.tests import network
+
+WAIT = 10.0
+LOOPBACK = ("127.0.0.1", 0)
+
+
+class Peer:
+    """Both controllers on an actor behind a real listener."""
+
+    def __init__(self, name):
+        self.ended = queue.Queue()
+        table = {
+            messages.CALLERS: lambda msg: msg.reply.set(msg.answer),
+            messages.PEERS: lambda msg: self.pool.tell(msg),
+        }
+        for sink in ("jobs", "backends", "instances", "logs"):
+            table[sink] = lambda msg: None
+        owner = identity.Incarnation("a", name, "0123456789ab")
+        rng = random.Random(1)
+        self.ref = actors.ControllerActor.start(
+            [
+                controllers.configuration.make_controller(rng),
+                controllers.membership.make_controller(owner, (), rng),
+            ],
+            actors.make_router(table),
+            clocks.boottime,
+        )
+        self.tell = actors.make_teller(self.ref, messages.MEMBERSHIP)
+        self.configuration = actors.make_teller(
+            self.ref, messages.CONFIGURATION
+        )
+        self.ask = handlers.make_ask(self.tell)
+        self.pool = exchanges.start(self.deliver)
+        services = exchanges.make_services(
+            self.ask, handlers.make_ask(self.configuration)
+        )
+        self.listener = server.start(LOOPBACK, services)
+        self.address = (self.listener.host, self.listener.port)
+        self.tell(messages.PeersListening(self.address))
+
+    def deliver(self, send):
+        self.ref.tell(send)
+        self.ended.put(type(send.msg))
+
+    def call(self, address):
+        """Exchange digests with an address and wait for the end."""
+        received = messages.DigestReceived
+        digest = self.ask(lambda fut: received(FOREIGN, fut), WAIT)
+        self.pool.tell(messages.ExchangeDigest(address, digest))
+        return self.ended.get(timeout=WAIT)
+
+    def stop(self):
+        self.pool.stop()
+        self.listener.stop()
+        self.ref.stop()
+
+
+FOREIGN = membership.Digest(
+    membership.Entry("a.test.0123", "127.0.0.1", 1), -1, "0" * 16, b""
+)
+
+
+class ExchangesTest(unittest.TestCase):
+    def setUp(self):
+        self.one, self.two = Peer("one"), Peer("two")
+        self.addCleanup(self.one.stop)
+        self.addCleanup(self.two.stop)
+
+    def test_digest_and_configuration_cross(self):
+        read = messages.RecordsRead("c", ((0, network.make_note(0, 5)),), 0, 1)
+        self.one.configuration(read)
+        ended = self.two.call(self.one.address)
+        while ended is not messages.ConfigurationFetched:
+            ended = self.two.ended.get(timeout=WAIT)
+        ask = handlers.make_ask(self.two.configuration)
+        cfg = ask(messages.GetConfiguration, WAIT)
+        self.assertEqual((1, 5), (cfg.revision, len(cfg.backends)))
+        known = self.one.ask(messages.GetStatus, WAIT)["instances"]
+        self.assertIn("a.two.0123456789ab", str(known))
+
+    def test_unreachable_peer_ends_the_exchange_without_a_digest(self):
+        self.one.listener.stop()
+        for address in (self.one.address, self.two.address):
+            ended = self.two.call(address)
+            self.assertIs(messages.ExchangeEnded, ended)
+
+
+ENTRIES = strategies.builds(
+    membership.Entry,
+    strategies.text(max_size=20),
+    strategies.ip_addresses().map(str),
+    strategies.integers(1, 65535),
+    strategies.sampled_from(membership.STATUSES),
+    strategies.integers(0, 2**62),
+    strategies.builds(
+        types.LoadHint, *[strategies.integers(0, 2**31 - 1)] * 3
+    ),
+    strategies.integers(0, 2**62),
+)
+DIGESTS = strategies.builds(
+    membership.Digest,
+    ENTRIES,
+    strategies.integers(-1, 2**62),
+    strategies.binary(min_size=8, max_size=8).map(bytes.hex),
+    strategies.binary(max_size=77),
+    strategies.lists(ENTRIES, max_size=membership.RUMOURS).map(tuple),
+)
+
+
+class CodecTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+    @hypothesis.given(digest=DIGESTS)
+    def test_digest_survives_the_wire(self, digest):
+        fields = gossip_codec.encode_digest(digest)
+        raw = wire.encode_reply(gossip_codec.DIGEST, fields)
+        read = wire.decode_reply(raw, gossip_codec.DIGEST)
+        self.assertEqual(digest, gossip_codec.decode_digest(read))
+
+    @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+    @hypothesis.given(raw=strategies.binary(max_size=60))
+    def test_malformed_content_is_refused(self, raw):
+        fields = gossip_codec.BodyFields(0, 1, raw)
+        with self.assertRaises(errors.BadMessage):
+            gossip_codec.decode_body(fields)
+
+    def test_body_survives_and_bad_digest_is_refused(self):
+        body = log_fold.Body(3, 9, ((4, {"kind": "note"}),))
+        fields = gossip_codec.encode_body(body)
+        self.assertEqual(body, gossip_codec.decode_body(fields))
+        good = gossip_codec.encode_digest(FOREIGN)
+        for own in ({"host": b"123"}, {"status": 9}, {"port": 0}):
+            bad = good._replace(own=good.own._replace(**own))
+            with self.assertRaises(errors.BadMessage):
+                gossip_codec.decode_digest(bad)
+
+
+class InstancesTest(unittest.TestCase):
+    def test_list_is_read_once_until_it_changes(self):
+        standin = platform.start()
+        self.addCleanup(standin.stop)
+        address = (standin.host, standin.port)
+        entry = network.leaving_entry("executor-1")
+        lines = [entry._asdict(), {"name": "broken"}, 7]
+        url = f"http://{standin.host}:{standin.port}/v1/instances"
+        urllib3.request("PUT", url, json=lines)
+        task = instances.InstancesTask(address, WAIT, self.fail)
+        self.assertEqual((entry,), task.read().entries)
+        self.assertIsNone(task.read())
+        urllib3.request("PUT", url, json=[])
+        self.assertEqual((), task.read().entries)
