--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -12,10 +12,10 @@
 from typing import NamedTuple
 
 import loguru
-import pykka
 
 from cardamompath_core import identity
 from cardamompathd import controllers
+from cardamompathd import coordination
 from cardamompathd import listeners
 from cardamompathd import messages
 from cardamompathd.backends import connections
@@ -55,6 +55,8 @@
     """Called with seconds; whether all in flight was answered in them."""
     release: Callable[[], None]
     """Answers all who wait with what is known."""
+    leave: Callable[[], None]
+    """Tells the peers that the instance drains."""
     leave_notice: float
     """Least seconds between the refusal of work and the last response."""
     stops: tuple[Callable[[], None], ...]
@@ -101,18 +103,24 @@
     table: dict[str, Any] = {messages.CALLERS: _answer}
     deliver = actors.make_router(table)
     refs = _start_controllers(cfg, owner, table, deliver, clock)
+    together = coordination.start(cfg, owner, table, deliver, clock)
     asks = operator_handlers.Asks(
         asking.make_ask(table[messages.JOBS]),
         asking.make_ask(table[messages.BACKENDS]),
         asking.make_ask(table[messages.CONFIGURATION]),
         asking.make_ask(table[messages.TELEMETRY]),
+        asking.make_ask(table[messages.MEMBERSHIP]),
     )
     exporter = metrics.start(
         cfg["metrics", "exporter"], lambda: operator_handlers.status(asks)
     )
-    callers, operators, peers = _start_listeners(cfg, asks, exporter, clock)
+    callers, operators, peers = _start_listeners(
+        cfg, asks, exporter, together.services, clock
+    )
+    together.listening((peers.host, peers.port))
     stops = _start_journal(cfg, table)
     stops += [_follow_log(cfg, table).stop, exporter.stop]
+    stops += together.stops
     stops += [_make_stop(ref) for ref in refs]
     loguru.logger.info(
         "instance: {} is up", identity.format_incarnation(owner)
@@ -124,6 +132,7 @@
         peers,
         _make_drain(asks.jobs, cfg["instance", "answer_hold"]),
         lambda: table[messages.JOBS](messages.ReleaseWaiters()),
+        together.leave,
         cfg["instance", "leave_notice"],
         tuple(stops),
     )
@@ -166,22 +175,18 @@
         clock,
         limits,
     )
-    configuration = actors.ControllerActor.start(
-        [controllers.configuration.make_controller()], deliver, clock
-    )
     telemetry = actors.ControllerActor.start(
         [controllers.observations.make_controller(owner.domain)],
         deliver,
         clock,
     )
-    table[messages.TELEMETRY] = _teller(telemetry, messages.TELEMETRY)
-    table[messages.JOBS] = _teller(dispatch, messages.JOBS)
-    table[messages.BACKENDS] = _teller(dispatch, messages.BACKENDS)
-    table[messages.JOURNAL] = _teller(dispatch, messages.JOURNAL)
-    table[messages.CONFIGURATION] = _teller(
-        configuration, messages.CONFIGURATION
+    table[messages.TELEMETRY] = actors.make_teller(
+        telemetry, messages.TELEMETRY
     )
-    return dispatch, configuration, telemetry
+    table[messages.JOBS] = actors.make_teller(dispatch, messages.JOBS)
+    table[messages.BACKENDS] = actors.make_teller(dispatch, messages.BACKENDS)
+    table[messages.JOURNAL] = actors.make_teller(dispatch, messages.JOURNAL)
+    return dispatch, telemetry
 
 
 def _journal_terms(cfg):
@@ -193,19 +198,10 @@
     )
 
 
-def _teller(ref, name):
-    def tell(msg):
-        try:
-            ref.tell(messages.Send(name, msg))
-        except pykka.ActorDeadError:
-            loguru.logger.debug("instance: {} has ended", name)
-
-    return tell
-
-
-def _start_listeners(cfg, asks, exporter, clock):
+def _start_listeners(cfg, asks, exporter, services, clock):
     relaying = relay.make_relay(cfg["peers", "addresses"], clock)
-    services = [relay.make_service(listeners.make_owner_chain(cfg, asks.jobs))]
+    owner_chain = listeners.make_owner_chain(cfg, asks.jobs)
+    services = [relay.make_service(owner_chain), *services]
     starts = (
         lambda: listeners.start_callers(
             cfg, listeners.make_caller_chain(cfg, asks.jobs, relaying, clock)
@@ -280,6 +276,7 @@
         Whether everything in flight was answered.
     """
     began = clocks.boottime()
+    instance.leave()
     drained = instance.drain(grace)
     left = instance.leave_notice - (clocks.boottime() - began)
     if left > 0.0:
--- a/packages/daemon/src/cardamompathd/controllers/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/__init__.py
@@ -7,6 +7,7 @@
 from cardamompathd.controllers import jobs
 from cardamompathd.controllers import journal
 from cardamompathd.controllers import journal_store
+from cardamompathd.controllers import membership
 from cardamompathd.controllers import observations
 
 __all__ = [
@@ -17,5 +18,6 @@
     "jobs",
     "journal",
     "journal_store",
+    "membership",
     "observations",
 ]
--- a/packages/daemon/src/cardamompathd/operators/handlers.py
+++ b/packages/daemon/src/cardamompathd/operators/handlers.py
@@ -8,6 +8,7 @@
 
 from cardamompathd import messages
 from cardamompathd.filters import chain
+from cardamompathd.operators import configuration
 from cardamompathd.operators import encoding
 from cardamompathd.runtime import asking
 
@@ -32,6 +33,7 @@
     backends: asking.Ask
     configuration: asking.Ask
     telemetry: asking.Ask
+    membership: asking.Ask
 
 
 class NoReply(Exception):
@@ -57,6 +59,7 @@
         "/v1/jobs": lambda req: _jobs(asks, req),
         "/v1/burn": lambda req: _burn(asks),
     }
+    paths |= configuration.make_paths(asks.configuration, asks.membership)
 
     def handle(req: chain.Request) -> chain.Response:
         found = paths.get(req.path)
--- a/packages/daemon/src/cardamompathd/runtime/actors.py
+++ b/packages/daemon/src/cardamompathd/runtime/actors.py
@@ -20,6 +20,7 @@
     "ControllerActor",
     "Deliver",
     "make_router",
+    "make_teller",
 ]
 
 Deliver = Callable[[messages.Send], None]
@@ -41,6 +42,21 @@
     return deliver
 
 
+def make_teller(ref: pykka.ActorRef, name: str) -> Callable[[Any], None]:
+    """Make the function that tells a controller of an actor a message.
+
+    Messages for an actor that has ended are left out.
+    """
+
+    def tell(msg: Any) -> None:
+        try:
+            ref.tell(messages.Send(name, msg))
+        except pykka.ActorDeadError:
+            loguru.logger.debug("actor: {} has ended", name)
+
+    return tell
+
+
 class ControllerActor(pykka.ThreadingActor):
     """Owns one or more controllers and runs them on one thread.
 
--- a/packages/daemon/src/cardamompathd/settings/table.py
+++ b/packages/daemon/src/cardamompathd/settings/table.py
@@ -231,6 +231,16 @@
         "seconds",
         "Time for one call to the platform.",
     ),
+    _number(
+        "platform",
+        "retention",
+        float,
+        21600.0,
+        60,
+        31536000,
+        "seconds",
+        "How long the log keeps records; snapshots come twice as often.",
+    ),
     _number(
         "platform",
         "append_budget",
