--- a/packages/daemon/src/cardamompathd/controllers/membership.py
+++ b/packages/daemon/src/cardamompathd/controllers/membership.py
@@ -78,6 +78,8 @@
         self.own = own
         self.seeds = tuple(seeds)
         self.listed: tuple[tuple[str, int], ...] = ()
+        self.out_of_reach: dict[tuple[str, int], float] = {}
+        """Addresses of no member that failed, and when to call again."""
         self.rng = rng
         self.listeners = listeners
         self.members: dict[str, membership.Member] = {}
@@ -90,22 +92,18 @@
 
 def make_controller(
     owner: identity.Incarnation,
-    address: tuple[str, int],
     seeds: Sequence[tuple[str, int]],
     rng: random.Random,
     listeners: Sequence[str] = (messages.BACKENDS, messages.JOBS),
 ) -> messages.Controller:
     """Make the controller of the membership.
 
-    It begins with ``TimerFired("round")`` and ``TimerFired("list")``,
-    which the runtime sends once.
+    It begins with `PeersListening`, which the runtime sends once.
 
     Parameters
     ----------
     owner : Incarnation
         This instance.
-    address : (str, int)
-        Where it listens for peers.
     seeds : sequence of (str, int)
         Addresses of instances to begin with.
     rng : random.Random
@@ -113,7 +111,7 @@
     listeners : sequence of str, optional
         Tasks that are told of the peers.
     """
-    own = membership.Entry(identity.format_incarnation(owner), *address)
+    own = membership.Entry(identity.format_incarnation(owner), "0.0.0.0", 0)
     state = MembershipState(own, seeds, rng, tuple(listeners))
 
     def receive(msg: Any, now: float) -> Sequence[messages.Send]:
@@ -122,6 +120,13 @@
     return messages.Controller(messages.MEMBERSHIP, receive)
 
 
+def _listening(state, msg, now):
+    host, port = msg.address
+    state.own = state.own._replace(host=host, port=port)
+    at = now + ROUND * state.rng.uniform(0.0, 0.2)
+    return [_timer(at, _ROUND), *_list(state, now)]
+
+
 def _round(state, now):
     _beat(state)
     _age(state, now)
@@ -153,13 +158,25 @@
 
 
 def _call(state, count, now):
-    own = (state.own.host, state.own.port)
-    seeds = [one for one in (*state.seeds, *state.listed) if one != own]
+    if state.own.port == 0:
+        return []
     members = list(state.members.values())
-    targets = membership.choose_targets(members, seeds, count, now, state.rng)
+    unknown = _unknown(state, now)
+    targets = membership.choose_targets(
+        members, unknown, count, now, state.rng
+    )
     return [_exchange(state, address) for address in targets]
 
 
+def _unknown(state, now):
+    own = (state.own.host, state.own.port)
+    return [
+        one
+        for one in (*state.seeds, *state.listed)
+        if one != own and state.out_of_reach.get(one, now) <= now
+    ]
+
+
 def _check(state, now):
     member = membership.choose_check(state.members.values(), now)
     if member is None:
@@ -238,6 +255,9 @@
 
 
 def _fail(state, address, now):
+    if address in (*state.seeds, *state.listed):
+        again = MAX_BACK_OFF * state.rng.uniform(0.8, 1.2)
+        state.out_of_reach[address] = now + again
     for key, member in list(state.members.items()):
         if (member.entry.host, member.entry.port) != address:
             continue
@@ -386,6 +406,11 @@
         for one in msg.entries
         if one.role == "entry" and one.state == "live"
     )
+    state.out_of_reach = {
+        address: again
+        for address, again in state.out_of_reach.items()
+        if address in (*state.seeds, *state.listed)
+    }
     state.leaving, marks = leaving.read_list(state.leaving, msg.entries)
     return _mark(state, marks, now)
 
@@ -432,5 +457,6 @@
     messages.InstanceLeaving: _leave,
     messages.InstancesListed: _instances,
     messages.LoadReport: _load,
+    messages.PeersListening: _listening,
     messages.TimerFired: _fired,
 }
--- a/packages/standins/src/cardamompath_standins/platform.py
+++ b/packages/standins/src/cardamompath_standins/platform.py
@@ -8,6 +8,7 @@
 import signal
 import threading
 import time
+import zlib
 from typing import Any
 
 from cardamompath_standins import listener
@@ -55,6 +56,13 @@
         self.refilled = 0.0
         self.faults: dict[str, Any] = {}
         self.appends = 0
+        self.ended = False
+
+    def end(self) -> None:
+        """Let every read that waits answer now."""
+        with self.changed:
+            self.ended = True
+            self.changed.notify_all()
 
     def take_token(self, now: float) -> bool:
         """Take one append off the rate limit."""
@@ -89,7 +97,13 @@
             return listener.Reply(503, {"error": "outage"})
         return _serve(state, call)
 
-    return listener.start(handle, THREADS, port=port)
+    running = listener.start(handle, THREADS, port=port)
+
+    def stop() -> None:
+        state.end()
+        running.stop()
+
+    return running._replace(stop=stop)
 
 
 def _serve(state, call):
@@ -99,12 +113,21 @@
     if match and call.method == "GET":
         return _read(state, match.group(1), call)
     if call.path == "/v1/instances":
-        if call.method == "PUT":
-            state.instances = json.loads(call.body)
-        return listener.Reply(200, {"instances": state.instances})
+        return _instances(state, call)
     return listener.Reply(404, {"error": f"no path {call.path!r}"})
 
 
+def _instances(state, call):
+    if call.method == "PUT":
+        state.instances = json.loads(call.body)
+    body = json.dumps({"instances": state.instances}).encode()
+    tag = f'"{zlib.crc32(body):08x}"'
+    headers = (("ETag", tag),)
+    if call.headers.get("if-none-match") == tag:
+        return listener.Reply(304, b"", headers)
+    return listener.Reply(200, body, headers)
+
+
 def _append(state, name, call):
     records = json.loads(call.body)["records"]
     with state.changed:
@@ -131,7 +154,9 @@
     limit = int(call.query.get("limit", 1000))
     with state.changed:
         stream = state.streams.setdefault(name, Stream())
-        state.changed.wait_for(lambda: stream.head > first, wait)
+        state.changed.wait_for(
+            lambda: state.ended or stream.head > first, wait
+        )
         begin = max(first, stream.oldest)
         kept = stream.records[begin - stream.oldest :][:limit]
         body = {
