--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	packages/proof
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test lint format demo bench bench-daemon bench-small \
+.PHONY: setup test lint format demo idle bench bench-daemon bench-small \
 	scenarios model model-wide
 
 setup: $(STAMP)
@@ -55,3 +55,7 @@
 
 model-wide: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.model --wide
+
+# Processor share and memory of an idle daemon over 30 seconds.
+idle: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.idle
--- a/packages/daemon/src/cardamompathd/operators/configuration.py
+++ b/packages/daemon/src/cardamompathd/operators/configuration.py
@@ -6,8 +6,8 @@
 
 from cardamompath_core import snapshots
 from cardamompathd import messages
-from cardamompathd.callers import handlers
 from cardamompathd.filters import chain
+from cardamompathd.runtime import asking
 
 __all__ = [
     "make_paths",
@@ -20,7 +20,7 @@
 
 
 def make_paths(
-    ask_configuration: handlers.Ask, ask_membership: handlers.Ask
+    ask_configuration: asking.Ask, ask_membership: asking.Ask
 ) -> Paths:
     """Make the functions that answer each path.
 
--- a/packages/daemon/src/cardamompathd/tests/test_membership.py
+++ b/packages/daemon/src/cardamompathd/tests/test_membership.py
@@ -43,8 +43,9 @@
         self.now = 0.0
         owner = identity.Incarnation("a", name, "0123456789ab")
         self.controller = controllers.membership.make_controller(
-            owner, address, seeds, random.Random(1)
+            owner, seeds, random.Random(1)
         )
+        self.tell(messages.PeersListening(address))
 
     def tell(self, msg):
         return list(self.controller.receive(msg, self.now))
--- a/packages/daemon/src/cardamompathd/tests/test_peers.py
+++ b/packages/daemon/src/cardamompathd/tests/test_peers.py
@@ -16,6 +16,7 @@
 from cardamompathd.peers import server
 from cardamompathd.peers import wire
 from cardamompathd.runtime import actors
+from cardamompathd.runtime import asking
 from cardamompathd.runtime import clocks
 
 LOOPBACK = ("127.0.0.1", 0)
@@ -40,6 +41,7 @@
             messages.CALLERS: lambda msg: msg.reply.set(msg.answer),
             messages.TIMERS: lambda msg: None,
             messages.BACKENDS: self.run,
+            messages.TELEMETRY: lambda msg: None,
         }
         self.actor = actors.ControllerActor.start(
             [
@@ -50,7 +52,8 @@
             clocks.boottime,
         )
         self.tell(messages.ConfigurationChanged(CFG))
-        self.handler = handlers.make_handler(handlers.make_ask(self.tell))
+        handler = handlers.make_handler(asking.make_ask(self.tell), 1 << 20)
+        self.handler = chain.compose([filters.paths.read_wait], handler)
         service = relay.make_service(self.handler)
         self.peers = server.start(LOOPBACK, [service])
 
@@ -68,9 +71,11 @@
 
     def connect(self, *ports):
         addresses = [("127.0.0.1", port) for port in ports]
-        asking = relay.make_relay(addresses, clocks.boottime)
-        asking = filters.relay.make_filter(asking)
-        self.chain = chain.compose([asking], self.handler)
+        relaying = relay.make_relay(addresses, clocks.boottime)
+        self.chain = chain.compose(
+            [filters.paths.read_wait, filters.relay.make_filter(relaying)],
+            self.handler,
+        )
 
     def ask(self, method, path, body=None):
         req = chain.Request(
