Relay without a wait when the caller names none

Cause: a request that names no wait kept a silent owner's peer busy for six seconds.

Change: only a cancellation and a named job wait by default.

Conclusion: a silent owner costs a caller one second.

--- a/packages/daemon/src/cardamompathd/peers/relay.py
+++ b/packages/daemon/src/cardamompathd/peers/relay.py
@@ -29,8 +29,8 @@
 MARGIN = 1.0
 """Seconds that an answer may take beside the time it may wait."""
 
-CANCEL_WAIT = 5.0
-"""Longest default wait of the caller's requests, in seconds."""
+LONG_WAIT = 5.0
+"""Default wait of a cancellation or a named job, in seconds."""
 
 CONCURRENT = 32
 """Relayed requests served at a time; other methods have the rest."""
@@ -53,7 +53,7 @@
             dict(req.query),
             json.dumps(req.body).encode(),
         )
-        deadline = clock() + chain.wait_of(req, CANCEL_WAIT) + MARGIN
+        deadline = clock() + _wait_of(req) + MARGIN
         for address in (owner.address,) if owner.address else configured:
             left = deadline - clock()
             if left <= 0.0:
@@ -66,6 +66,11 @@
     return relay
 
 
+def _wait_of(req):
+    long = req.method == "DELETE" or req.path.startswith("/v1/named-jobs/")
+    return chain.wait_of(req, LONG_WAIT if long else 0.0)
+
+
 def _try(call, address, request, timeout):
     try:
         return call(address, wire.RELAY, request, timeout)
