--- a/packages/daemon/src/cardamompathd/controllers/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/__init__.py
@@ -6,6 +6,7 @@
 from cardamompathd.controllers import jobs
 from cardamompathd.controllers import journal
 from cardamompathd.controllers import journal_store
+from cardamompathd.controllers import membership
 
 __all__ = [
     "backends",
@@ -14,4 +15,5 @@
     "jobs",
     "journal",
     "journal_store",
+    "membership",
 ]
--- a/packages/daemon/src/cardamompathd/tests/test_fence.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fence.py
@@ -1,8 +1,9 @@
 import queue
+import random
 import unittest
 
+from cardamompath_core import identity
 from cardamompath_core import leases
-from cardamompath_core import routing
 from cardamompath_core import types
 from cardamompath_standins import backend
 from cardamompathd import controllers
@@ -17,7 +18,7 @@
 class FenceTest(unittest.TestCase):
     def setUp(self):
         self.backends = controllers.backends.make_controller(
-            routing.least_in_flight()
+            identity.parse_incarnation(OWNER), random.Random(1)
         )
         self.backends.receive(messages.ConfigurationChanged(fakes.CFG), 0.0)
 
@@ -40,7 +41,7 @@
         running = backend.start()
         self.addCleanup(running.stop)
         ended = queue.SimpleQueue()
-        conn = connections.ConnectionActor.start(
+        conn = connections.start(
             connections.ConnectionLimits(), ended.put, lambda: 9.0
         )
         self.addCleanup(conn.stop)
@@ -54,5 +55,5 @@
                     spec, task, "booking", "x", b"{}", 5.0, start_by
                 )
             )
-            answer = ended.get(timeout=10.0).ended.answer
+            answer = ended.get(timeout=10.0).answer
             self.assertEqual(phase, answer.phase)
