Take the result of a task in flight when its job was withdrawn

Cause: a job whose task failed was withdrawn from the queue, and the results of its tasks in flight were dropped; it ended at its deadline, with "unknown" for tasks that had finished.

Change: the backends controller tells how such a task ended; one that did not run is not started for good.

Conclusion: a failed job is answered as soon as its last task ends.

--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -157,6 +157,8 @@
     sends = []
     if work is not None:
         sends += _settle(state, work, msg, verdict)
+    else:
+        sends.append(_settle_withdrawn(msg, verdict))
     if backend is not None:
         sends += _start_ready(state, backend.service, now)
     return sends
@@ -191,6 +193,17 @@
     return [messages.Send(messages.JOBS, settled)]
 
 
+def _settle_withdrawn(msg, verdict):
+    """Tell how a task ended that was in flight when its job was withdrawn."""
+    answer = msg.answer
+    known = "not_started" if verdict == "not_run" else verdict
+    result = types.TaskResult(
+        known, answer.status, answer.payload, msg.backend
+    )
+    settled = messages.TaskSettled(msg.task, result)
+    return messages.Send(messages.JOBS, settled)
+
+
 def _requeue(state, work, ref, task):
     service = _service(state, task.service)
     queued = work.queued[task.service]
--- a/packages/daemon/src/cardamompathd/tests/fakes.py
+++ b/packages/daemon/src/cardamompathd/tests/fakes.py
@@ -39,6 +39,8 @@
         self.mode = "up"
         self.delay = 0.0
         self.starts = collections.Counter()
+        self.failing = set()
+        """Tasks that fail, by index."""
         self.ended_twice = False
         self.answers = []
         self.nodes = [Node(self, f"entry-{one}") for one in range(count)]
@@ -158,8 +160,11 @@
         if self.world.now < msg.start_by:
             self.world.starts[msg.task.job, msg.task.index] += 1
             answer = types.BackendAnswer("done", 200, b"result")
+        work = WORK
+        if msg.task.index in self.world.failing:
+            answer, work = answer._replace(status=500), WORK / 4
         ended = messages.TaskEnded(msg.backend.name, msg.task, answer)
-        self.later(WORK, messages.BACKENDS, ended)
+        self.later(work, messages.BACKENDS, ended)
         if self.world.ended_twice:
             settled = messages.TaskSettled(
                 msg.task, types.TaskResult("finished", 200, b"result")
--- a/packages/daemon/src/cardamompathd/tests/test_recovery.py
+++ b/packages/daemon/src/cardamompathd/tests/test_recovery.py
@@ -124,6 +124,17 @@
         self.assertEqual([got[0]] * 3, got)
         self.assertEqual(6, sum(self.world.starts.values()))
 
+    def test_failed_job_ends_with_its_tasks_in_flight(self):
+        self.world.failing = {0}
+        spec = fakes.make_spec(20)
+        got = self.world.submit(self.owner, self.job, spec)
+        self.world.advance(5.0)
+        states = self.states(got[0])
+        self.assertEqual("task_failed", got[0].code)
+        self.assertNotIn("unknown", states)
+        self.assertEqual(1, states.count("failed"))
+        self.world.check(self)
+
     def test_settlement_is_the_same_at_every_peer(self):
         self.world.submit(self.owner, self.job)
         self.world.advance(1.75)
@@ -314,6 +325,10 @@
                 self.world.mode = mode
                 got = self.submit_everywhere()
                 self.world.advance(5.0)
+                if mode == "silent":
+                    node = self.world.nodes[0]
+                    late = self.world.submit_named(node, "night")
+                    self.assertEqual("log_unavailable", late[0].code)
                 started = sum(self.world.starts.values())
                 self.assertEqual(6 if mode in ("lost", "slow") else 0, started)
                 self.world.mode = "up"
