--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -284,7 +284,8 @@
 
 def _see_peers(state, msg, now):
     state.addresses = {}
-    for peer in msg.peers:
+    # The living go last: an instance may have a dead incarnation too.
+    for peer in sorted(msg.peers, key=lambda one: one.status != "dead"):
         owner = identity.parse_incarnation(peer.incarnation)
         place = (owner.domain, owner.instance)
         state.addresses[place] = (peer.host, peer.port)
--- a/packages/daemon/src/cardamompathd/peers/relay.py
+++ b/packages/daemon/src/cardamompathd/peers/relay.py
@@ -51,7 +51,7 @@
             req.method,
             req.path,
             dict(req.query),
-            json.dumps(req.body).encode(),
+            _encode(req.body),
         )
         deadline = clock() + _wait_of(req) + MARGIN
         for address in (owner.address,) if owner.address else configured:
@@ -106,6 +106,10 @@
     return server.Service(wire.RELAY, handle)
 
 
+def _encode(body):
+    return json.dumps(body, ensure_ascii=False).encode()
+
+
 def _request(request):
     def read():
         return request.body
@@ -124,5 +128,5 @@
 def _reply(response):
     if response.owner is not None:
         return wire.RelayReply(0, b"")
-    body = json.dumps(response.body).encode()
+    body = _encode(response.body)
     return wire.RelayReply(response.status, body, dict(response.headers))
--- a/packages/daemon/src/cardamompathd/tests/test_peers.py
+++ b/packages/daemon/src/cardamompathd/tests/test_peers.py
@@ -123,7 +123,8 @@
             self.one.peers.port,
             "alive",
         )
-        self.two.tell(messages.PeersChanged((view,)))
+        dead = view._replace(port=9, status="dead")
+        self.two.tell(messages.PeersChanged((view, dead)))
         self.assertEqual(200, self.two.ask("PUT", self.path, BODY).status)
 
     def test_relayed_request_is_not_relayed_again(self):
