Complete no job after its lease, and end what is pending for ever

Change: a job that ends after its lease is failed with what is known. A peer gives a job up once its owner, if it lives, can have no answer left (20 minutes with the settings as delivered). Reads of the log wait for 1 s, so that a silent one is given up after 3 s.

--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -37,9 +37,8 @@
 
 OPERATOR_THREADS = 4
 
-JOURNAL_WAIT = 2.0
-"""Seconds that a read of the journal waits: a connection that went
-silent has to be noticed well within a lease."""
+JOURNAL_WAIT = reader.WAIT
+"""Seconds that a read of the journal waits."""
 
 
 class Instance(NamedTuple):
--- a/packages/daemon/src/cardamompathd/controllers/job_store.py
+++ b/packages/daemon/src/cardamompathd/controllers/job_store.py
@@ -144,7 +144,8 @@
     results = tuple(
         UNKNOWN if result is None else result for result in job.results
     )
-    if all(result.state == "finished" for result in results):
+    finished = all(result.state == "finished" for result in results)
+    if finished and job.cancelled != "lease_lapsed":
         return types.Complete(results)
     code = job.cancelled or "task_failed"
     if all(result.state == "not_started" for result in results):
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -266,6 +266,10 @@
 
 
 def _finish(state, job, now):
+    until = fence.start_by(state.leases, job.job)
+    if not leases.may_start(until, now):
+        # Peers may have answered for it already.
+        job.cancelled = LAPSED.code
     job.answer = job_store.make_answer(job)
     sends = [_reply(reply, job.answer) for reply in job.waiters]
     job.waiters.clear()
--- a/packages/daemon/src/cardamompathd/controllers/journal.py
+++ b/packages/daemon/src/cardamompathd/controllers/journal.py
@@ -14,6 +14,7 @@
 
 from cardamompath_core import identity
 from cardamompath_core import settlement
+from cardamompath_core import types
 from cardamompathd import messages
 from cardamompathd.controllers import journal_leases
 from cardamompathd.controllers import journal_store
@@ -32,6 +33,10 @@
 MAX_JOBS_A_RECORD = 1000
 """Most jobs in one progress record."""
 
+MAX_ASKED = 10_000
+"""Most jobs of other instances of which is kept when they were asked
+for first; the oldest go first."""
+
 MAX_PENDING = 20_000
 """Most jobs whose progress waits for an append; the oldest are left
 out, and are settled as unknown if their owner dies."""
@@ -251,10 +256,27 @@
     owner = msg.job.rpartition(".")[0]
     answer = settlement.settle(state.ledger, owner, msg.job, msg.total)
     if answer is None:
-        answer = messages.NotOwner(msg.job, msg.address)
+        answer = _ask_elsewhere(state, msg, now)
     return [messages.Send(messages.CALLERS, messages.Reply(msg.reply, answer))]
 
 
+def _ask_elsewhere(state, msg, now):
+    """Answer for a job whose owner is not known to be dead.
+
+    An owner that died before it was announced is never declared dead.
+    After the time in which it could have run the job and kept its
+    answer, nobody else can answer any more.
+    """
+    first = state.asked.setdefault(msg.job, now)
+    if len(state.asked) > MAX_ASKED:
+        del state.asked[next(iter(state.asked))]
+    if now - first < state.terms.hold:
+        return messages.NotOwner(msg.job, msg.address)
+    results = (types.TaskResult("unknown"),) * msg.total
+    reason = "the owner was not reached in time; the job may have run"
+    return types.Failed("owner_unreachable", reason, results)
+
+
 def _status(state, msg, now):
     status = {
         "owner": state.owner,
--- a/packages/daemon/src/cardamompathd/controllers/journal_store.py
+++ b/packages/daemon/src/cardamompathd/controllers/journal_store.py
@@ -103,6 +103,9 @@
         self.read_asked = False
         self.sent: dict[str, float] = {}
         self.progress: dict[str, settlement.Progress] = {}
+        self.asked: dict[str, float] = {}
+        """When a job of an owner that is not known to be dead was asked
+        for first."""
         self.claims: dict[str, messages.Claim] = {}
         """Claims that wait for an append."""
         self.claiming: dict[str, messages.Claim] = {}
--- a/packages/daemon/src/cardamompathd/platform/reader.py
+++ b/packages/daemon/src/cardamompathd/platform/reader.py
@@ -17,8 +17,9 @@
     "start",
 ]
 
-WAIT = 20.0
-"""Seconds that a read waits for a record."""
+WAIT = 1.0
+"""Seconds that a read waits for a record; one that goes silent has to
+be given up before a lease or a release note is late."""
 
 BACK_OFF = 0.5
 """Mean seconds between attempts while the log is down."""
--- a/packages/daemon/src/cardamompathd/tests/test_recovery.py
+++ b/packages/daemon/src/cardamompathd/tests/test_recovery.py
@@ -291,6 +291,28 @@
         answer = self.world.submit(self.two, self.job)[0]
         self.assertEqual(["finished"] * 6, self.states(answer))
 
+    def test_tasks_that_end_in_a_pause_complete_no_job(self):
+        self.world.submit(self.owner, self.job, fakes.make_spec(4))
+        self.world.advance(0.75)
+        self.owner.pause()
+        self.world.advance(30.0)
+        self.owner.resume()
+        answer = self.world.submit(self.owner, self.job, fakes.make_spec(4))[0]
+        self.assertEqual("lease_lapsed", answer.code)
+        self.assertEqual(["finished"] * 4, self.states(answer))
+
+    def test_owner_that_was_never_announced_is_given_up_in_the_end(self):
+        self.world.mode = "down"
+        self.world.advance(10.0)
+        job = self.world.issue(self.owner)
+        self.world.submit(self.owner, job)
+        self.owner.alive = False
+        self.world.mode = "up"
+        for expected in (types.Pending, types.Pending, types.Failed):
+            answer = self.world.submit(self.two, job)[0]
+            self.assertIsInstance(answer, expected)
+            self.world.advance(601.0)
+
     def test_single_request_needs_no_lease(self):
         self.owner.cut = True
         single = fakes.make_spec(1)._replace(single=True)
