Leave backend servers that fail, stall, refuse or are leaving

Change: a cumulative sum of evidence from distinct jobs, weighed against the kind's failures, ejects a server; a third at most; probes with work that may run again, then a slow start. No borrowed tasks after a failure that was not made up for. Servers whose tasks are overdue get none, or count as slower; refusals pause a server; no new work from the first sign of leaving, an answer's Server-Leaving header included.

--- a/packages/core/src/cardamompath_core/estimates.py
+++ b/packages/core/src/cardamompath_core/estimates.py
@@ -93,6 +93,17 @@
         self._speeds[server] = speed - SPEED_GAIN * surprise
         self._typical += FLOOR_GAIN * (known.log_size - self._typical)
 
+    def slowed(self, server: str, size: float, age: float) -> None:
+        """Learn from a task that has not ended after `age` seconds."""
+        bound = math.log(size) - math.log(max(age, LEAST_TIME))
+        self._speeds[server] = min(self._speeds.get(server, 0.0), bound)
+
+    def drift(self, server: str, share: float) -> None:
+        """Move the speed of an unused server towards the usual one."""
+        known = self._speeds.get(server)
+        if known is not None:
+            self._speeds[server] = known * (1.0 - share)
+
     def forget(self, server: str) -> None:
         """Forget the speed of a backend server that is gone."""
         self._speeds.pop(server, None)
--- a/packages/core/src/cardamompath_core/routing.py
+++ b/packages/core/src/cardamompath_core/routing.py
@@ -50,6 +50,7 @@
         "limit",
         "name",
         "next_free",
+        "room",
         "speed",
     )
 
@@ -58,8 +59,10 @@
         self.in_flight = 0
         self.home = 0
         """Slots that are this instance's own."""
+        self.room = 0
+        """Own slots that may be used at present."""
         self.limit = 0
-        """Most tasks in flight, borrowed slots included."""
+        """Most tasks in flight at present, borrowed slots included."""
         self.extra = 0.0
         """Seconds that an exchange takes longer than a near one."""
         self.speed = 1.0
@@ -95,14 +98,16 @@
     for server in homes:
         speed = server.speed
         used = server.in_flight
-        if used >= server.home:
+        if used >= server.room:
+            if not server.room:
+                continue
             ends = server.next_free - wanted.now
             ends = max(ends, 0.0) + size / speed + server.extra
             full_soonest = min(full_soonest, ends)
-            full_rate += server.home * speed
+            full_rate += server.room * speed
             continue
         cost = size / speed + server.extra
-        cost *= 1.0 + EVENNESS * used / server.home
+        cost *= 1.0 + EVENNESS * used / server.room
         if cost < best_cost:
             best, best_cost = server, cost
     if best is None or not full_rate:
--- a/packages/core/src/cardamompath_core/tests/test_routing.py
+++ b/packages/core/src/cardamompath_core/tests/test_routing.py
@@ -8,7 +8,7 @@
 def make_server(name, speed=1.0, home=4, used=0, **fields):
     server = routing.Server(name)
     server.speed = speed
-    server.home = home
+    server.home = server.room = home
     server.limit = 8
     server.in_flight = used
     for field, value in fields.items():
--- a/packages/core/src/cardamompath_core/types.py
+++ b/packages/core/src/cardamompath_core/types.py
@@ -131,6 +131,8 @@
     elapsed: float = 0.0
     """Seconds from the start of the exchange until its end."""
     error: str = ""
+    leaving: bool = False
+    """The backend server said that it takes no more work."""
 
 
 class BackendSpec(NamedTuple):
--- a/packages/daemon/src/cardamompathd/backends/connections.py
+++ b/packages/daemon/src/cardamompathd/backends/connections.py
@@ -15,12 +15,15 @@
 from cardamompathd import messages
 
 __all__ = [
+    "LEAVING_HEADER",
     "NOT_RUN_HEADER",
     "ConnectionActor",
     "ConnectionEnded",
     "ConnectionLimits",
 ]
 
+LEAVING_HEADER = "Server-Leaving"
+"""A backend server that takes no more work answers with it set to yes."""
 NOT_RUN_HEADER = "Task-Run"
 """A backend server that refuses a task answers with ``Task-Run: no``."""
 
@@ -98,7 +101,10 @@
         if response.headers.get("Connection", "").lower() == "close":
             self._close()
         not_run = response.headers.get(NOT_RUN_HEADER) == "no"
-        return types.BackendAnswer("done", response.status, payload, not_run)
+        leaving = response.headers.get(LEAVING_HEADER) == "yes"
+        return types.BackendAnswer(
+            "done", response.status, payload, not_run, leaving=leaving
+        )
 
     def _send(self, conn, msg):
         headers = {
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/backend_health.py
@@ -0,0 +1,116 @@
+"""What the outcomes of tasks say of a backend server."""
+
+from __future__ import annotations
+
+import operator
+
+from cardamompath_core import health
+from cardamompath_core import outcomes
+from cardamompath_core import types
+from cardamompathd.controllers import service_state
+
+__all__ = [
+    "find_probe",
+    "observe",
+    "review",
+]
+
+REFUSAL_PAUSE = 0.1
+"""Seconds without new work after a refusal, halved or doubled at random."""
+LEAVING_PAUSE = 60.0
+"""Seconds without new work after a server said that it leaves."""
+OVERDUE_FACTOR = 3.0
+"""A task is overdue after this many times what was expected."""
+OVERDUE_SECONDS = 0.25
+FEWEST_OVERDUE = 3
+"""Overdue tasks that make a server suspect, stragglers being rare."""
+OVERDUE_SHARE = 0.75
+"""Share of the tasks in flight that must be overdue besides."""
+IDLE_SECONDS = 5.0
+"""An unused server's speed counts less after this time."""
+DRIFT = 0.02
+"""Share of a speed that is forgotten with each review."""
+
+_BEGAN = operator.attrgetter("began")
+
+
+def observe(
+    backend: service_state.Backend,
+    flight: service_state.Flight,
+    job: str,
+    answer: types.BackendAnswer,
+    verdict: outcomes.Verdict,
+    now: float,
+) -> None:
+    """Weigh the outcome of a task on a backend server."""
+    backend.stalled = False
+    if answer.leaving:
+        backend.leaving_until = now + LEAVING_PAUSE
+    if verdict == "not_run":
+        pause = REFUSAL_PAUSE * backend.service.rng.uniform(0.5, 2.0)
+        backend.refused_until = now + pause
+    if flight.probe:
+        _take_probe(backend, verdict, now)
+    elif verdict != "not_run":
+        _weigh(backend, flight, job, verdict == "finished", now)
+    backend.update_room(now)
+
+
+def _take_probe(backend, verdict, now):
+    service = backend.service
+    backend.health.probed(verdict == "finished", now, service.rng)
+    if not backend.health.ejected:
+        service.ejected.remove(backend)
+
+
+def _weigh(backend, flight, job, finished, now):
+    service = backend.service
+    kind = flight.task.kind
+    share = service.failures.share(kind)
+    service.failures.observe(kind, not finished)
+    if finished:
+        backend.health.succeeded(share)
+        return
+    if not service.failures.is_first_of(job):
+        return
+    if not backend.health.failed(share):
+        return
+    if health.may_eject(len(service.ejected), len(service.backends)):
+        backend.health.eject(now, service.rng)
+        service.ejected.append(backend)
+
+
+def find_probe(
+    service: service_state.Service, harmless: bool, now: float
+) -> service_state.Backend | None:
+    """Return an ejected backend server that a task may be tried on."""
+    for backend in service.ejected:
+        if backend.leaving or now < backend.leaving_until:
+            continue
+        if backend.health.may_probe(now, harmless):
+            return backend
+    return None
+
+
+def review(backend: service_state.Backend, now: float) -> None:
+    """Look for tasks that do not end; to be called at intervals."""
+    backend.health.fade(now)
+    learned = backend.service.learned
+    name = backend.spec.name
+    overdue = [
+        one for one in backend.flights.values() if _is_overdue(one, now)
+    ]
+    suspect = max(FEWEST_OVERDUE, OVERDUE_SHARE * len(backend.flights))
+    if len(overdue) >= suspect:
+        oldest = min(overdue, key=_BEGAN)
+        backend.stalled = backend.last_end <= oldest.began
+        learned.slowed(name, oldest.size, now - oldest.began)
+    elif not backend.flights and now - backend.last_end > IDLE_SECONDS:
+        learned.drift(name, DRIFT)
+    backend.server.speed = learned.speed(name)
+    backend.update_room(now)
+
+
+def _is_overdue(flight, now):
+    expected = flight.ends - flight.began
+    return now > flight.began + OVERDUE_FACTOR * expected + OVERDUE_SECONDS
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -17,6 +17,7 @@
 from cardamompath_core import subsets
 from cardamompath_core import types
 from cardamompathd import messages
+from cardamompathd.controllers import backend_health
 from cardamompathd.controllers import service_state
 
 __all__ = [
@@ -29,6 +30,13 @@
 """Status of the peers that have a share of the backend servers."""
 
 
+TICK = 0.25
+"""Seconds between reviews of the backend servers."""
+PROBE_SECONDS = 0.5
+PROBE_FACTOR = 4.0
+"""A probe is given up after so many times its expected size."""
+
+
 class _Work(NamedTuple):
     """A job whose tasks are queued or in flight."""
 
@@ -46,6 +54,8 @@
         self.services: dict[str, service_state.Service] = {}
         self.backends: dict[str, service_state.Backend] = {}
         self.jobs: dict[str, _Work] = {}
+        self.leaving: frozenset[str] = frozenset()
+        self.ticking = False
         self.instances: tuple[subsets.Member, ...] = (self.own,)
 
 
@@ -107,13 +117,24 @@
             return sends
         queued = head[1]
         first = queued.lanes[queueing.SHORT][-1]
-        server = service.choose(first, now)
+        server = _choose(state, service, queued, first, now)
         if server is None:
             return sends
         task = service.queue.take(queueing.SHORT, service.width)
         sends.append(_start(state, queued, task, server.name, now))
 
 
+def _choose(state, service, queued, task, now):
+    if service.ejected:
+        spec = state.jobs[queued.job].enqueued.spec
+        harmless = _is_harmless(spec)
+        backend = backend_health.find_probe(service, harmless, now)
+        if backend is not None:
+            backend.health.probing = True
+            return backend.server
+    return service.choose(task, now)
+
+
 def _start(state, queued, chosen, name, now):
     backend = state.backends[name]
     enqueued = state.jobs[queued.job].enqueued
@@ -122,6 +143,8 @@
     queued.started = True
     backend.start(ref, task, chosen, now)
     timeout = min(queued.deadline - now, backend.service.timeout)
+    if backend.health.probing:
+        timeout = min(timeout, PROBE_SECONDS + PROBE_FACTOR * chosen.size)
     return messages.Send(
         messages.CONNECTIONS,
         messages.StartTask(
@@ -132,14 +155,16 @@
 
 def _ended(state, msg, now):
     backend = state.backends.get(msg.backend)
-    flight = backend.end(msg.task) if backend else None
+    flight = backend.end(msg.task, now) if backend else None
     verdict = outcomes.judge(msg.answer)
     if flight is not None:
         _learn(backend, flight, msg.answer, verdict, now)
+        job = msg.task.job
+        backend_health.observe(backend, flight, job, msg.answer, verdict, now)
     work = state.jobs.get(msg.task.job)
     sends = []
     if work is not None:
-        sends += _settle(state, work, msg, verdict)
+        sends += _settle(state, work, msg, verdict, flight)
     if backend is not None:
         sends += _start_ready(state, backend.service, now)
     return sends
@@ -161,9 +186,9 @@
     backend.server.speed = service.learned.speed(name)
 
 
-def _settle(state, work, msg, verdict):
+def _settle(state, work, msg, verdict, flight):
     task = work.enqueued.spec.tasks[msg.task.index]
-    if verdict == "not_run":
+    if verdict == "not_run" or _is_spoilt_probe(work, verdict, flight):
         _requeue(state, work, msg.task, task)
         return []
     answer = msg.answer
@@ -174,6 +199,17 @@
     return [messages.Send(messages.JOBS, settled)]
 
 
+def _is_spoilt_probe(work, verdict, flight):
+    """Return whether a probe failed with a task that may run again."""
+    if flight is None or not flight.probe or verdict == "finished":
+        return False
+    return _is_harmless(work.enqueued.spec)
+
+
+def _is_harmless(spec):
+    return spec.single and spec.idempotent
+
+
 def _requeue(state, work, ref, task):
     service = _service(state, task.service)
     queued = work.queued[task.service]
@@ -202,8 +238,35 @@
         if backend is None or backend.service is not service:
             backend = service_state.Backend(spec, service)
         backend.spec = spec
+        backend.leaving = spec.name in state.leaving
         state.backends[spec.name] = backend
-    return _assign(state, now)
+    sends = _assign(state, now)
+    if not state.ticking:
+        state.ticking = True
+        sends.append(_set_tick(now))
+    return sends
+
+
+def _set_tick(now):
+    tick = messages.SetTimer(now + TICK, messages.BACKENDS, "tick")
+    return messages.Send(messages.TIMERS, tick)
+
+
+def _tick(state, msg, now):
+    for backend in state.backends.values():
+        backend_health.review(backend, now)
+    sends = [_set_tick(now)]
+    for service in state.services.values():
+        sends += _start_ready(state, service, now)
+    return sends
+
+
+def _leave(state, msg, now):
+    state.leaving = msg.names
+    for name, backend in state.backends.items():
+        backend.leaving = name in msg.names
+        backend.update_room(now)
+    return []
 
 
 def _assign(state, now):
@@ -212,7 +275,7 @@
         backends = [
             one for one in state.backends.values() if one.service is service
         ]
-        service.assign(backends, state.own, state.instances)
+        service.assign(backends, state.own, state.instances, now)
         sends += _start_ready(state, service, now)
     return sends
 
@@ -242,10 +305,12 @@
 
 
 _HANDLERS = {
+    messages.BackendsLeaving: _leave,
     messages.ConfigurationChanged: _configure,
     messages.Enqueue: _enqueue,
     messages.GetStatus: _status,
     messages.PeersChanged: _take_peers,
     messages.TaskEnded: _ended,
+    messages.TimerFired: _tick,
     messages.Withdraw: _withdraw,
 }
--- a/packages/daemon/src/cardamompathd/controllers/service_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/service_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import operator
 import random
 from collections.abc import Iterable
@@ -9,6 +10,7 @@
 from typing import NamedTuple
 
 from cardamompath_core import estimates
+from cardamompath_core import health
 from cardamompath_core import limits
 from cardamompath_core import queueing
 from cardamompath_core import routing
@@ -38,6 +40,8 @@
     """Whether it took a slot beyond this instance's own."""
     ends: float
     """When it is expected to end."""
+    probe: bool
+    """Whether the backend server was ejected at its start."""
 
 
 _ENDS = operator.attrgetter("ends")
@@ -46,13 +50,55 @@
 class Backend:
     """One backend server and the tasks it has from this instance."""
 
-    __slots__ = ("flights", "server", "service", "spec")
+    __slots__ = (
+        "flights",
+        "health",
+        "last_end",
+        "leaving",
+        "leaving_until",
+        "most",
+        "refused_until",
+        "server",
+        "service",
+        "spec",
+        "stalled",
+    )
 
     def __init__(self, spec: types.BackendSpec, service: Service):
         self.spec = spec
         self.service = service
         self.server = routing.Server(spec.name)
         self.flights: dict[types.TaskRef, Flight] = {}
+        self.health = health.Health()
+        self.leaving = False
+        self.leaving_until = 0.0
+        self.most = 0
+        """Most tasks in flight at any time."""
+        self.refused_until = 0.0
+        self.stalled = False
+        self.last_end = 0.0
+
+    def is_closed(self, now: float) -> bool:
+        """Return whether no ordinary task may start here."""
+        return (
+            self.leaving
+            or self.stalled
+            or self.health.ejected
+            or now < self.leaving_until
+            or now < self.refused_until
+        )
+
+    def update_room(self, now: float) -> None:
+        """Bring the slots that may be used up to date."""
+        server = self.server
+        if self.is_closed(now):
+            server.room = server.limit = 0
+            return
+        share = self.health.share_of_work(now)
+        server.room = math.ceil(server.home * share)
+        server.limit = math.ceil(self.most * share)
+        if self.health.is_suspect():
+            server.limit = server.room
 
     def start(
         self,
@@ -66,17 +112,24 @@
         borrowed = self.service.started(server)
         ends = now + queued.size / server.speed + server.extra
         self.flights[ref] = Flight(
-            now, task, queued.size, queued.lane, borrowed, ends
+            now,
+            task,
+            queued.size,
+            queued.lane,
+            borrowed,
+            ends,
+            self.health.probing,
         )
         if len(self.flights) == 1 or ends < server.next_free:
             server.next_free = ends
 
-    def end(self, ref: types.TaskRef) -> Flight | None:
+    def end(self, ref: types.TaskRef, now: float) -> Flight | None:
         """Count a task out; return what was known of it."""
         flight = self.flights.pop(ref, None)
         if flight is None:
             return None
         self.service.ended(self.server)
+        self.last_end = now
         if self.flights:
             self.server.next_free = min(map(_ENDS, self.flights.values()))
         return flight
@@ -99,6 +152,8 @@
         self.timeout = float("inf")
         self.queue = queueing.TaskQueue()
         self.learned = estimates.Estimates()
+        self.failures = health.FailureShares()
+        self.ejected: list[Backend] = []
         self.backends: list[Backend] = []
         self.servers: list[routing.Server] = []
         self.homes: list[routing.Server] = []
@@ -112,6 +167,7 @@
         backends: Iterable[Backend],
         own: subsets.Member,
         instances: Sequence[subsets.Member],
+        now: float,
     ) -> None:
         """Take over the backend servers and the live instances.
 
@@ -123,6 +179,8 @@
             This instance.
         instances : sequence of Member
             All live instances, this one included.
+        now : float
+            The present time in seconds.
         """
         self.backends = list(backends)
         members = [
@@ -137,9 +195,11 @@
                 one.spec.connections, len(instances)
             )
             server.home = min(server.home, share)
-            server.limit = min(one.spec.slots, share)
+            one.most = min(one.spec.slots, share)
+            one.update_room(now)
             near = one.spec.domain == own.domain
             server.extra = 0.0 if near else FAR_SECONDS
+        self.ejected = [one for one in self.backends if one.health.ejected]
         self.servers = [one.server for one in self.backends]
         self.homes = [one for one in self.servers if one.home]
         self.width = float(max(1, sum(one.home for one in self.homes)))
--- a/packages/daemon/src/cardamompathd/tests/test_backends.py
+++ b/packages/daemon/src/cardamompathd/tests/test_backends.py
@@ -172,3 +172,125 @@
         (ref,) = self.flying
         self.end(ref, NOT_RUN)
         self.assertEqual({}, self.flying)
+
+
+class HealthTest(BackendsCase):
+    def run_all(self, count, bad="b0", answer=FAILED, **fields):
+        """Run single requests one by one; return those that failed."""
+        lost = 0
+        for _ in range(count):
+            self.now += 0.02
+            self.submit(idempotent=True, single=True, **fields)
+            for ref in [*self.flying]:
+                broken = self.flying[ref].backend.name == bad
+                self.end(ref, answer if broken else FINISHED)
+            lost += any(
+                result.state != "finished" for result in self.settled.values()
+            )
+            self.settled.clear()
+        return lost
+
+    def tick(self):
+        self.now += 0.25
+        self.tell(messages.TimerFired("tick"))
+
+    def test_server_that_fails_everything_is_left(self):
+        self.configure(*make_backends(6))
+        self.assertLessEqual(self.run_all(200), 2)
+
+    def test_probe_that_fails_runs_elsewhere(self):
+        self.configure(*make_backends(6))
+        self.run_all(100)
+        self.now += 10.0
+        self.submit(idempotent=True, single=True)
+        (ref,) = self.refs_on("b0")
+        self.end(ref, FAILED)
+        self.assertNotIn(ref, self.settled)
+        self.assertNotEqual("b0", self.flying[ref].backend.name)
+
+    def test_server_that_recovered_returns_by_probes(self):
+        self.configure(*make_backends(6))
+        self.run_all(100)
+        self.assertEqual([], self.started_on("b0", 30))
+        self.now += 10.0
+        self.run_all(20, bad="none")
+        self.assertNotEqual([], self.started_on("b0", 30))
+
+    def started_on(self, name, count):
+        self.submit(count)
+        found = self.refs_on(name)
+        for ref in [*self.flying]:
+            self.end(ref)
+        return found
+
+    def test_bad_job_ejects_no_server(self):
+        self.configure(*make_backends(6))
+        for _ in range(3):
+            self.submit(200, kind="bad")
+            for ref in [*self.flying]:
+                self.end(ref, FAILED)
+            self.tell(messages.Withdraw(f"job-{self.jobs}"))
+            for ref in [*self.flying]:
+                self.end(ref, FAILED)
+        self.submit(48)
+        self.assertEqual(6, len(self.in_flight()))
+
+    def test_silent_server_gets_no_more(self):
+        self.configure(*make_backends(6))
+        for _ in range(3):
+            self.now += 0.1
+            self.submit(12)
+            for ref in [*self.flying]:
+                if self.flying[ref].backend.name != "b0":
+                    self.end(ref)
+        held = len(self.refs_on("b0"))
+        self.assertLess(held, 8)
+        for _ in range(4):
+            self.tick()
+        self.submit(48)
+        self.assertEqual(held, len(self.refs_on("b0")))
+
+    def test_slow_server_keeps_what_it_can_carry(self):
+        self.configure(*make_backends(2))
+        for _ in range(60):
+            self.now += 0.1
+            self.submit(2)
+            for ref in [*self.flying]:
+                slow = self.flying[ref].backend.name == "b0"
+                self.end(ref, elapsed=0.5 if slow else 0.1)
+        self.submit(4)
+        self.assertEqual({"b1": 4}, self.in_flight())
+
+
+class LeavingTest(BackendsCase):
+    def test_leaving_server_gets_nothing_new(self):
+        self.configure(*make_backends(2))
+        self.tell(messages.BackendsLeaving(frozenset({"b0"})))
+        self.submit(20)
+        self.assertEqual({"b1": 8}, self.in_flight())
+        self.tell(messages.BackendsLeaving(frozenset()))
+        self.end(self.refs_on("b1")[0])
+        self.assertEqual({"b0", "b1"}, set(self.in_flight()))
+
+    def test_leaving_stays_in_force_in_a_new_configuration(self):
+        self.tell(messages.BackendsLeaving(frozenset({"b0"})))
+        self.configure(*make_backends(2))
+        self.submit(20)
+        self.assertEqual({"b1": 8}, self.in_flight())
+
+    def test_sign_in_an_answer_is_enough(self):
+        self.configure(*make_backends(2))
+        self.submit(2)
+        (ref,) = self.refs_on("b0")
+        self.end(ref, FINISHED._replace(leaving=True))
+        self.submit(20)
+        self.assertEqual({"b1": 8}, self.in_flight())
+
+    def test_refusal_pauses_the_server(self):
+        self.configure(*make_backends(2))
+        self.submit(1)
+        (ref,) = self.flying
+        refused = self.flying[ref].backend.name
+        self.end(ref, NOT_RUN)
+        self.submit(20)
+        self.assertNotIn(refused, self.in_flight())
