Lend home slots only while nothing waits at their owner

Cause: in a swing on all instances each takes the others' slots; the waits inside backend servers teach lower speeds, so that further borrowed tasks seem not to wait, and the limit grows to 100 and more. Change: an instance tells its peers when work begins or ceases to wait there, at most once a tick; the slots of an instance with waiting work are not borrowed.

--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -82,7 +82,9 @@
         secrets.token_hex(6),
     )
     table: dict[str, Any] = {
-        messages.CALLERS: lambda msg: msg.reply.set(msg.answer)
+        messages.CALLERS: lambda msg: msg.reply.set(msg.answer),
+        # Load reports go nowhere until there is someone to tell.
+        messages.MEMBERSHIP: lambda msg: None,
     }
     deliver = actors.make_router(table)
     _start_controllers(cfg, owner, table, deliver, clock)
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -55,7 +55,9 @@
         self.backends: dict[str, service_state.Backend] = {}
         self.jobs: dict[str, _Work] = {}
         self.leaving: frozenset[str] = frozenset()
+        self.busy: frozenset[str] = frozenset()
         self.ticking = False
+        self.reported = types.LoadHint()
         self.instances: tuple[subsets.Member, ...] = (self.own,)
 
 
@@ -83,6 +85,7 @@
     known = state.services.get(name)
     if known is None:
         known = service_state.Service(name, state.rng)
+        known.busy = state.busy
         state.services[name] = known
     return known
 
@@ -255,7 +258,7 @@
 def _tick(state, msg, now):
     for backend in state.backends.values():
         backend_health.review(backend, now)
-    sends = [_set_tick(now)]
+    sends = [_set_tick(now), *_report_load(state)]
     for service in state.services.values():
         sends += _start_ready(state, service, now)
     return sends
@@ -287,10 +290,37 @@
             owner = identity.parse_incarnation(peer.incarnation)
             instances.add(subsets.Member(owner.instance, owner.domain))
     found = tuple(sorted(instances))
-    if found == state.instances:
+    sends = []
+    if found != state.instances:
+        state.instances = found
+        sends += _assign(state, now)
+    return sends + _take_busy(state, msg.peers, now)
+
+
+def _take_busy(state, peers, now):
+    busy = frozenset(
+        identity.parse_incarnation(peer.incarnation).instance
+        for peer in peers
+        if peer.load.queued
+    )
+    state.busy = busy
+    sends = []
+    for service in state.services.values():
+        if service.take_busy(busy, now):
+            sends += _start_ready(state, service, now)
+    return sends
+
+
+def _report_load(state):
+    """Tell the peers when work begins or ceases to wait here."""
+    queued = sum(len(one.queue) for one in state.services.values())
+    if bool(queued) == bool(state.reported.queued):
         return []
-    state.instances = found
-    return _assign(state, now)
+    in_flight = sum(one.server.in_flight for one in state.backends.values())
+    limit = sum(one.server.home for one in state.backends.values())
+    state.reported = types.LoadHint(queued, in_flight, limit)
+    report = messages.LoadReport(state.reported)
+    return [messages.Send(messages.MEMBERSHIP, report)]
 
 
 def _status(state, msg, now):
--- a/packages/daemon/src/cardamompathd/controllers/service_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/service_state.py
@@ -56,6 +56,7 @@
         "last_end",
         "leaving",
         "leaving_until",
+        "lent",
         "most",
         "refused_until",
         "server",
@@ -72,6 +73,8 @@
         self.health = health.Health()
         self.leaving = False
         self.leaving_until = 0.0
+        self.lent = 0
+        """Slots of peers that may be idle."""
         self.most = 0
         """Most tasks in flight at any time."""
         self.refused_until = 0.0
@@ -96,7 +99,8 @@
             return
         share = self.health.share_of_work(now)
         server.room = math.ceil(server.home * share)
-        server.limit = math.ceil(self.most * share)
+        most = min(self.most, server.home + self.lent)
+        server.limit = math.ceil(most * share)
         if self.health.is_suspect():
             server.limit = server.room
 
@@ -159,6 +163,10 @@
         self.homes: list[routing.Server] = []
         self.borrowed = 0
         self.borrow = limits.BorrowLimit()
+        self.owners: dict[str, dict[str, int]] = {}
+        """Slots of each peer, by backend server."""
+        self.busy: frozenset[str] = frozenset()
+        """Peers that have work waiting and lend no slots."""
         self.width = 1.0
         """Tasks of a job that can be expected to run at once."""
 
@@ -187,7 +195,9 @@
             subsets.Member(one.spec.name, one.spec.domain, one.spec.slots)
             for one in self.backends
         ]
-        homes = subsets.home_slots(members, instances)[own.name]
+        dealt = subsets.home_slots(members, instances)
+        homes = dealt.pop(own.name)
+        self.owners = _by_server(dealt)
         for one in self.backends:
             server = one.server
             server.home = homes.get(server.name, 0)
@@ -196,9 +206,9 @@
             )
             server.home = min(server.home, share)
             one.most = min(one.spec.slots, share)
-            one.update_room(now)
             near = one.spec.domain == own.domain
             server.extra = 0.0 if near else FAR_SECONDS
+        self._lend(now)
         self.ejected = [one for one in self.backends if one.health.ejected]
         self.servers = [one.server for one in self.backends]
         self.homes = [one for one in self.servers if one.home]
@@ -207,6 +217,24 @@
             max(0, one.in_flight - one.home) for one in self.servers
         )
 
+    def take_busy(self, busy: frozenset[str], now: float) -> bool:
+        """Take over which peers lend no slots; return if that is new."""
+        if busy == self.busy:
+            return False
+        self.busy = busy
+        self._lend(now)
+        return True
+
+    def _lend(self, now):
+        for one in self.backends:
+            owners = self.owners.get(one.spec.name, {})
+            one.lent = sum(
+                slots
+                for peer, slots in owners.items()
+                if peer not in self.busy
+            )
+            one.update_room(now)
+
     def started(self, server: routing.Server) -> bool:
         """Count a task in; return whether its slot is borrowed."""
         server.in_flight += 1
@@ -238,3 +266,12 @@
         if self.borrowed < self.borrow.present:
             return routing.choose_borrowed(self.servers, wanted, self.rng)
         return None
+
+
+def _by_server(dealt):
+    """Return the slots of each instance by backend server."""
+    found = {}
+    for name, homes in dealt.items():
+        for server, slots in homes.items():
+            found.setdefault(server, {})[name] = slots
+    return found
--- a/packages/daemon/src/cardamompathd/tests/test_backends.py
+++ b/packages/daemon/src/cardamompathd/tests/test_backends.py
@@ -294,3 +294,30 @@
         self.end(ref, NOT_RUN)
         self.submit(20)
         self.assertNotIn(refused, self.in_flight())
+
+
+class HintTest(BackendsCase):
+    def tick(self):
+        self.now += 0.25
+        self.tell(messages.TimerFired("tick"))
+        return [one.msg for one in self.sends if one.to == "membership"]
+
+    def test_busy_peers_lend_nothing(self):
+        self.tell(messages.PeersChanged(make_peers(1, queued=5)))
+        self.configure(*make_backends(2))
+        self.submit(40)
+        self.assertEqual({"b0": 4, "b1": 4}, self.in_flight())
+        self.tell(messages.PeersChanged(make_peers(1)))
+        self.assertEqual({"b0": 8, "b1": 8}, self.in_flight())
+
+    def test_peers_hear_of_the_load_when_it_turns(self):
+        self.tell(messages.PeersChanged(make_peers(1, queued=5)))
+        self.configure(*make_backends(2))
+        self.assertEqual([], self.tick())
+        self.submit(9)
+        (report,) = self.tick()
+        self.assertEqual(types.LoadHint(1, 8, 8), report.load)
+        self.assertEqual([], self.tick())
+        self.end([*self.flying][0])
+        (report,) = self.tick()
+        self.assertEqual(0, report.load.queued)
