--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.demo
 
+bench-daemon: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.bench_daemon
+
 # Decisions under load in virtual time; fails on a missed target.
 bench: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.bench
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -12,12 +12,14 @@
 from typing import NamedTuple
 
 from cardamompath_core import identity
+from cardamompath_core import leases
 from cardamompath_core import outcomes
 from cardamompath_core import queueing
 from cardamompath_core import subsets
 from cardamompath_core import types
 from cardamompathd import messages
 from cardamompathd.controllers import backend_health
+from cardamompathd.controllers import fence
 from cardamompathd.controllers import service_state
 
 __all__ = [
@@ -43,6 +45,8 @@
     enqueued: messages.Enqueue
     queued: dict[str, queueing.QueuedJob]
     """What waits of it, by service."""
+    held: list[int]
+    """Tasks taken out of the queue because the lease lapsed."""
 
 
 class BackendsState:
@@ -59,6 +63,7 @@
         self.ticking = False
         self.reported = types.LoadHint()
         self.instances: tuple[subsets.Member, ...] = (self.own,)
+        self.leases: dict[str, float] = {}
 
 
 def make_controller(
@@ -91,7 +96,7 @@
 
 
 def _enqueue(state, msg, now):
-    work = _Work(msg, {})
+    work = _Work(msg, {}, [])
     state.jobs[msg.job] = work
     by_service = {}
     for index, task in enumerate(msg.spec.tasks):
@@ -119,6 +124,12 @@
         if head is None:
             return sends
         queued = head[1]
+        until = fence.start_by(state.leases, queued.job)
+        if not leases.may_start(until, now):
+            held = service.queue.withdraw(queued)
+            state.jobs[queued.job].held.extend(held)
+            sends += fence.lapse(state.leases, queued.job)
+            continue
         first = queued.lanes[queueing.SHORT][-1]
         server = _choose(state, service, queued, first, now)
         if server is None:
@@ -151,7 +162,13 @@
     return messages.Send(
         messages.CONNECTIONS,
         messages.StartTask(
-            backend.spec, ref, task.service, task.kind, task.payload, timeout
+            backend.spec,
+            ref,
+            task.service,
+            task.kind,
+            task.payload,
+            timeout,
+            fence.start_by(state.leases, queued.job),
         ),
     )
 
@@ -224,6 +241,7 @@
     work = state.jobs.pop(msg.job, None)
     left = []
     if work is not None:
+        left += work.held
         for name, queued in work.queued.items():
             left += state.services[name].queue.withdraw(queued)
     withdrawn = messages.Withdrawn(msg.job, tuple(left))
@@ -241,7 +259,7 @@
         if backend is None or backend.service is not service:
             backend = service_state.Backend(spec, service)
         backend.spec = spec
-        backend.leaving = spec.name in state.leaving
+        backend.leaving = spec.leaving or spec.name in state.leaving
         state.backends[spec.name] = backend
     sends = _assign(state, now)
     if not state.ticking:
@@ -267,7 +285,7 @@
 def _leave(state, msg, now):
     state.leaving = msg.names
     for name, backend in state.backends.items():
-        backend.leaving = name in msg.names
+        backend.leaving = backend.spec.leaving or name in msg.names
         backend.update_room(now)
     return []
 
@@ -283,6 +301,11 @@
     return sends
 
 
+def _take_lease(state, msg, now):
+    fence.take_lease(state.leases, msg)
+    return []
+
+
 def _take_peers(state, msg, now):
     instances = {state.own}
     for peer in msg.peers:
@@ -339,6 +362,7 @@
     messages.ConfigurationChanged: _configure,
     messages.Enqueue: _enqueue,
     messages.GetStatus: _status,
+    messages.LeaseChanged: _take_lease,
     messages.PeersChanged: _take_peers,
     messages.TaskEnded: _ended,
     messages.TimerFired: _tick,
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -7,45 +7,76 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
+from typing import Literal
 from typing import NamedTuple
 
+from cardamompath_core import log_fold
+from cardamompath_core import membership
+from cardamompath_core import settlement
 from cardamompath_core import types
 
 __all__ = [
     "APPENDER",
+    "Append",
+    "AppendEnded",
+    "AppendSnapshot",
+    "AskOwner",
     "AwaitJob",
-    "BackendsLeaving",
-    "InstancesListed",
-    "JOURNAL",
-    "LoadReport",
-    "MEMBERSHIP",
-    "PEERS",
-    "PeersChanged",
-    "QUOTAS",
     "BACKENDS",
+    "BackendsLeaving",
     "CALLERS",
     "CONFIGURATION",
     "CONNECTIONS",
     "CancelJob",
+    "Claim",
+    "Claimed",
+    "CollectProgress",
     "ConfigurationChanged",
+    "ConfigurationFetched",
     "Controller",
+    "DigestReceived",
     "Drain",
     "Drained",
     "Enqueue",
+    "ExchangeDigest",
+    "ExchangeEnded",
+    "FetchConfiguration",
+    "GetBody",
     "GetConfiguration",
     "GetStatus",
+    "INSTANCES",
+    "InstanceLeaving",
+    "InstancesListed",
     "IssueJob",
     "JOBS",
+    "JOURNAL",
+    "LOGS",
+    "LeaseChanged",
+    "LoadReport",
+    "LogLine",
+    "MEMBERSHIP",
     "NotOwner",
+    "OwnerChanged",
+    "PEERS",
+    "PeerConfiguration",
+    "PeersChanged",
+    "ProgressCollected",
+    "QUOTAS",
+    "ReadBack",
+    "ReadBackEnded",
+    "ReadInstances",
     "RecordsRead",
     "Reply",
+    "SNAPSHOTS",
     "Send",
     "SetTimer",
     "StartTask",
     "Submit",
+    "SubmitNamed",
     "TIMERS",
     "TaskEnded",
     "TaskSettled",
@@ -65,6 +96,9 @@
 MEMBERSHIP = "membership"
 PEERS = "peers"
 QUOTAS = "quotas"
+SNAPSHOTS = "snapshots"
+INSTANCES = "instances"
+LOGS = "logs"
 
 
 class Send(NamedTuple):
@@ -110,10 +144,20 @@
     reply: Any
 
 
+class SubmitNamed(NamedTuple):
+    """Submit a job under an identifier of the caller's own."""
+
+    name: str
+    spec: types.JobSpec
+    reply: Any
+
+
 class NotOwner(NamedTuple):
     """The job belongs to another incarnation."""
 
     job: str
+    address: tuple[str, int] | None = None
+    """Where the owner's instance listens for peers, if that is known."""
 
 
 class Reply(NamedTuple):
@@ -154,6 +198,8 @@
     payload: bytes
     timeout: float
     """Seconds until the exchange is given up."""
+    start_by: float = math.inf
+    """When the lease ends under which the task may start."""
 
 
 class TaskEnded(NamedTuple):
@@ -209,8 +255,16 @@
     entries: tuple[types.InstanceEntry, ...]
 
 
+class ReadInstances(NamedTuple):
+    """Read the platform's list of instances now."""
+
+
 class BackendsLeaving(NamedTuple):
-    """Backend servers that must get no new work, by name."""
+    """Backend servers that must get no new work, by name.
+
+    From the membership this is the whole set, which replaces the
+    earlier one; to the membership it is what the sender saw itself.
+    """
 
     names: frozenset[str]
 
@@ -221,12 +275,163 @@
     peers: tuple[types.PeerView, ...]
 
 
+class ExchangeDigest(NamedTuple):
+    """Send a digest to a peer and get the one of the peer."""
+
+    address: tuple[str, int]
+    digest: membership.Digest
+
+
+class ExchangeEnded(NamedTuple):
+    """An exchange of digests ended, without a digest when it failed."""
+
+    address: tuple[str, int]
+    digest: membership.Digest | None
+
+
+class DigestReceived(NamedTuple):
+    """A peer sent its digest and waits for the one of this instance."""
+
+    digest: membership.Digest
+    reply: Any
+
+
+class PeerConfiguration(NamedTuple):
+    """What a peer says that it has in force."""
+
+    address: tuple[str, int]
+    revision: int
+    offset: int
+    fingerprint: str
+
+
+class FetchConfiguration(NamedTuple):
+    """Ask a peer for what it folded after an offset."""
+
+    address: tuple[str, int]
+    after: int
+
+
+class ConfigurationFetched(NamedTuple):
+    """What a peer handed over; None when it did not answer."""
+
+    body: log_fold.Body | None
+
+
+class GetBody(NamedTuple):
+    """A peer asks for what was folded after an offset."""
+
+    after: int
+    reply: Any
+
+
+class AppendSnapshot(NamedTuple):
+    """Append a snapshot to the configuration's stream, once."""
+
+    record: Any
+
+
+class InstanceLeaving(NamedTuple):
+    """The instance drains and will not come back."""
+
+
+class LogLine(NamedTuple):
+    """Something for the log of the process."""
+
+    level: str
+    text: str
+
+
 class LoadReport(NamedTuple):
     """Load of this instance, for its peers."""
 
     load: types.LoadHint
 
 
+class LeaseChanged(NamedTuple):
+    """An incarnation of this process may start tasks until a time."""
+
+    owner: str
+    until: float
+
+
+class OwnerChanged(NamedTuple):
+    """Identifiers are issued under another incarnation from now on."""
+
+    owner: str
+
+
+class AskOwner(NamedTuple):
+    """Answer for a job of another instance: settled, or not our own."""
+
+    job: str
+    total: int
+    """Number of tasks, 0 when it is not known."""
+    address: tuple[str, int] | None
+    """Where the owner's instance listens for peers, if that is known."""
+    reply: Any
+
+
+class Claim(NamedTuple):
+    """Claim a caller's own identifier in the log."""
+
+    name: str
+    job: str
+    digest: str
+    lookup: bool = False
+    """Only tell who won the name, if anyone did."""
+
+
+class Claimed(NamedTuple):
+    """How a claim ended."""
+
+    name: str
+    job: str
+    """The job that won the name; empty if the log did not take it."""
+    digest: str = ""
+
+
+class CollectProgress(NamedTuple):
+    """Ask the jobs controller for what is to be journalled.
+
+    Jobs accepted before a time are told, and those that ended.
+    """
+
+    accepted_before: float
+
+
+class ProgressCollected(NamedTuple):
+    """What is new of the jobs since the last time."""
+
+    jobs: dict[str, settlement.Progress]
+
+
+class Append(NamedTuple):
+    """Append records to a stream."""
+
+    stream: str
+    records: tuple[dict[str, Any], ...]
+
+
+class AppendEnded(NamedTuple):
+    """How the last append ended."""
+
+    outcome: Literal["done", "refused", "unknown"]
+
+
+class ReadBack(NamedTuple):
+    """Read a stream from an offset to its head."""
+
+    stream: str
+    offset: int
+
+
+class ReadBackEnded(NamedTuple):
+    """What was read back; None while the log cannot be read."""
+
+    records: tuple[dict[str, Any], ...] | None
+
+
 class GetConfiguration(NamedTuple):
     """Ask for the configuration in force."""
 
