--- a/packages/core/src/cardamompath_core/estimates.py
+++ b/packages/core/src/cardamompath_core/estimates.py
@@ -2,6 +2,10 @@
 
 Both are learned in logarithms with bounded steps, so that a straggler
 moves an estimate no further than any other slow task.
+
+Tasks that wait inside crowded backend servers seem longer.  Speeds are
+therefore relative to their mean, and sizes grow slower than they shrink:
+otherwise a crowd would teach that waiting is usual.
 """
 
 from __future__ import annotations
@@ -18,6 +22,10 @@
 """Shortest time that is learned from, in seconds."""
 FLOOR_GAIN = 0.05
 """Weight of one more task of a well-known kind."""
+GROWING_SHARE = 0.1
+"""Share of that weight for a task that took longer than expected."""
+WARM_UP = 20
+"""Tasks of a kind after which that share counts."""
 SPEED_GAIN = 0.1
 """Weight of one more task in the speed of a backend server."""
 LARGEST_STEP = 1.0
@@ -42,6 +50,7 @@
     def __init__(self):
         self._kinds: dict[str, _Kind] = {}
         self._speeds: dict[str, float] = {}
+        self._mean = 0.0
         self._typical = math.log(PRIOR_SIZE)
 
     def size(self, kind: str, declared: float | None) -> float:
@@ -66,7 +75,16 @@
 
     def speed(self, server: str) -> float:
         """Return the learned speed of a backend server; 1 is usual."""
-        return math.exp(self._speeds.get(server, 0.0))
+        return math.exp(self._relative(server))
+
+    def _relative(self, server):
+        known = self._speeds.get(server)
+        return 0.0 if known is None else known - self._mean
+
+    def _set_speed(self, server, log_speed):
+        known = self._speeds.get(server, self._mean)
+        self._speeds[server] = log_speed
+        self._mean += (log_speed - known) / len(self._speeds)
 
     def observe(self, kind: str, server: str, elapsed: float) -> None:
         """Learn from a task that finished.
@@ -81,7 +99,7 @@
             Seconds that the exchange took.
         """
         took = math.log(max(elapsed, LEAST_TIME))
-        speed = self._speeds.get(server, 0.0)
+        speed = self._relative(server)
         known = self._kinds.get(kind)
         if known is None:
             if len(self._kinds) >= MOST_KINDS:
@@ -89,24 +107,30 @@
             known = self._kinds[kind] = _Kind(took + speed)
         surprise = _bounded(took + speed - known.log_size)
         known.count += 1
-        known.log_size += surprise * max(1.0 / known.count, FLOOR_GAIN) / 2
-        self._speeds[server] = speed - SPEED_GAIN * surprise
+        gain = max(1.0 / known.count, FLOOR_GAIN) / 2
+        if surprise > 0 and known.count > WARM_UP:
+            gain *= GROWING_SHARE
+        known.log_size += surprise * gain
+        self._set_speed(server, speed + self._mean - SPEED_GAIN * surprise)
         self._typical += FLOOR_GAIN * (known.log_size - self._typical)
 
     def slowed(self, server: str, size: float, age: float) -> None:
         """Learn from a task that has not ended after `age` seconds."""
         bound = math.log(size) - math.log(max(age, LEAST_TIME))
-        self._speeds[server] = min(self._speeds.get(server, 0.0), bound)
+        if bound < self._relative(server):
+            self._set_speed(server, bound + self._mean)
 
     def drift(self, server: str, share: float) -> None:
         """Move the speed of an unused server towards the usual one."""
-        known = self._speeds.get(server)
-        if known is not None:
-            self._speeds[server] = known * (1.0 - share)
+        if server in self._speeds:
+            change = share * self._relative(server)
+            self._set_speed(server, self._speeds[server] - change)
 
     def forget(self, server: str) -> None:
         """Forget the speed of a backend server that is gone."""
-        self._speeds.pop(server, None)
+        if server in self._speeds:
+            self._set_speed(server, self._mean)
+            del self._speeds[server]
 
 
 def _bounded(value):
--- a/packages/core/src/cardamompath_core/tests/test_estimates.py
+++ b/packages/core/src/cardamompath_core/tests/test_estimates.py
@@ -34,6 +34,27 @@
             20.0, size("fitting", None) / size("confirm", None), delta=4.0
         )
 
+    def test_a_crowd_does_not_teach_that_waiting_is_usual(self):
+        servers = [f"b{one}" for one in range(6)]
+        for took in (0.1, 0.2):
+            for _ in range(40):
+                for server in servers:
+                    self.learned.observe("confirm", server, took)
+        for server in servers:
+            expected = self.learned.size("confirm", None)
+            expected /= self.learned.speed(server)
+            self.assertLess(expected, 0.15)
+
+    def test_task_that_does_not_end_makes_its_server_slow(self):
+        for server in ("slow", "other", "third"):
+            self.learned.observe("confirm", server, 0.1)
+        self.learned.slowed("slow", 0.1, 1.0)
+        ratio = self.learned.speed("slow") / self.learned.speed("other")
+        self.assertAlmostEqual(0.1, ratio, delta=0.01)
+        for _ in range(200):
+            self.learned.drift("slow", 0.02)
+        self.assertGreater(self.learned.speed("slow"), 0.8)
+
     def test_number_of_kinds_is_bounded(self):
         for one in range(estimates.MOST_KINDS + 10):
             self.learned.observe(f"kind-{one}", "b0", 0.1)
--- a/packages/proof/src/cardamompath_proof/bench/cluster.py
+++ b/packages/proof/src/cardamompath_proof/bench/cluster.py
@@ -31,7 +31,8 @@
 SLOW_FACTOR = 10.0
 HINT_PERIOD = 0.25
 """Shortest time between load hints of one instance, in seconds."""
-HINT_DELAY = 0.005
+HINT_DELAY = 4.0
+"""Seconds until a load hint is known: two rounds of the digests."""
 GRACE = 40.0
 """Seconds after the last arrival at which a run is cut off."""
 SERVICE = "booking"
