--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 	packages/proof
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test lint format demo idle bench bench-small
+.PHONY: setup test lint format demo idle bench bench-daemon bench-small \
+	scenarios model model-wide
 
 setup: $(STAMP)
 
@@ -47,3 +48,14 @@
 # Processor share and memory of an idle daemon over 30 seconds.
 idle: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.idle
+
+# Every scenario, and the matrix of promise by failure.
+scenarios: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.scenarios.matrix
+
+# The core protocol over all interleavings, and its broken variants.
+model: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.model
+
+model-wide: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.model --wide
