--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,10 @@
 bench-small: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.bench --small --ours --report
 
+# Processor share and memory of an idle daemon over 30 seconds.
+idle: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.idle
+
 # Every scenario, and the matrix of promise by failure.
 scenarios: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.scenarios.matrix
@@ -55,7 +59,3 @@
 
 model-wide: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.model --wide
-
-# Processor share and memory of an idle daemon over 30 seconds.
-idle: $(STAMP)
-	$(BIN)/python -m cardamompath_proof.idle
--- a/packages/core/src/cardamompath_core/routing.py
+++ b/packages/core/src/cardamompath_core/routing.py
@@ -50,6 +50,7 @@
         "limit",
         "name",
         "next_free",
+        "room",
         "speed",
     )
 
@@ -58,8 +59,10 @@
         self.in_flight = 0
         self.home = 0
         """Slots that are this instance's own."""
+        self.room = 0
+        """Own slots that may be used at present."""
         self.limit = 0
-        """Most tasks in flight, borrowed slots included."""
+        """Most tasks in flight at present, borrowed slots included."""
         self.extra = 0.0
         """Seconds that an exchange takes longer than a near one."""
         self.speed = 1.0
@@ -95,14 +98,16 @@
     for server in homes:
         speed = server.speed
         used = server.in_flight
-        if used >= server.home:
+        if used >= server.room:
+            if not server.room:
+                continue
             ends = server.next_free - wanted.now
             ends = max(ends, 0.0) + size / speed + server.extra
             full_soonest = min(full_soonest, ends)
-            full_rate += server.home * speed
+            full_rate += server.room * speed
             continue
         cost = size / speed + server.extra
-        cost *= 1.0 + EVENNESS * used / server.home
+        cost *= 1.0 + EVENNESS * used / server.room
         if cost < best_cost:
             best, best_cost = server, cost
     if best is None or not full_rate:
@@ -119,8 +124,7 @@
     """Return the best of a few servers whose slots are all not our own."""
     best = None
     best_cost = float("inf")
-    for _ in range(min(SAMPLE, len(servers))):
-        server = servers[int(rng.random() * len(servers))]
+    for server in _sample(servers, rng):
         if server.in_flight >= server.limit:
             continue
         cost = wanted.size / server.speed + server.extra
@@ -129,3 +133,10 @@
         if cost < best_cost:
             best, best_cost = server, cost
     return best
+
+
+def _sample(servers, rng):
+    count = len(servers)
+    if count <= SAMPLE:
+        return servers
+    return [servers[int(rng.random() * count)] for _ in range(SAMPLE)]
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -276,6 +276,10 @@
 
 
 def _finish(state, job, now):
+    until = fence.start_by(state.leases, job.job)
+    if not leases.may_start(until, now):
+        # Peers may have answered for it already.
+        job.cancelled = LAPSED.code
     job.answer = job_store.make_answer(job)
     sends = [_reply(reply, job.answer) for reply in job.waiters]
     job.fetched = bool(job.waiters)
@@ -296,7 +300,8 @@
 
 def _see_peers(state, msg, now):
     state.addresses = {}
-    for peer in msg.peers:
+    # The living go last: an instance may have a dead incarnation too.
+    for peer in sorted(msg.peers, key=lambda one: one.status != "dead"):
         owner = identity.parse_incarnation(peer.incarnation)
         place = (owner.domain, owner.instance)
         state.addresses[place] = (peer.host, peer.port)
