--- a/packages/proof/src/cardamompath_proof/harness/instances.py
+++ b/packages/proof/src/cardamompath_proof/harness/instances.py
@@ -30,19 +30,15 @@
 ANSWER_TTL = 300.0
 """Seconds for which an answer can be asked for again."""
 
+ANSWER_HOLD = 1.0
+"""Seconds for which a leaving instance keeps unfetched answers."""
+
 LISTENER_STOP = 5.0
 """Seconds that a listener leaves its open requests when it stops."""
 
 LOOK = 0.01
 """Seconds between two looks whether a request is still open."""
 
-BEGIN = (
-    (messages.JOURNAL, controllers.journal.COMMIT),
-    (messages.MEMBERSHIP, "round"),
-    (messages.MEMBERSHIP, "list"),
-)
-"""Timers that the runtime fires once at the start."""
-
 
 class Parts(NamedTuple):
     """How the controllers of an instance are made."""
@@ -57,7 +53,6 @@
 def make_controllers(
     parts: Parts,
     owner: identity.Incarnation,
-    address: tuple[str, int],
     seeds: Sequence[tuple[str, int]],
     draw: Callable[[], str],
     make_rng: Callable[[], random.Random],
@@ -68,7 +63,7 @@
         parts.backends(owner, make_rng()),
         parts.configuration(make_rng()),
         parts.journal(owner, draw),
-        parts.membership(owner, address, seeds, make_rng()),
+        parts.membership(owner, seeds, make_rng()),
     ]
 
 
@@ -108,8 +103,11 @@
         self.outside = links.make_links(self)
         self._follow("configuration", messages.CONFIGURATION, reader.WAIT)
         self._follow("journal", messages.JOURNAL, app.JOURNAL_WAIT)
-        for to, key in BEGIN:
-            self.tell(messages.Send(to, messages.TimerFired(key)))
+        commit = messages.TimerFired(controllers.journal.COMMIT)
+        self.tell(messages.Send(messages.JOURNAL, commit))
+        address = (self.entry.host, self.entry.port)
+        listening = messages.PeersListening(address)
+        self.tell(messages.Send(messages.MEMBERSHIP, listening))
 
     def _make(self):
         seeds = [
@@ -119,7 +117,6 @@
         made = make_controllers(
             self.world.parts,
             self.owner,
-            (self.entry.host, self.entry.port),
             seeds,
             self._draw,
             self._rng,
@@ -161,12 +158,15 @@
         def close(_):
             if self.life == life:
                 self.world.note(f"{self.name} has drained")
+                release = messages.ReleaseWaiters()
+                self.tell(messages.Send(messages.JOBS, release))
                 until = self.world.queue.now + LISTENER_STOP
                 self._close_listener(until)
 
         leaving = messages.InstanceLeaving()
         self.tell(messages.Send(messages.MEMBERSHIP, leaving))
-        self.tell(messages.Send(messages.JOBS, messages.Drain(close)))
+        drain = messages.Drain(close, ANSWER_HOLD)
+        self.tell(messages.Send(messages.JOBS, drain))
 
     def _close_listener(self, until):
         """End when no caller is waiting, or after the listener's time."""
--- a/packages/proof/src/cardamompath_proof/harness/links.py
+++ b/packages/proof/src/cardamompath_proof/harness/links.py
@@ -30,6 +30,7 @@
         messages.LOGS: functools.partial(_log, instance),
         messages.PEERS: functools.partial(_call_peer, instance),
         messages.SNAPSHOTS: functools.partial(_append_snapshot, instance),
+        messages.TELEMETRY: lambda msg: None,
         messages.TIMERS: functools.partial(_set_timer, instance),
     }
 
