--- a/packages/core/src/cardamompath_core/tests/test_log_fold.py
+++ b/packages/core/src/cardamompath_core/tests/test_log_fold.py
@@ -1,6 +1,7 @@
 import json
 import random
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -84,6 +85,28 @@
         self.assertEqual(len(broken), len(folded.faults), folded.faults)
         self.assertTrue(log_fold.has_gap(folded.state))
 
+    def test_gap_is_not_closed_by_an_older_revision(self):
+        state = read(WHOLE.state, [*LOG, *LOG], oldest=8).state
+        other = WHOLE.state.cfg._replace(offset=9, revision=1)
+        log = [*LOG, *LOG, snapshots.make_record(other)]
+        state = read(state, log, oldest=8).state
+        self.assertTrue(log_fold.has_gap(state))
+        self.assertEqual(WHOLE.state.cfg, state.cfg)
+
+    def test_notes_held_behind_a_gap_are_bounded(self):
+        with mock.patch.object(log_fold, "MAX_PENDING", 2):
+            state = read(log_fold.FoldState(), LOG, oldest=1).state
+        self.assertEqual([3, 5], [offset for offset, _ in state.pending])
+        early = read(log_fold.FoldState(), LOG[:1]).state.cfg
+        state = log_fold.adopt(state, early).state
+        self.assertTrue(log_fold.has_gap(state))
+        self.assertEqual(1, state.cfg.revision)
+
+    def test_body_of_notes_that_do_not_join_is_left_aside(self):
+        state = read(log_fold.FoldState(), LOG[:1]).state
+        body = log_fold.Body(3, 5, ((5, LOG[5]),))
+        self.assertEqual(state, log_fold.take_body(state, body).state)
+
     def test_divergence_is_told(self):
         other = [note(0, "x"), *LOG[1:]]
         wrong = read(log_fold.FoldState(), other).state.cfg
--- a/packages/daemon/src/cardamompathd/tests/test_membership.py
+++ b/packages/daemon/src/cardamompathd/tests/test_membership.py
@@ -127,6 +127,29 @@
         called = {one.msg.address for one in sends if one.to == "peers"}
         self.assertIn(ADDRESSES["three"], called)
 
+    def test_failing_and_dead_are_called_apart_from_the_others(self):
+        self.node.hear(make_digest("three", 1))
+        self.node.hear(make_digest("two", 1))
+        self.miss(1)
+        for _ in range(20):
+            self.node.hear(make_digest("three", 1))
+            called = {one.msg.address for one in self.calls()}
+            self.assertNotIn(SEED, called)
+        self.node.hear(make_digest("next", 1))
+        gone = entry("next", 1, "dead")
+        self.node.hear(make_digest("three", 2, gone))
+        self.node.now = 40.0
+        called = {one.msg.address for _ in range(60) for one in self.calls()}
+        self.assertIn(SEED, called)
+
+    def calls(self):
+        return [one for one in self.node.fire() if one.to == "peers"]
+
+    def test_dead_that_was_never_known_is_not_taken_in(self):
+        rumour = entry("three", 4, "dead")
+        self.node.hear(make_digest("two", 6, rumour))
+        self.assertEqual(["a.two.0123"], list(self.node.statuses()))
+
     def test_own_suspicion_is_refuted(self):
         own = self.node.digest().own
         rumour = own._replace(status="dead", heartbeat=7)
@@ -203,6 +226,10 @@
         sends = other.hear(self.node.digest())
         self.assertEqual([{"e1", "e2", "e3"}], left(sends))
 
+    def test_leaving_entry_instance_marks_no_backend_server(self):
+        line = listed("e1")._replace(role="entry")
+        self.assertEqual([], self.list_(line))
+
     def test_sign_in_the_configuration(self):
         cfg = make_cfg(2, 1, gone=("e2",))
         sends = self.node.tell(messages.ConfigurationChanged(cfg))
