--- a/packages/daemon/src/cardamompathd/controllers/job_store.py
+++ b/packages/daemon/src/cardamompathd/controllers/job_store.py
@@ -33,6 +33,7 @@
         "answer",
         "cancelled",
         "deadline",
+        "fetched",
         "job",
         "open",
         "results",
@@ -49,6 +50,8 @@
         self.waiters: list[Any] = []
         self.answer: types.Answer | None = None
         self.cancelled = ""
+        self.fetched = False
+        """Whether anyone got the answer."""
 
 
 class Named:
@@ -102,7 +105,8 @@
         self.named: dict[str, Named] = {}
         self.leases: dict[str, float] = {}
         self.services: frozenset[str] = frozenset()
-        self.draining: Any = None
+        self.draining: messages.Drain | None = None
+        self.drained = False
         self.addresses: dict[tuple[str, str], tuple[str, int]] = {}
 
 
@@ -116,6 +120,7 @@
     """Keep the answer to an identifier of which nothing ever starts."""
     job = Job(name, types.JobSpec("", (), 0.0, digest), now)
     job.answer = answer
+    job.fetched = True
     state.jobs[name] = job
     return keep(state, job, now)
 
--- a/packages/daemon/src/cardamompathd/coordination.py
+++ b/packages/daemon/src/cardamompathd/coordination.py
@@ -18,13 +18,13 @@
 from cardamompath_core import identity
 from cardamompathd import controllers
 from cardamompathd import messages
-from cardamompathd.callers import handlers
 from cardamompathd.peers import exchanges
 from cardamompathd.peers import server
 from cardamompathd.platform import instances
 from cardamompathd.platform import log_client
 from cardamompathd.platform import snapshots
 from cardamompathd.runtime import actors
+from cardamompathd.runtime import asking
 
 __all__ = [
     "Coordination",
@@ -92,12 +92,15 @@
     for name in (messages.CONFIGURATION, messages.MEMBERSHIP):
         table[name] = actors.make_teller(ref, name)
     table[messages.LOGS] = _write_line
-    stops = _start_tasks(cfg, table, deliver)
+    stops = (
+        *_start_tasks(cfg, table, deliver),
+        lambda: ref.stop(block=False),
+    )
     tell = table[messages.MEMBERSHIP]
     return Coordination(
         exchanges.make_services(
-            handlers.make_ask(tell),
-            handlers.make_ask(table[messages.CONFIGURATION]),
+            asking.make_ask(tell),
+            asking.make_ask(table[messages.CONFIGURATION]),
         ),
         lambda address: tell(messages.PeersListening(address)),
         lambda: tell(messages.InstanceLeaving()),
--- a/packages/daemon/src/cardamompathd/tests/test_exchanges.py
+++ b/packages/daemon/src/cardamompathd/tests/test_exchanges.py
@@ -13,7 +13,6 @@
 from cardamompath_standins import platform
 from cardamompathd import controllers
 from cardamompathd import messages
-from cardamompathd.callers import handlers
 from cardamompathd.peers import errors
 from cardamompathd.peers import exchanges
 from cardamompathd.peers import gossip_codec
@@ -21,6 +20,7 @@
 from cardamompathd.peers import wire
 from cardamompathd.platform import instances
 from cardamompathd.runtime import actors
+from cardamompathd.runtime import asking
 from cardamompathd.runtime import clocks
 from cardamompathd.tests import network
 
@@ -53,10 +53,10 @@
         self.configuration = actors.make_teller(
             self.ref, messages.CONFIGURATION
         )
-        self.ask = handlers.make_ask(self.tell)
+        self.ask = asking.make_ask(self.tell)
         self.pool = exchanges.start(self.deliver)
         services = exchanges.make_services(
-            self.ask, handlers.make_ask(self.configuration)
+            self.ask, asking.make_ask(self.configuration)
         )
         self.listener = server.start(LOOPBACK, services)
         self.address = (self.listener.host, self.listener.port)
@@ -96,7 +96,7 @@
         ended = self.two.call(self.one.address)
         while ended is not messages.ConfigurationFetched:
             ended = self.two.ended.get(timeout=WAIT)
-        ask = handlers.make_ask(self.two.configuration)
+        ask = asking.make_ask(self.two.configuration)
         cfg = ask(messages.GetConfiguration, WAIT)
         self.assertEqual((1, 5), (cfg.revision, len(cfg.backends)))
         known = self.one.ask(messages.GetStatus, WAIT)["instances"]
