--- a/packages/daemon/src/cardamompathd/controllers/membership.py
+++ b/packages/daemon/src/cardamompathd/controllers/membership.py
@@ -17,6 +17,7 @@
 from cardamompath_core import release_notes
 from cardamompath_core import types
 from cardamompathd import messages
+from cardamompathd.controllers import members
 
 __all__ = [
     "MembershipState",
@@ -41,16 +42,6 @@
 NEWS_MISSES = 6
 """Instances that knew the news already, after which it is old."""
 
-SUSPECT_TIME = 18.0
-"""Seconds after which an instance that is suspect and does not answer
-here either counts as dead."""
-
-FORGET_TIME = 600.0
-"""Seconds for which a dead instance is remembered."""
-
-MAX_BACK_OFF = 30.0
-"""Longest time until an instance that failed is called again, in s."""
-
 LIST_INTERVAL = 2.0
 """Most seconds between reads of the platform's list."""
 
@@ -128,35 +119,13 @@
 
 
 def _round(state, now):
-    _beat(state)
-    _age(state, now)
+    members.beat(state)
+    members.age(state, now)
     sends = _call(state, FANOUT, now) + _check(state, now)
     at = now + ROUND * state.rng.uniform(0.8, 1.2)
     return [*sends, _timer(at, _ROUND), *_tell_peers(state)]
 
 
-def _beat(state):
-    state.own = state.own._replace(heartbeat=state.own.heartbeat + 1)
-
-
-def _age(state, now):
-    for key, member in list(state.members.items()):
-        status = member.entry.status
-        age = now - member.changed_at
-        silent = status == "suspect" or status == "leaving"
-        silent = silent and member.failures > 0
-        if silent and age > SUSPECT_TIME:
-            _set_status(state, key, "dead", now)
-        elif status == "dead" and age > FORGET_TIME:
-            del state.members[key]
-
-
-def _set_status(state, key, status, now):
-    member = state.members[key]
-    entry = member.entry._replace(status=status)
-    state.members[key] = member._replace(entry=entry, changed_at=now, sends=0)
-
-
 def _call(state, count, now):
     if state.own.port == 0:
         return []
@@ -238,7 +207,7 @@
 
 def _ended(state, msg, now):
     if msg.digest is None:
-        _fail(state, msg.address, now)
+        members.fail(state, msg.address, now)
         return []
     if not _is_news_for(state, msg.digest):
         state.news_misses += 1
@@ -254,35 +223,17 @@
     return not state.leaving.marks <= theirs
 
 
-def _fail(state, address, now):
-    if address in (*state.seeds, *state.listed):
-        again = MAX_BACK_OFF * state.rng.uniform(0.8, 1.2)
-        state.out_of_reach[address] = now + again
-    for key, member in list(state.members.items()):
-        if (member.entry.host, member.entry.port) != address:
-            continue
-        failures = member.failures + 1
-        back_off = min(MAX_BACK_OFF, ROUND * 2.0 ** (failures - 2))
-        state.members[key] = member._replace(
-            failures=failures,
-            retry_at=now + back_off * state.rng.uniform(0.8, 1.2),
-        )
-        enough = failures >= membership.SUSPECT_FAILURES
-        if enough and member.entry.status == "alive":
-            _set_status(state, key, "suspect", now)
-
-
 def _merge(state, digest, now):
     own = digest.own
-    _replace_predecessors(state, own, now)
-    _merge_entry(state, own, now)
+    members.replace_predecessors(state, own, now)
+    members.merge_entry(state, own, now)
     if own.incarnation in state.members:
         member = state.members[own.incarnation]
         state.members[own.incarnation] = member._replace(
             failures=0, retry_at=0.0
         )
     for entry in digest.rumours:
-        _merge_entry(state, entry, now)
+        members.merge_entry(state, entry, now)
     peer = messages.PeerConfiguration(
         (own.host, own.port), own.revision, digest.offset, digest.fingerprint
     )
@@ -302,42 +253,6 @@
     return same and digest.fingerprint != state.leaving.fingerprint
 
 
-def _replace_predecessors(state, own, now):
-    for key, member in list(state.members.items()):
-        entry = member.entry
-        same = (entry.host, entry.port) == (own.host, own.port)
-        if same and key != own.incarnation and entry.status != "dead":
-            _set_status(state, key, "dead", now)
-
-
-def _merge_entry(state, entry, now):
-    if entry.incarnation == state.own.incarnation:
-        if entry.heartbeat >= state.own.heartbeat:
-            raised = entry.heartbeat + 1
-            state.own = state.own._replace(heartbeat=raised)
-        return
-    known = state.members.get(entry.incarnation)
-    if known is None:
-        if entry.status == "dead" or not _make_place(state):
-            return
-        state.members[entry.incarnation] = membership.Member(entry, now)
-    elif membership.is_newer(entry, known.entry):
-        kept = known._replace(entry=entry)
-        if entry.status != known.entry.status:
-            kept = kept._replace(changed_at=now, sends=0)
-        state.members[entry.incarnation] = kept
-
-
-def _make_place(state):
-    if len(state.members) < membership.MAX_MEMBERS:
-        return True
-    for key, member in state.members.items():
-        if member.entry.status == "dead":
-            del state.members[key]
-            return True
-    return False
-
-
 def _mark(state, marks, now):
     before = state.leaving.marks
     state.leaving = leaving.add_marks(state.leaving, marks)
@@ -426,7 +341,7 @@
 
 def _leave(state, msg, now):
     state.own = state.own._replace(status="leaving")
-    _beat(state)
+    members.beat(state)
     return _begin_news(state, now)
 
 
--- a/packages/daemon/src/cardamompathd/tests/test_network.py
+++ b/packages/daemon/src/cardamompathd/tests/test_network.py
@@ -147,6 +147,4 @@
         net.append(network.make_note(1))
         net.run(20.0)
         rates = sorted((one.bytes + one.tcp) / 30.0 for one in net.instances)
-        encoded = max(one.bytes for one in net.instances) / 30.0
-        print(f"control: {encoded:.0f} B/s encoded, {rates[-1]:.0f} with TCP")
         self.assertLess(rates[-1], BUDGET)
