--- /dev/null
+++ b/packages/proof/src/cardamompath_proof/slopes/__init__.py
@@ -0,0 +1,3 @@
+"""Costs of the daemon's parts, measured at several sizes each."""
+
+__all__: list[str] = []
