--- a/packages/core/src/cardamompath_core/membership.py
+++ b/packages/core/src/cardamompath_core/membership.py
@@ -54,8 +54,8 @@
 CHECK_AFTER = 6.0
 """Seconds after which a suspicion of others is checked by a call."""
 
-SEED_SHARE = 0.125
-"""Share of rounds that also call an instance out of reach."""
+DEAD_SHARE = 0.125
+"""Share of rounds that also call an instance that counts as dead."""
 
 
 class Entry(NamedTuple):
@@ -124,7 +124,7 @@
 
 def choose_targets(
     members: Sequence[Member],
-    seeds: Sequence[tuple[str, int]],
+    unknown: Sequence[tuple[str, int]],
     count: int,
     now: float,
     rng: random.Random,
@@ -135,8 +135,9 @@
     ----------
     members : sequence of Member
         The instances that are known.
-    seeds : sequence of (str, int)
-        Addresses from the settings and the platform's list.
+    unknown : sequence of (str, int)
+        Addresses from the settings and the platform's list that were not
+        found out of reach lately.
     count : int
         Addresses to choose.
     now : float
@@ -144,25 +145,28 @@
     rng : random.Random
         Draws the choice.
     """
+    known = {_address(one): one for one in members}
     near = {
-        (one.entry.host, one.entry.port)
-        for one in members
+        address
+        for address, one in known.items()
         if one.entry.status != "dead" and one.failures == 0
     }
-    far = {
-        (one.entry.host, one.entry.port)
-        for one in members
+    near |= set(unknown) - known.keys()
+    dead = sorted(
+        address
+        for address, one in known.items()
         if one.entry.status == "dead" and one.retry_at <= now
-    }
-    known = {(one.entry.host, one.entry.port) for one in members}
-    far |= set(seeds) - known
-    far -= near
+    )
     targets = rng.sample(sorted(near), min(count, len(near)))
-    if far and (not targets or rng.random() < SEED_SHARE):
-        targets.append(rng.choice(sorted(far)))
+    if dead and (not targets or rng.random() < DEAD_SHARE):
+        targets.append(rng.choice(dead))
     return targets
 
 
+def _address(member):
+    return (member.entry.host, member.entry.port)
+
+
 def choose_check(members: Iterable[Member], now: float) -> Member | None:
     """Choose a member that has to be called again or checked, if any."""
     due = [one for one in members if _needs_check(one, now)]
--- a/packages/daemon/src/cardamompathd/backends/pool.py
+++ b/packages/daemon/src/cardamompathd/backends/pool.py
@@ -37,6 +37,12 @@
             actor = self._actors[key] = self._open()
         actor.tell(msg)
 
+    def close(self) -> None:
+        """Stop the actors and with them their connections."""
+        for actor in self._actors.values():
+            actor.stop(block=False)
+        self._actors.clear()
+
 
 def make_pool(limits, tell, clock) -> Pool:
     """Make a pool whose actors report `TaskEnded` to `tell`."""
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -194,9 +194,9 @@
 
 
 def _settle_withdrawn(msg, verdict):
-    """Tell how a task ended that was in flight when its job was withdrawn."""
-    answer = msg.answer
+    """Settle a task that was in flight when its job was withdrawn."""
     known = "not_started" if verdict == "not_run" else verdict
+    answer = msg.answer
     result = types.TaskResult(
         known, answer.status, answer.payload, msg.backend
     )
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -12,7 +12,9 @@
 from cardamompathd import messages
 from cardamompathd.controllers import fence
 from cardamompathd.controllers import job_leases
+from cardamompathd.controllers import job_reports
 from cardamompathd.controllers import job_store
+from cardamompathd.controllers import job_waits
 
 __all__ = [
     "make_controller",
@@ -60,6 +62,8 @@
 
 
 def _issue(state, msg, now):
+    if state.draining is not None:
+        return [_reply(msg.reply, DRAINING)]
     return [_reply(msg.reply, ownership.issue(state.book, now))]
 
 
@@ -79,6 +83,7 @@
         refusal = LAPSED
     if refusal is not None:
         sends = job_store.close(state, msg.job, msg.spec.digest, refusal, now)
+        sends.append(job_reports.observe_refusal(msg.spec, refusal))
         return [_reply(msg.reply, refusal), *sends]
     return _accept(state, msg.job, msg, now)
 
@@ -86,7 +91,8 @@
 def _submit_request(state, msg, now):
     refusal = _refuse(state, msg.spec)
     if refusal is not None:
-        return [_reply(msg.reply, refusal)]
+        observed = job_reports.observe_refusal(msg.spec, refusal)
+        return [_reply(msg.reply, refusal), observed]
     state.request_count += 1
     return _accept(state, f"{state.requests}.{state.request_count}", msg, now)
 
@@ -180,7 +186,8 @@
 def _await(state, msg, now):
     known = state.jobs.get(msg.job)
     if known is not None:
-        return _await_known(known, msg.reply)
+        sends = _await_known(known, msg.reply)
+        return sends + job_waits.check_drained(state)
     standing = ownership.standing(state.book, msg.job, now)
     if standing == "open":
         pending = types.Pending(0, 0, "not submitted yet")
@@ -190,6 +197,7 @@
 
 def _await_known(known, reply):
     if known.answer is not None:
+        known.fetched = True
         return [_reply(reply, known.answer)]
     known.waiters.append(reply)
     return []
@@ -252,6 +260,8 @@
 
 
 def _timer(state, msg, now):
+    if msg.key == job_waits.DRAINED:
+        return job_waits.end_hold(state)
     what, name = msg.key
     job = state.jobs.get(name)
     if job is None:
@@ -272,13 +282,15 @@
         job.cancelled = LAPSED.code
     job.answer = job_store.make_answer(job)
     sends = [_reply(reply, job.answer) for reply in job.waiters]
+    job.fetched = bool(job.waiters)
     job.waiters.clear()
+    sends.append(job_reports.observe(job, now))
     sends.append(_withdraw(job))
     if job.spec.single:
         del state.jobs[job.job]
     else:
         sends += job_store.keep(state, job, now)
-    return sends + _check_drained(state)
+    return sends + job_waits.check_drained(state)
 
 
 def _configure(state, msg, now):
@@ -296,42 +308,39 @@
     return []
 
 
-def _drain(state, msg, now):
-    state.draining = msg.reply
-    return _check_drained(state)
-
-
-def _check_drained(state):
-    if state.draining is None:
-        return []
-    if any(job.answer is None for job in state.jobs.values()):
-        return []
-    return [_reply(state.draining, messages.Drained())]
-
-
 def _status(state, msg, now):
     waiting = sum(job.answer is None for job in state.jobs.values())
     status = {
         "owner": state.book.owner,
         "jobs": len(state.jobs),
         "unanswered": waiting,
+        "draining": state.draining is not None,
         "answer_bytes": state.held,
     }
     return [_reply(msg.reply, status)]
 
 
+def _list(state, msg, now):
+    jobs = state.jobs.values()
+    lines = job_reports.list_jobs(jobs, now, msg.limit, msg.stuck)
+    return [_reply(msg.reply, lines)]
+
+
 _HANDLERS = {
     messages.AwaitJob: _await,
     messages.CancelJob: _cancel,
     messages.Claimed: _claimed,
     messages.CollectProgress: job_leases.collect,
     messages.ConfigurationChanged: _configure,
-    messages.Drain: _drain,
+    messages.Drain: job_waits.drain,
     messages.GetStatus: _status,
     messages.IssueJob: _issue,
     messages.LeaseChanged: job_leases.take_lease,
     messages.OwnerChanged: job_leases.change_owner,
+    messages.ListJobs: _list,
     messages.PeersChanged: _see_peers,
+    messages.ReleaseWaiters: job_waits.release,
+    messages.StopWaiting: job_waits.stop_waiting,
     messages.Submit: _submit,
     messages.SubmitNamed: _submit_named,
     messages.TaskSettled: _settle,
