--- a/packages/core/src/cardamompath_core/settlement.py
+++ b/packages/core/src/cardamompath_core/settlement.py
@@ -269,7 +269,7 @@
         states: tuple[types.TaskState, ...] = ("unknown",) * total
     else:
         states = unpack_states(known.states)
-    if known and known.ended and set(states) == {"not_started"}:
+    if known and known.ended and set(states) <= {"not_started"}:
         reason = "the owner died; it had ended the job before any start"
         return types.Refused("owner_died", reason)
     counts = ", ".join(
--- a/packages/daemon/src/cardamompathd/controllers/job_store.py
+++ b/packages/daemon/src/cardamompathd/controllers/job_store.py
@@ -20,6 +20,7 @@
     "note_change",
 ]
 
+NOT_STARTED = types.TaskResult("not_started")
 UNKNOWN = types.TaskResult("unknown")
 
 JOB_BYTES = 512
@@ -113,13 +114,16 @@
 def close(
     state: JobsState,
     name: str,
-    digest: str,
+    spec: types.JobSpec,
     answer: types.Answer,
     now: float,
 ) -> list[messages.Send]:
     """Keep the answer to an identifier of which nothing ever starts."""
-    job = Job(name, types.JobSpec("", (), 0.0, digest), now)
+    job = Job(name, spec, now)
+    job.results = [NOT_STARTED] * len(spec.tasks)
+    job.open = 0
     job.answer = answer
+    note_change(state, job)
     job.fetched = True
     state.jobs[name] = job
     return keep(state, job, now)
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -20,7 +20,9 @@
     "make_controller",
 ]
 
-NOT_STARTED = types.TaskResult("not_started")
+NO_SPEC = types.JobSpec("", (), 0.0, "")
+"""Stands for the submission of a job that was cancelled before it."""
+
 UNKNOWN = types.TaskResult("unknown")
 DRAINING = types.Refused("draining", "the instance is leaving", 0.1)
 LAPSED = types.Refused(
@@ -82,7 +84,7 @@
     if not leases.may_start(until, now):
         refusal = LAPSED
     if refusal is not None:
-        sends = job_store.close(state, msg.job, msg.spec.digest, refusal, now)
+        sends = job_store.close(state, msg.job, msg.spec, refusal, now)
         sends.append(job_reports.observe_refusal(msg.spec, refusal))
         return [_reply(msg.reply, refusal), *sends]
     return _accept(state, msg.job, msg, now)
@@ -220,7 +222,7 @@
     ownership.take(state.book, msg.job)
     reason = "cancelled before it was submitted"
     refused = types.Refused("cancelled", reason)
-    sends = job_store.close(state, msg.job, "", refused, now)
+    sends = job_store.close(state, msg.job, NO_SPEC, refused, now)
     return [_reply(msg.reply, refused), *sends]
 
 
@@ -251,7 +253,7 @@
         return []
     for index in msg.indexes:
         if job.results[index] is None:
-            job.results[index] = NOT_STARTED
+            job.results[index] = job_store.NOT_STARTED
             job.open -= 1
     job_store.note_change(state, job)
     if job.open == 0 or job.cancelled in AT_ONCE:
--- a/packages/daemon/src/cardamompathd/tests/test_recovery.py
+++ b/packages/daemon/src/cardamompathd/tests/test_recovery.py
@@ -162,6 +162,18 @@
         self.assertIsInstance(answer, types.Refused)
         self.world.check(self)
 
+    def test_refusal_outlives_its_owner(self):
+        cancelled = self.world.issue(self.owner)
+        self.world.ask(self.owner, messages.CancelJob(cancelled, None))
+        self.world.ask(self.owner, messages.Drain(None))
+        self.world.submit(self.owner, self.job)
+        self.world.advance(2.0)
+        self.owner.alive = False
+        self.world.advance(20.0)
+        for job in (self.job, cancelled):
+            answer = self.world.submit(self.two, job)[0]
+            self.assertIsInstance(answer, types.Refused)
+
     def test_pause_beyond_the_lease_is_noticed_before_a_start(self):
         self.world.submit(self.owner, self.job)
         self.owner.pause()
