--- a/packages/proof/src/cardamompath_proof/model/__main__.py
+++ b/packages/proof/src/cardamompath_proof/model/__main__.py
@@ -45,6 +45,11 @@
 """What CI explores: name, module and bounds."""
 
 WIDE = (
+    (
+        "job: one task, a renewal, five ticks",
+        jobs,
+        jobs.Bounds(ticks=5, renewals=1, progress=0),
+    ),
     ("job: one task, all at once", jobs, jobs.Bounds()),
     (
         "job: appends that land after they were given up",
