--- a/packages/core/src/cardamompath_core/queueing.py
+++ b/packages/core/src/cardamompath_core/queueing.py
@@ -28,7 +28,9 @@
 LONG_FACTOR = 2.5
 """A kind is long from this multiple of the usual size on."""
 LONG_SHARE = 0.75
-"""Share of the slots that long kinds may take."""
+"""Share of the home slots that long kinds may take."""
+LONG_BORROWED = 0.25
+"""Share of the borrowed slots that they may take besides."""
 AGEING = 10.0
 """Seconds of waiting that make up for one second of work."""
 SPARE_ENTRIES = 64
--- a/packages/daemon/src/cardamompathd/controllers/service_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/service_state.py
@@ -262,7 +262,8 @@
         if lane == queueing.SHORT:
             return True
         proven = min(self.borrow.proven(), self.lent)
-        return self.long < queueing.LONG_SHARE * (self.width + proven)
+        most = queueing.LONG_SHARE * self.width
+        return self.long < most + queueing.LONG_BORROWED * proven
 
     def started(self, server: routing.Server, lane: int) -> bool:
         """Count a task in; return whether its slot is borrowed."""
