--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -2,25 +2,26 @@
 
 from __future__ import annotations
 
+import contextlib
+import queue
 import random
 import secrets
-import threading
+import time
+from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
 
 import loguru
-import pykka
 
 from cardamompath_core import identity
 from cardamompathd import controllers
-from cardamompathd import filters
+from cardamompathd import coordination
+from cardamompathd import listeners
 from cardamompathd import messages
 from cardamompathd.backends import connections
 from cardamompathd.backends import pool
 from cardamompathd.callers import codec
-from cardamompathd.callers import handlers
 from cardamompathd.callers import server
-from cardamompathd.filters import chain
 from cardamompathd.operators import handlers as operator_handlers
 from cardamompathd.peers import relay
 from cardamompathd.peers import server as peer_server
@@ -28,31 +29,38 @@
 from cardamompathd.platform import log_client
 from cardamompathd.platform import reader
 from cardamompathd.runtime import actors
+from cardamompathd.runtime import asking
 from cardamompathd.runtime import clocks
+from cardamompathd.telemetry import metrics
 
 __all__ = [
     "Instance",
     "start",
+    "stop",
 ]
 
-OPERATOR_THREADS = 4
-
-JOURNAL_WAIT = 2.0
-"""Seconds that a read of the journal waits: a connection that went
-silent has to be noticed well within a lease."""
+JOURNAL_WAIT = reader.WAIT
+"""Seconds that a read of the journal waits."""
 
 
 class Instance(NamedTuple):
     """A running instance."""
 
     owner: identity.Incarnation
-    callers: Any
-    operators: Any
-    peers: Any
-    drain: Any
-    """Waits until nothing is in flight; called with seconds."""
-    stops: list
-    """Functions that end the tasks which tell the actors."""
+    callers: server.Listener
+    operators: server.Listener
+    peers: peer_server.Listener
+    drain: Callable[[float], bool]
+    """Called with seconds; whether all in flight was answered in them."""
+    release: Callable[[], None]
+    """Answers all who wait with what is known."""
+    leave: Callable[[], None]
+    """Tells the peers that the instance drains."""
+    leave_notice: float
+    """Least seconds between the refusal of work and the last response."""
+    stops: tuple[Callable[[], None], ...]
+    """Functions that end the other tasks: those which tell the actors,
+    then the actors."""
 
 
 class DispatchActor(actors.ControllerActor):
@@ -66,6 +74,10 @@
     def _take_back(self, ended):
         self.actor_ref.tell(messages.Send(messages.BACKENDS, ended))
 
+    def on_stop(self):
+        """Stop the connections."""
+        self._pool.close()
+
     def _deliver_or_start(self, send):
         if send.to == messages.CONNECTIONS:
             self._pool.start(send.msg)
@@ -87,25 +99,53 @@
         cfg["instance", "name"],
         _draw_nonce(),
     )
-    table: dict[str, Any] = {
-        messages.CALLERS: lambda msg: msg.reply.set(msg.answer),
-        # Load reports go nowhere until there is someone to tell.
-        messages.MEMBERSHIP: lambda msg: None,
-    }
+    table: dict[str, Any] = {messages.CALLERS: _answer}
     deliver = actors.make_router(table)
-    _start_controllers(cfg, owner, table, deliver, clock)
-    asks = {
-        name: handlers.make_ask(table[name])
-        for name in (messages.JOBS, messages.BACKENDS, messages.CONFIGURATION)
-    }
+    refs = _start_controllers(cfg, owner, table, deliver, clock)
+    together = coordination.start(cfg, owner, table, deliver, clock)
+    asks = operator_handlers.Asks(
+        asking.make_ask(table[messages.JOBS]),
+        asking.make_ask(table[messages.BACKENDS]),
+        asking.make_ask(table[messages.CONFIGURATION]),
+        asking.make_ask(table[messages.TELEMETRY]),
+        asking.make_ask(table[messages.MEMBERSHIP]),
+    )
+    exporter = metrics.start(
+        cfg["metrics", "exporter"], lambda: operator_handlers.status(asks)
+    )
+    callers, operators, peers = _start_listeners(
+        cfg, asks, exporter, together.services, clock
+    )
+    together.listening((peers.host, peers.port))
     stops = _start_journal(cfg, table)
-    callers, operators = _start_listeners(cfg, asks, clock)
-    peers = _start_peers(cfg, asks)
-    stops.append(_follow_log(cfg, table).stop)
+    stops += [_follow_log(cfg, table).stop, exporter.stop]
+    stops += together.stops
+    stops += [_make_stop(ref) for ref in refs]
     loguru.logger.info(
         "instance: {} is up", identity.format_incarnation(owner)
     )
-    return Instance(owner, callers, operators, peers, _make_drain(asks), stops)
+    return Instance(
+        owner,
+        callers,
+        operators,
+        peers,
+        _make_drain(asks.jobs, cfg["instance", "answer_hold"]),
+        lambda: table[messages.JOBS](messages.ReleaseWaiters()),
+        together.leave,
+        cfg["instance", "leave_notice"],
+        tuple(stops),
+    )
+
+
+def _answer(msg):
+    try:
+        msg.reply.set(msg.answer)
+    except queue.Full:
+        loguru.logger.error("instance: a caller was answered twice")
+
+
+def _make_stop(ref):
+    return lambda: ref.stop(block=False)
 
 
 def _draw_nonce():
@@ -134,15 +174,18 @@
         clock,
         limits,
     )
-    configuration = actors.ControllerActor.start(
-        [controllers.configuration.make_controller()], deliver, clock
+    telemetry = actors.ControllerActor.start(
+        [controllers.observations.make_controller(owner.domain)],
+        deliver,
+        clock,
     )
-    table[messages.JOBS] = _teller(dispatch, messages.JOBS)
-    table[messages.BACKENDS] = _teller(dispatch, messages.BACKENDS)
-    table[messages.JOURNAL] = _teller(dispatch, messages.JOURNAL)
-    table[messages.CONFIGURATION] = _teller(
-        configuration, messages.CONFIGURATION
+    table[messages.TELEMETRY] = actors.make_teller(
+        telemetry, messages.TELEMETRY
     )
+    table[messages.JOBS] = actors.make_teller(dispatch, messages.JOBS)
+    table[messages.BACKENDS] = actors.make_teller(dispatch, messages.BACKENDS)
+    table[messages.JOURNAL] = actors.make_teller(dispatch, messages.JOURNAL)
+    return dispatch, telemetry
 
 
 def _journal_terms(cfg):
@@ -154,65 +197,26 @@
     )
 
 
-def _teller(ref, name):
-    def tell(msg):
-        ref.tell(messages.Send(name, msg))
-
-    return tell
-
-
-def _start_listeners(cfg, asks, clock):
-    caller_chain = chain.compose(
-        (
-            filters.access.make_filter(clock),
-            filters.failures.answer_failures,
-            filters.bodies.make_filter(cfg["callers", "body_limit"]),
-            filters.relay.make_filter(
-                relay.make_relay(cfg["peers", "addresses"], clock)
-            ),
+def _start_listeners(cfg, asks, exporter, services, clock):
+    relaying = relay.make_relay(cfg["peers", "addresses"], clock)
+    owner_chain = listeners.make_owner_chain(cfg, asks.jobs)
+    services = [relay.make_service(owner_chain), *services]
+    starts = (
+        lambda: listeners.start_callers(
+            cfg, listeners.make_caller_chain(cfg, asks.jobs, relaying, clock)
         ),
-        handlers.make_handler(asks[messages.JOBS]),
-    )
-    operator_chain = chain.compose(
-        (
-            filters.access.make_filter(clock),
-            filters.failures.answer_failures,
+        lambda: listeners.start_operators(
+            cfg, listeners.make_operator_chain(asks, exporter.scrape, clock)
         ),
-        operator_handlers.make_handler(
-            asks[messages.JOBS],
-            asks[messages.BACKENDS],
-            asks[messages.CONFIGURATION],
-        ),
-    )
-    callers = _serve(
-        "callers",
-        cfg["callers", "listen"],
-        caller_chain,
-        server.ListenerLimits(threads=cfg["callers", "threads"]),
-    )
-    operators = _serve(
-        "operators",
-        cfg["operators", "listen"],
-        operator_chain,
-        server.ListenerLimits(threads=OPERATOR_THREADS),
+        lambda: peer_server.start(cfg["peers", "listen"], services),
     )
-    return callers, operators
-
-
-def _serve(name, address, handler, limits):
-    listener = server.make_server(*address, handler, limits)
-    thread = threading.Thread(target=listener.serve, name=name, daemon=True)
-    thread.start()
-    return listener
-
-
-def _start_peers(cfg, asks):
-    owner_chain = chain.compose(
-        (filters.failures.answer_failures,),
-        handlers.make_handler(asks[messages.JOBS]),
-    )
-    services = [relay.make_service(owner_chain)]
-    return peer_server.start(cfg["peers", "listen"], services)
+    with contextlib.ExitStack() as stack:
+        started = []
+        for start_one in starts:
+            started.append(start_one())
+            stack.callback(started[-1].stop)
+        stack.pop_all()
+    return started
 
 
 def _make_client(cfg):
@@ -244,9 +248,10 @@
     )
 
 
-def _make_drain(asks):
+def _make_drain(ask_jobs, hold):
     def drain(wait):
-        return asks[messages.JOBS](messages.Drain, wait) is not None
+        drained = ask_jobs(lambda fut: messages.Drain(fut, hold), wait)
+        return drained is not None
 
     return drain
 
@@ -254,6 +259,9 @@
 def stop(instance: Instance, grace: float) -> bool:
     """Shut an instance down without cutting anything off.
 
+    New work is refused at once and readiness says so; the listeners
+    stay until everything in flight is answered.
+
     Parameters
     ----------
     instance : Instance
@@ -266,11 +274,16 @@
     bool
         Whether everything in flight was answered.
     """
+    began = clocks.boottime()
+    instance.leave()
     drained = instance.drain(grace)
+    left = instance.leave_notice - (clocks.boottime() - began)
+    if left > 0.0:
+        time.sleep(left)
+    instance.release()
     instance.callers.stop()
     instance.operators.stop()
     instance.peers.stop()
     for stop_task in instance.stops:
         stop_task()
-    pykka.ActorRegistry.stop_all(block=False)
     return drained
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -207,6 +207,8 @@
     sends = []
     if work is not None:
         sends += _settle(state, work, msg, verdict, flight)
+    else:
+        sends.append(_settle_withdrawn(msg, verdict))
     if backend is not None:
         sends += _start_ready(state, backend.service, now)
     return sends
@@ -241,6 +243,17 @@
     return [messages.Send(messages.JOBS, settled)]
 
 
+def _settle_withdrawn(msg, verdict):
+    """Settle a task that was in flight when its job was withdrawn."""
+    known = "not_started" if verdict == "not_run" else verdict
+    answer = msg.answer
+    result = types.TaskResult(
+        known, answer.status, answer.payload, msg.backend
+    )
+    settled = messages.TaskSettled(msg.task, result)
+    return messages.Send(messages.JOBS, settled)
+
+
 def _is_spoilt_probe(work, verdict, flight):
     """Return whether a probe failed with a task that may run again."""
     if flight is None or not flight.probe or verdict == "finished":
--- a/packages/daemon/src/cardamompathd/filters/chain.py
+++ b/packages/daemon/src/cardamompathd/filters/chain.py
@@ -25,9 +25,6 @@
 MAX_WAIT = 60.0
 """Longest time that a caller waits on one connection, in seconds."""
 
-MIN_WAIT = 0.05
-"""Least time that an answer is waited for, in seconds."""
-
 
 class Request(NamedTuple):
     """A request, free of the front end that brought it."""
@@ -38,10 +35,14 @@
     headers: Mapping[str, str]
     read: Callable[[], bytes]
     """Reads the body; may be called once."""
-    length: int | None = None
-    """Declared length of the body in bytes."""
+    length: int | None = 0
+    """Declared length of the body in bytes; None when undeclared."""
     body: Any = None
     """The decoded body, once a filter decoded it."""
+    wait: float | None = None
+    """Seconds that the caller is ready to wait, if it said so."""
+    may_wait: bool = True
+    """Whether the handler may wait at all."""
 
 
 class Owner(NamedTuple):
@@ -86,8 +87,4 @@
 
 def wait_of(req: Request, default: float) -> float:
     """Return the seconds for which a request may wait for its answer."""
-    try:
-        wait = float(req.query.get("wait", default))
-    except ValueError:
-        wait = default
-    return min(max(MIN_WAIT, wait), MAX_WAIT)
+    return default if req.wait is None else req.wait
--- a/packages/daemon/src/cardamompathd/platform/reader.py
+++ b/packages/daemon/src/cardamompathd/platform/reader.py
@@ -17,8 +17,9 @@
     "start",
 ]
 
-WAIT = 20.0
-"""Seconds that a read waits for a record."""
+WAIT = 1.0
+"""Seconds that a read waits for a record; one that goes silent has to
+be given up before a lease or a release note is late."""
 
 BACK_OFF = 0.5
 """Mean seconds between attempts while the log is down."""
@@ -58,8 +59,9 @@
         self._ended = threading.Event()
 
     def stop(self) -> None:
-        """End the task after the read in progress."""
+        """End the task, and the read in progress with it."""
         self._ended.set()
+        self._client.abort()
 
     def run(self) -> None:
         """Follow the stream until the end."""
@@ -69,11 +71,13 @@
             try:
                 read = self._client.read(self._stream, offset, self._wait)
             except errors.LogUnavailable as exc:
-                if not down:
+                if not down and not self._ended.is_set():
                     loguru.logger.warning("platform: log is down: {}", exc)
                 down = True
                 self._ended.wait(BACK_OFF * self._rng.uniform(0.5, 1.5))
                 continue
+            if self._ended.is_set():
+                break
             if down:
                 loguru.logger.info("platform: log is back")
             down = False
