--- a/packages/proof/src/cardamompath_proof/model/replay.py
+++ b/packages/proof/src/cardamompath_proof/model/replay.py
@@ -57,7 +57,6 @@
                 )
             ),
             self.owner,
-            ("10.0.0.1", 7400),
             (),
             lambda: "00000002",
             lambda: random.Random(1),
