--- a/packages/daemon/src/cardamompathd/controllers/backend_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/backend_health.py
@@ -15,8 +15,6 @@
     "review",
 ]
 
-REFUSAL_PAUSE = 0.1
-"""Seconds without new work after a refusal, halved or doubled at random."""
 LEAVING_PAUSE = 60.0
 """Seconds without new work after a server said that it leaves."""
 OVERDUE_FACTOR = 3.0
@@ -50,8 +48,9 @@
     if answer.leaving:
         backend.leaving_until = now + LEAVING_PAUSE
     if verdict == "not_run":
-        pause = REFUSAL_PAUSE * backend.service.rng.uniform(0.5, 2.0)
-        backend.refused_until = now + pause
+        backend.refuse(now)
+    else:
+        backend.refusals = 0
     if flight.probe:
         _take_probe(backend, verdict, now)
     elif verdict != "not_run":
@@ -67,6 +66,7 @@
         and not backend.stalled
         and not flight.probe
         and not backend.health.evidence
+        and not backend.refusals
     )
 
 
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -20,6 +20,7 @@
 from cardamompathd import messages
 from cardamompathd.controllers import backend_health
 from cardamompathd.controllers import fence
+from cardamompathd.controllers import load_reports
 from cardamompathd.controllers import service_state
 
 __all__ = [
@@ -311,7 +312,7 @@
 def _tick(state, msg, now):
     for backend in state.backends.values():
         backend_health.review(backend, now)
-    sends = [_set_tick(now), *_report_load(state)]
+    sends = [_set_tick(now), *load_reports.report(state)]
     for service in state.services.values():
         sends += _start_ready(state, service, now)
     return sends
@@ -369,18 +370,6 @@
     return sends
 
 
-def _report_load(state):
-    """Tell the peers when work begins or ceases to wait here."""
-    queued = sum(len(one.queue) for one in state.services.values())
-    if bool(queued) == bool(state.reported.queued):
-        return []
-    in_flight = sum(one.server.in_flight for one in state.backends.values())
-    limit = sum(one.server.home for one in state.backends.values())
-    state.reported = types.LoadHint(queued, in_flight, limit)
-    report = messages.LoadReport(state.reported)
-    return [messages.Send(messages.MEMBERSHIP, report)]
-
-
 def _status(state, msg, now):
     status = {
         "queued": sum(len(one.queue) for one in state.services.values()),
--- a/packages/daemon/src/cardamompathd/controllers/service_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/service_state.py
@@ -23,6 +23,12 @@
     "Service",
 ]
 
+REFUSAL_PAUSE = 0.1
+"""Seconds without new work after a refusal, before jitter."""
+MOST_REFUSALS = 8
+"""Refusals in a row that are told apart."""
+LONGEST_PAUSE = 2.0
+"""The same after many refusals in a row."""
 USUAL_SPREAD = 0.1
 """Difference from the usual speed that needs no second look."""
 FAR_SECONDS = 0.003
@@ -60,6 +66,7 @@
         "leaving_until",
         "lent",
         "most",
+        "refusals",
         "refused_until",
         "server",
         "service",
@@ -79,6 +86,7 @@
         """Slots of peers that may be idle."""
         self.most = 0
         """Most tasks in flight at any time."""
+        self.refusals = 0
         self.refused_until = 0.0
         self.stalled = False
         self.last_end = 0.0
@@ -93,6 +101,13 @@
             or now < self.refused_until
         )
 
+    def refuse(self, now: float) -> None:
+        """Pause after a refusal, longer with each one in a row."""
+        pause = min(LONGEST_PAUSE, REFUSAL_PAUSE * 2.0**self.refusals)
+        self.refusals = min(self.refusals + 1, MOST_REFUSALS)
+        jitter = self.service.rng.uniform(0.5, 1.0)
+        self.refused_until = now + pause * jitter
+
     def is_settled(self, now: float) -> bool:
         """Return whether time alone changes nothing of its slots."""
         return (
--- a/packages/daemon/src/cardamompathd/tests/test_backends.py
+++ b/packages/daemon/src/cardamompathd/tests/test_backends.py
@@ -407,3 +407,20 @@
         self.end([*self.flying][0])
         (report,) = self.tick()
         self.assertEqual(0, report.load.queued)
+
+    def test_refusals_in_a_row_pause_longer(self):
+        self.configure(*make_backends(1))
+        self.submit(1)
+        starts = 0
+        for _ in range(200):
+            self.now += 0.05
+            self.tell(messages.TimerFired("tick"))
+            for ref in [*self.flying]:
+                starts += 1
+                self.end(ref, NOT_RUN)
+        self.assertLess(starts, 20)
+        self.now += 3.0
+        self.tell(messages.TimerFired("tick"))
+        self.end([*self.flying][0])
+        self.submit(1)
+        self.assertEqual({"b0": 1}, self.in_flight())
