--- a/packages/proof/src/cardamompath_proof/bench/workloads.py
+++ b/packages/proof/src/cardamompath_proof/bench/workloads.py
@@ -212,7 +212,7 @@
             swing=swing,
             swing_on=(0,),
         ),
-        Workload("swing on all", 15, load=0.2, seconds=13.0, swing=swing),
+        Workload("swing on all", 15, load=0.2, seconds=17.0, swing=swing),
         Workload(
             "short only",
             16,
@@ -253,5 +253,12 @@
             seconds=4.0 + 6.0 * scale,
             declared_error=10.0,
         ),
+        Workload(
+            "240 servers",
+            22,
+            seconds=2.0,
+            warm_up=0.5,
+            speeds=(1.0,) * 10 * BACKENDS,
+        ),
         Workload("cancel 5000", 21, seconds=10.0, cancelled_jobs=25),
     )
