--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -99,15 +99,7 @@
         cfg["instance", "name"],
         _draw_nonce(),
     )
-<<<<<<< HEAD
     table: dict[str, Any] = {messages.CALLERS: _answer}
-=======
-    table: dict[str, Any] = {
-        messages.CALLERS: lambda msg: msg.reply.set(msg.answer),
-        # Load reports go nowhere until there is someone to tell.
-        messages.MEMBERSHIP: lambda msg: None,
-    }
->>>>>>> decisions
     deliver = actors.make_router(table)
     refs = _start_controllers(cfg, owner, table, deliver, clock)
     together = coordination.start(cfg, owner, table, deliver, clock)
