Admit by deadline, team and memory; retry within a budget

Cause: everything was accepted and could only time out in the queue; no team had a part; half-finished jobs could fill the memory for answers; idempotent requests were not retried; a backend server that refuses was called again at once or after 0.1 s; a request that had failed as a probe and waited again ended as "not run", which was untrue.

Change: the backends controller declines what it cannot do in time or on no server; TeamQueues puts teams below their part first; the quotas controller stands between jobs and backends and reserves memory for whole jobs; Retries keeps the budget and what is known of a request between two tries; a refusing server is paused longer each time, to 1 s, and gets one task at a time from the third refusal on.

--- a/packages/core/src/cardamompath_core/queueing.py
+++ b/packages/core/src/cardamompath_core/queueing.py
@@ -20,6 +20,7 @@
     "QueuedTask",
     "TaskQueue",
     "lane",
+    "place",
 ]
 
 SHORT = 0
@@ -31,6 +32,8 @@
 """Share of the slots that long kinds may take."""
 AGEING = 10.0
 """Seconds of waiting that make up for one second of work."""
+SAMPLE = 64
+"""Entries of a lane, at least, from which work ahead is estimated."""
 SPARE_ENTRIES = 64
 """Dead entries that a lane may hold beyond the live ones."""
 
@@ -66,6 +69,8 @@
         Identifier of the job.
     arrived, deadline : float
         Times in seconds.
+    team : str
+        The team that is charged.
     """
 
     __slots__ = (
@@ -74,12 +79,16 @@
         "job",
         "lanes",
         "started",
+        "team",
         "withdrawn",
         "work",
     )
 
-    def __init__(self, job: str, arrived: float, deadline: float):
+    def __init__(
+        self, job: str, arrived: float, deadline: float, team: str = ""
+    ):
         self.job = job
+        self.team = team
         self.arrived = arrived
         self.deadline = deadline
         self.lanes: tuple[list[QueuedTask], list[QueuedTask]] = ([], [])
@@ -142,9 +151,9 @@
         """Return the place and the job that goes first in a lane."""
         heap = self._heaps[lane]
         while heap:
-            place, _, queued = heap[0]
+            first, _, queued = heap[0]
             if queued.lanes[lane] and not queued.withdrawn:
-                return place, queued
+                return first, queued
             heapq.heappop(heap)
         return None
 
@@ -178,6 +187,19 @@
         self._compact()
         return left
 
+    def work_ahead(self, place: float) -> float:
+        """Estimate the work that goes before a place, from a sample."""
+        sampled = ahead = 0.0
+        for heap in self._heaps:
+            step = max(1, len(heap) // SAMPLE)
+            for other, _, queued in heap[::step]:
+                if queued.withdrawn:
+                    continue
+                sampled += queued.work
+                if other <= place:
+                    ahead += queued.work
+        return self.work * ahead / sampled if sampled else self.work
+
     def _push(self, queued, lane, width):
         entry = (_place(queued, lane, width), next(self._order), queued)
         heapq.heappush(self._heaps[lane], entry)
@@ -192,7 +214,21 @@
             heapq.heapify(heap)
 
 
+def place(arrived: float, longest: float, work: float, width: float) -> float:
+    """Return the place of a job: the least goes first.
+
+    Parameters
+    ----------
+    arrived : float
+        Time of its arrival in seconds.
+    longest, work : float
+        Expected seconds of its longest task, and of all that is left.
+    width : float
+        Tasks that can run at once.
+    """
+    return arrived + AGEING * max(longest, work / width)
+
+
 def _place(queued, lane, width):
     longest = queued.lanes[lane][-1].size
-    ahead = max(longest, queued.work / width)
-    return queued.arrived + AGEING * ahead
+    return place(queued.arrived, longest, queued.work, width)
--- /dev/null
+++ b/packages/core/src/cardamompath_core/reservations.py
@@ -0,0 +1,123 @@
+"""Memory reserved for the answers of jobs before they start.
+
+Results of a job are held until its last one is there.  Jobs that each
+hold a part of the memory could fill it so that none finishes; so a job
+starts only when there is room for its whole answer.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+from cardamompath_core import types
+
+__all__ = [
+    "AnswerSizes",
+    "Reservations",
+]
+
+PRIOR_BYTES = 4096.0
+"""Expected size of an answer of an unknown kind."""
+TASK_BYTES = 256
+"""Memory of a result beside its payload."""
+SIZE_GAIN = 0.05
+"""Weight of one more answer of a well-known kind."""
+MOST_KINDS = 4096
+"""Kinds whose sizes are kept; more are treated as unknown."""
+
+
+class _Kind:
+    __slots__ = ("count", "size")
+
+    def __init__(self):
+        self.count = 0
+        self.size = 0.0
+
+
+class AnswerSizes:
+    """Learned sizes of answers by service and kind."""
+
+    def __init__(self):
+        self._kinds: dict[tuple[str, str], _Kind] = {}
+
+    def expected(self, tasks: Sequence[types.TaskSpec]) -> int:
+        """Return the bytes that the answers of tasks are expected to take."""
+        counts = collections.Counter((one.service, one.kind) for one in tasks)
+        total = 0.0
+        for key, count in counts.items():
+            known = self._kinds.get(key)
+            size = PRIOR_BYTES if known is None else known.size
+            total += count * (TASK_BYTES + size)
+        return int(total)
+
+    def observe(self, task: types.TaskSpec, size: int) -> None:
+        """Learn from an answer of so many bytes."""
+        key = task.service, task.kind
+        known = self._kinds.get(key)
+        if known is None:
+            if len(self._kinds) >= MOST_KINDS:
+                return
+            known = self._kinds[key] = _Kind()
+        known.count += 1
+        gain = max(1.0 / known.count, SIZE_GAIN)
+        known.size += gain * (size - known.size)
+
+
+class Reservations:
+    """Who holds how much of a share of the memory, and who waits.
+
+    Parameters
+    ----------
+    share : int
+        Bytes that may be reserved at a time.
+    """
+
+    def __init__(self, share: int):
+        self.share = share
+        self.held: dict[str, int] = {}
+        self.used = 0
+        self.waiting: dict[str, int] = {}
+        """Bytes wanted, in order of arrival."""
+
+    def ask(self, job: str, size: int) -> bool:
+        """Reserve for a job, or let it wait behind those before it.
+
+        Returns
+        -------
+        bool
+            Whether the job may start now.
+        """
+        if self.waiting or not self._fits(size):
+            self.waiting[job] = size
+            return False
+        self._hold(job, size)
+        return True
+
+    def release(self, job: str) -> list[str]:
+        """Give back what a job held or waited for.
+
+        Returns
+        -------
+        list of str
+            Jobs that waited and may start now, in order.
+        """
+        self.waiting.pop(job, None)
+        self.used -= self.held.pop(job, 0)
+        granted = []
+        for other, size in self.waiting.items():
+            if not self._fits(size):
+                break
+            self._hold(other, size)
+            granted.append(other)
+        for other in granted:
+            del self.waiting[other]
+        return granted
+
+    def _fits(self, size):
+        """Return whether a job fits; one above the share goes alone."""
+        return self.used + size <= self.share or not self.held
+
+    def _hold(self, job, size):
+        self.held[job] = size
+        self.used += size
--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -162,6 +162,10 @@
                 owner,
                 cfg["callers", "answer_ttl"],
                 cfg["callers", "answer_bytes"],
+                messages.QUOTAS,
+            ),
+            controllers.quotas.make_controller(
+                owner, cfg["callers", "answer_bytes"]
             ),
             controllers.backends.make_controller(owner, random.Random()),
             controllers.journal.make_controller(
@@ -184,6 +188,7 @@
     )
     table[messages.JOBS] = actors.make_teller(dispatch, messages.JOBS)
     table[messages.BACKENDS] = actors.make_teller(dispatch, messages.BACKENDS)
+    table[messages.QUOTAS] = actors.make_teller(dispatch, messages.QUOTAS)
     table[messages.JOURNAL] = actors.make_teller(dispatch, messages.JOURNAL)
     return dispatch, telemetry
 
--- a/packages/daemon/src/cardamompathd/callers/codec.py
+++ b/packages/daemon/src/cardamompathd/callers/codec.py
@@ -31,6 +31,7 @@
     "conflict": 409,
     "unknown_job": 404,
     "unknown_service": 404,
+    "unknown_team": 404,
 }
 """Statuses of refusals; 503 for the others."""
 
--- a/packages/daemon/src/cardamompathd/controllers/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/__init__.py
@@ -9,6 +9,7 @@
 from cardamompathd.controllers import journal_store
 from cardamompathd.controllers import membership
 from cardamompathd.controllers import observations
+from cardamompathd.controllers import quotas
 
 __all__ = [
     "backends",
@@ -20,4 +21,5 @@
     "journal_store",
     "membership",
     "observations",
+    "quotas",
 ]
--- a/packages/daemon/src/cardamompathd/controllers/backend_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/backend_health.py
@@ -6,6 +6,7 @@
 
 from cardamompath_core import health
 from cardamompath_core import outcomes
+from cardamompath_core import retries
 from cardamompath_core import types
 from cardamompathd.controllers import service_state
 
@@ -15,8 +16,6 @@
     "review",
 ]
 
-REFUSAL_PAUSE = 0.1
-"""Seconds without new work after a refusal, halved or doubled at random."""
 LEAVING_PAUSE = 60.0
 """Seconds without new work after a server said that it leaves."""
 OVERDUE_FACTOR = 3.0
@@ -50,8 +49,9 @@
     if answer.leaving:
         backend.leaving_until = now + LEAVING_PAUSE
     if verdict == "not_run":
-        pause = REFUSAL_PAUSE * backend.service.rng.uniform(0.5, 2.0)
-        backend.refused_until = now + pause
+        _pause(backend, flight, now)
+    else:
+        backend.refusals = 0
     if flight.probe:
         _take_probe(backend, verdict, now)
     elif verdict != "not_run":
@@ -65,11 +65,21 @@
         verdict == "finished"
         and not answer.leaving
         and not backend.stalled
+        and not backend.refusals
         and not flight.probe
         and not backend.health.evidence
     )
 
 
+def _pause(backend, flight, now):
+    """Leave a server that refuses alone, longer each time."""
+    if flight.began < backend.refused_until:
+        return
+    pause = retries.refusal_pause(backend.refusals, backend.service.rng)
+    backend.refusals += 1
+    backend.refused_until = now + pause
+
+
 def _take_probe(backend, verdict, now):
     service = backend.service
     backend.health.probed(verdict == "finished", now, service.rng)
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -15,10 +15,13 @@
 from cardamompath_core import leases
 from cardamompath_core import outcomes
 from cardamompath_core import queueing
+from cardamompath_core import quotas
 from cardamompath_core import subsets
 from cardamompath_core import types
 from cardamompathd import messages
+from cardamompathd.controllers import backend_admission
 from cardamompathd.controllers import backend_health
+from cardamompathd.controllers import backend_retries
 from cardamompathd.controllers import fence
 from cardamompathd.controllers import service_state
 
@@ -58,6 +61,8 @@
         self.services: dict[str, service_state.Service] = {}
         self.backends: dict[str, service_state.Backend] = {}
         self.jobs: dict[str, _Work] = {}
+        self.retries = backend_retries.Retries(rng)
+        self.teams = quotas.Quotas()
         self.leaving: frozenset[str] = frozenset()
         self.busy: frozenset[str] = frozenset()
         self.ticking = False
@@ -89,25 +94,36 @@
 def _service(state, name):
     known = state.services.get(name)
     if known is None:
-        known = service_state.Service(name, state.rng)
+        known = service_state.Service(name, state.rng, state.teams)
         known.busy = state.busy
         state.services[name] = known
     return known
 
 
 def _enqueue(state, msg, now):
-    work = _Work(msg, {}, [])
-    state.jobs[msg.job] = work
     by_service = {}
     for index, task in enumerate(msg.spec.tasks):
-        by_service.setdefault(task.service, []).append((index, task))
+        service = _service(state, task.service)
+        queued = _queued_task(service, index, task)
+        by_service.setdefault(service, []).append(queued)
+    for service, tasks in by_service.items():
+        refusal = backend_admission.refuse(service, tasks, now, msg.deadline)
+        if refusal is not None:
+            declined = messages.Declined(msg.job, refusal)
+            return [messages.Send(messages.JOBS, declined)]
+    return _queue(state, msg, by_service, now)
+
+
+def _queue(state, msg, by_service, now):
+    work = _Work(msg, {}, [])
+    state.jobs[msg.job] = work
+    team = state.teams.team(msg.spec.team)
     sends = []
-    for name, tasks in by_service.items():
-        service = _service(state, name)
-        queued = queueing.QueuedJob(msg.job, now, msg.deadline)
-        work.queued[name] = queued
-        found = [_queued_task(service, index, task) for index, task in tasks]
-        service.queue.add(queued, found, service.width)
+    for service, tasks in by_service.items():
+        queued = queueing.QueuedJob(msg.job, now, msg.deadline, team)
+        work.queued[service.name] = queued
+        service.queue.add(queued, tasks, service.width)
+        state.retries.first_try(service.name)
         sends += _start_ready(state, service, now)
     return sends
 
@@ -136,7 +152,7 @@
         if server is None:
             lanes.remove(lane)
             continue
-        task = service.queue.take(lane, service.width)
+        task = service.queue.take(queued, lane, service.width)
         sends.append(_start(state, queued, task, server.name, now))
     return sends
 
@@ -144,13 +160,14 @@
 def _next_lane(service, lanes):
     """Return the lane whose first job goes before the others'."""
     best = None
-    best_place = float("inf")
+    best_key = (True, float("inf"))
     for lane in lanes:
         head = service.queue.head(lane)
         if head is None or not service.may_start(lane):
             continue
-        if head[0] < best_place:
-            best, best_place = lane, head[0]
+        key = (service.teams.is_above(head[1].team, service.name), head[0])
+        if best is None or key < best_key:
+            best, best_key = lane, key
     return best
 
 
@@ -168,7 +185,7 @@
         if backend is not None:
             backend.health.probing = True
             return backend.server
-    return service.choose(task, now)
+    return service.choose(task, queued.team, now)
 
 
 def _start(state, queued, chosen, name, now):
@@ -178,6 +195,7 @@
     ref = types.TaskRef(queued.job, chosen.index)
     queued.started = True
     backend.start(ref, task, chosen, now)
+    state.teams.started(ref, queued.team)
     timeout = min(queued.deadline - now, backend.service.timeout)
     if backend.health.probing:
         timeout = min(timeout, PROBE_SECONDS + PROBE_FACTOR * chosen.size)
@@ -198,6 +216,7 @@
 def _ended(state, msg, now):
     backend = state.backends.get(msg.backend)
     flight = backend.end(msg.task, now) if backend else None
+    state.teams.ended(msg.task)
     verdict = outcomes.judge(msg.answer)
     if flight is not None:
         _learn(backend, flight, msg.answer, verdict, now)
@@ -206,9 +225,9 @@
     work = state.jobs.get(msg.task.job)
     sends = []
     if work is not None:
-        sends += _settle(state, work, msg, verdict, flight)
+        sends += _settle(state, work, msg, verdict, flight, now)
     else:
-        sends.append(_settle_withdrawn(msg, verdict))
+        sends.append(_settle_withdrawn(state, msg, verdict))
     if backend is not None:
         sends += _start_ready(state, backend.service, now)
     return sends
@@ -230,26 +249,45 @@
     backend.server.speed = service.learned.speed(name)
 
 
-def _settle(state, work, msg, verdict, flight):
+def _settle(state, work, msg, verdict, flight, now):
     task = work.enqueued.spec.tasks[msg.task.index]
-    if verdict == "not_run" or _is_spoilt_probe(work, verdict, flight):
+    if verdict == "not_run":
         _requeue(state, work, msg.task, task)
         return []
-    answer = msg.answer
-    result = types.TaskResult(
-        verdict, answer.status, answer.payload, msg.backend
-    )
+    result = backend_retries.make_result(msg, verdict)
+    if _is_spoilt_probe(work, verdict, flight):
+        state.retries.note(msg.task, result)
+        _requeue(state, work, msg.task, task)
+        return []
+    if verdict != "finished":
+        left = work.enqueued.deadline - now
+        spec = work.enqueued.spec
+        wait = state.retries.plan(msg.task, spec, result, left)
+        if wait is not None:
+            key = ("retry", msg.task)
+            timer = messages.SetTimer(now + wait, messages.BACKENDS, key)
+            return [messages.Send(messages.TIMERS, timer)]
+    state.retries.forget(msg.task)
     settled = messages.TaskSettled(msg.task, result)
     return [messages.Send(messages.JOBS, settled)]
 
 
-def _settle_withdrawn(msg, verdict):
+def _retry(state, ref, now):
+    work = state.jobs.get(ref.job)
+    if work is None:
+        return []
+    task = work.enqueued.spec.tasks[ref.index]
+    _requeue(state, work, ref, task)
+    return _start_ready(state, _service(state, task.service), now)
+
+
+def _settle_withdrawn(state, msg, verdict):
     """Settle a task that was in flight when its job was withdrawn."""
     known = "not_started" if verdict == "not_run" else verdict
-    answer = msg.answer
-    result = types.TaskResult(
-        known, answer.status, answer.payload, msg.backend
-    )
+    result = backend_retries.make_result(msg, known)
+    tried = state.retries.forget(msg.task)
+    if tried is not None and known == "not_started":
+        result = tried
     settled = messages.TaskSettled(msg.task, result)
     return messages.Send(messages.JOBS, settled)
 
@@ -279,8 +317,23 @@
         left += work.held
         for name, queued in work.queued.items():
             left += state.services[name].queue.withdraw(queued)
+    sends = []
+    if work is not None and work.enqueued.spec.single:
+        sends += _settle_tried(state, types.TaskRef(msg.job, 0), left)
     withdrawn = messages.Withdrawn(msg.job, tuple(left))
-    return [messages.Send(messages.JOBS, withdrawn)]
+    return [*sends, messages.Send(messages.JOBS, withdrawn)]
+
+
+def _settle_tried(state, ref, left):
+    """Settle a request that ran before and is not in flight now."""
+    if state.teams.is_in_flight(ref):
+        return []
+    result = state.retries.forget(ref)
+    if result is None:
+        return []
+    left.clear()
+    settled = messages.TaskSettled(ref, result)
+    return [messages.Send(messages.JOBS, settled)]
 
 
 def _configure(state, msg, now):
@@ -308,7 +361,13 @@
     return messages.Send(messages.TIMERS, tick)
 
 
-def _tick(state, msg, now):
+def _timer(state, msg, now):
+    if msg.key == "tick":
+        return _tick(state, now)
+    return _retry(state, msg.key[1], now)
+
+
+def _tick(state, now):
     for backend in state.backends.values():
         backend_health.review(backend, now)
     sends = [_set_tick(now), *_report_load(state)]
@@ -341,6 +400,11 @@
     return []
 
 
+def _take_parts(state, msg, now):
+    state.teams.parts = msg.parts
+    return []
+
+
 def _take_peers(state, msg, now):
     instances = {state.own}
     for peer in msg.peers:
@@ -387,6 +451,8 @@
         "in_flight": {
             name: one.server.in_flight for name, one in state.backends.items()
         },
+        "teams": dict(state.teams.in_flight),
+        "retrying": len(state.retries),
     }
     reply = messages.Reply(msg.reply, status)
     return [messages.Send(messages.CALLERS, reply)]
@@ -398,8 +464,9 @@
     messages.Enqueue: _enqueue,
     messages.GetStatus: _status,
     messages.LeaseChanged: _take_lease,
+    messages.PartsChanged: _take_parts,
     messages.PeersChanged: _take_peers,
     messages.TaskEnded: _ended,
-    messages.TimerFired: _tick,
+    messages.TimerFired: _timer,
     messages.Withdraw: _withdraw,
 }
--- a/packages/daemon/src/cardamompathd/controllers/job_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/job_leases.py
@@ -47,8 +47,7 @@
     for name, job in state.jobs.items():
         if job.answer is None and name.rpartition(".")[0] == msg.owner:
             job.cancelled = "lease_lapsed"
-            withdraw = messages.Withdraw(name)
-            sends.append(messages.Send(messages.BACKENDS, withdraw))
+            sends.append(job_store.withdraw(state, name))
     return sends
 
 
--- a/packages/daemon/src/cardamompathd/controllers/job_store.py
+++ b/packages/daemon/src/cardamompathd/controllers/job_store.py
@@ -16,8 +16,10 @@
     "close",
     "forget",
     "keep",
+    "leave_queue",
     "make_answer",
     "note_change",
+    "withdraw",
 ]
 
 UNKNOWN = types.TaskResult("unknown")
@@ -80,6 +82,8 @@
         Seconds for which an answer can be asked for again.
     answer_bytes : int
         Most bytes of answers that are kept; the oldest go first.
+    queue : str
+        The task that takes accepted jobs.
     """
 
     def __init__(
@@ -87,7 +91,9 @@
         owner: identity.Incarnation,
         answer_ttl: float,
         answer_bytes: int,
+        queue: str = messages.BACKENDS,
     ):
+        self.queue = queue
         text = identity.format_incarnation(owner)
         self.book = ownership.Book(text, answer_ttl)
         self.requests = f"{text}.requests"
@@ -162,6 +168,20 @@
     return types.Failed(code, f"{code}: {counts}", results)
 
 
+def withdraw(state: JobsState, name: str) -> messages.Send:
+    """Make the message that takes a job's tasks out of the queue."""
+    return messages.Send(state.queue, messages.Withdraw(name))
+
+
+def leave_queue(state: JobsState, job: Job) -> messages.Send:
+    """Make the message that ends all that is held for a job."""
+    if state.queue == messages.BACKENDS:
+        return withdraw(state, job.job)
+    results = tuple(job.results)
+    ended = messages.JobEnded(job.job, job.spec.tasks, results)
+    return messages.Send(state.queue, ended)
+
+
 def note_change(state: JobsState, job: Job) -> None:
     """Note that a job has progress for the journal."""
     if not job.spec.single:
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -47,9 +47,10 @@
     owner: identity.Incarnation,
     answer_ttl: float = 300.0,
     answer_bytes: int = 256 << 20,
+    queue: str = messages.BACKENDS,
 ) -> messages.Controller:
     """Make the controller of the jobs that a process owns."""
-    state = job_store.JobsState(owner, answer_ttl, answer_bytes)
+    state = job_store.JobsState(owner, answer_ttl, answer_bytes, queue)
 
     def receive(msg: Any, now: float) -> Sequence[messages.Send]:
         return _HANDLERS[type(msg)](state, msg, now)
@@ -139,7 +140,7 @@
     enqueue = messages.Enqueue(name, job.spec, job.deadline)
     timer = messages.SetTimer(job.deadline, messages.JOBS, ("deadline", name))
     return [
-        messages.Send(messages.BACKENDS, enqueue),
+        messages.Send(state.queue, enqueue),
         messages.Send(messages.TIMERS, timer),
     ]
 
@@ -212,7 +213,7 @@
     sends = list(_await(state, msg, now))
     if known is not None and known.answer is None and not known.cancelled:
         known.cancelled = "cancelled"
-        sends.append(_withdraw(known))
+        sends.append(job_store.withdraw(state, known.job))
     return sends
 
 
@@ -224,10 +225,6 @@
     return [_reply(msg.reply, refused), *sends]
 
 
-def _withdraw(job):
-    return messages.Send(messages.BACKENDS, messages.Withdraw(job.job))
-
-
 def _settle(state, msg, now):
     job = state.jobs.get(msg.task.job)
     if job is None or job.answer is not None:
@@ -241,7 +238,7 @@
         return _finish(state, job, now)
     if msg.result.state != "finished" and not job.cancelled:
         job.cancelled = "task_failed"
-        return [_withdraw(job)]
+        return [job_store.withdraw(state, job.job)]
     return []
 
 
@@ -272,20 +269,31 @@
     if job.answer is not None:
         return []
     job.cancelled = "deadline"
-    return [_withdraw(job)]
+    return [job_store.withdraw(state, job.job)]
+
+
+def _declined(state, msg, now):
+    job = state.jobs.get(msg.job)
+    if job is None or job.answer is not None:
+        return []
+    job.results = [NOT_STARTED] * len(job.results)
+    job.open = 0
+    job_store.note_change(state, job)
+    return _finish(state, job, now, msg.refusal)
 
 
-def _finish(state, job, now):
+def _finish(state, job, now, refusal=None):
     until = fence.start_by(state.leases, job.job)
     if not leases.may_start(until, now):
         # Peers may have answered for it already.
         job.cancelled = LAPSED.code
-    job.answer = job_store.make_answer(job)
+        refusal = None
+    job.answer = refusal or job_store.make_answer(job)
     sends = [_reply(reply, job.answer) for reply in job.waiters]
     job.fetched = bool(job.waiters)
     job.waiters.clear()
     sends.append(job_reports.observe(job, now))
-    sends.append(_withdraw(job))
+    sends.append(job_store.leave_queue(state, job))
     if job.spec.single:
         del state.jobs[job.job]
     else:
@@ -332,6 +340,7 @@
     messages.Claimed: _claimed,
     messages.CollectProgress: job_leases.collect,
     messages.ConfigurationChanged: _configure,
+    messages.Declined: _declined,
     messages.Drain: job_waits.drain,
     messages.GetStatus: _status,
     messages.IssueJob: _issue,
--- a/packages/daemon/src/cardamompathd/controllers/service_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/service_state.py
@@ -13,6 +13,7 @@
 from cardamompath_core import health
 from cardamompath_core import limits
 from cardamompath_core import queueing
+from cardamompath_core import quotas
 from cardamompath_core import routing
 from cardamompath_core import subsets
 from cardamompath_core import types
@@ -25,6 +26,8 @@
 
 USUAL_SPREAD = 0.1
 """Difference from the usual speed that needs no second look."""
+DOUBTFUL_REFUSALS = 3
+"""Refusals in a row after which a server gets one task at a time."""
 FAR_SECONDS = 0.003
 """Time that an exchange across failure domains takes longer."""
 
@@ -60,6 +63,7 @@
         "leaving_until",
         "lent",
         "most",
+        "refusals",
         "refused_until",
         "server",
         "service",
@@ -79,6 +83,8 @@
         """Slots of peers that may be idle."""
         self.most = 0
         """Most tasks in flight at any time."""
+        self.refusals = 0
+        """Refusals in a row, those of one moment counted once."""
         self.refused_until = 0.0
         self.stalled = False
         self.last_end = 0.0
@@ -97,6 +103,7 @@
         """Return whether time alone changes nothing of its slots."""
         return (
             not self.health.evidence
+            and not self.refusals
             and not self.is_closed(now)
             and self.server.room == self.server.home
             and abs(self.server.speed - 1.0) < USUAL_SPREAD
@@ -114,6 +121,8 @@
         server.limit = math.ceil(most * share)
         if self.health.is_suspect():
             server.limit = server.room
+        if self.refusals >= DOUBTFUL_REFUSALS:
+            server.room = server.limit = 1
 
     def start(
         self,
@@ -159,13 +168,16 @@
         Name in the configuration.
     rng : random.Random
         Where choices among equals come from.
+    teams : Quotas
+        Parts of the teams, over all services.
     """
 
-    def __init__(self, name: str, rng: random.Random):
+    def __init__(self, name: str, rng: random.Random, teams: quotas.Quotas):
         self.name = name
         self.rng = rng
         self.timeout = float("inf")
-        self.queue = queueing.TaskQueue()
+        self.teams = teams
+        self.queue = quotas.TeamQueues(name, teams)
         self.learned = estimates.Estimates()
         self.failures = health.FailureShares()
         self.ejected: list[Backend] = []
@@ -279,7 +291,7 @@
         server.in_flight -= 1
 
     def choose(
-        self, task: queueing.QueuedTask, now: float
+        self, task: queueing.QueuedTask, team: str, now: float
     ) -> routing.Server | None:
         """Return the backend server for the next task, if any.
 
@@ -287,6 +299,8 @@
         ----------
         task : QueuedTask
             The task that goes first.
+        team : str
+            Its team.
         now : float
             The present time in seconds.
         """
@@ -294,6 +308,8 @@
         server, waits = routing.choose_home(self.homes, wanted)
         if server is not None or waits:
             return server
+        if not self.teams.may_borrow(team, self.name):
+            return None
         if self.borrowed < self.borrow.present:
             return routing.choose_borrowed(self.servers, wanted, self.rng)
         return None
--- a/packages/daemon/src/cardamompathd/coordination.py
+++ b/packages/daemon/src/cardamompathd/coordination.py
@@ -31,10 +31,15 @@
     "start",
 ]
 
-LISTENERS = (messages.JOBS, messages.BACKENDS, messages.MEMBERSHIP)
-"""Tasks that are told of each revision."""
-
-PEER_LISTENERS = (messages.JOBS, messages.BACKENDS)
+LISTENERS = (
+    messages.BACKENDS,
+    messages.QUOTAS,
+    messages.JOBS,
+    messages.MEMBERSHIP,
+)
+"""Tasks that are told of each revision; those that accept come last."""
+
+PEER_LISTENERS = (messages.JOBS, messages.BACKENDS, messages.QUOTAS)
 """Tasks that are told of the other instances."""
 
 
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -16,6 +16,7 @@
 
 from cardamompath_core import log_fold
 from cardamompath_core import membership
+from cardamompath_core import quotas
 from cardamompath_core import settlement
 from cardamompath_core import types
 
@@ -38,6 +39,7 @@
     "ConfigurationChanged",
     "ConfigurationFetched",
     "Controller",
+    "Declined",
     "DigestReceived",
     "Drain",
     "Drained",
@@ -54,6 +56,7 @@
     "InstancesListed",
     "IssueJob",
     "JOBS",
+    "JobEnded",
     "ListJobs",
     "JOURNAL",
     "LOGS",
@@ -65,6 +68,7 @@
     "Observed",
     "OwnerChanged",
     "PEERS",
+    "PartsChanged",
     "PeerConfiguration",
     "PeersChanged",
     "PeersListening",
@@ -216,6 +220,27 @@
     indexes: tuple[int, ...]
 
 
+class Declined(NamedTuple):
+    """An accepted job was refused before any of it started."""
+
+    job: str
+    refusal: types.Refused
+
+
+class JobEnded(NamedTuple):
+    """A job has its answer and holds nothing any more."""
+
+    job: str
+    tasks: tuple[types.TaskSpec, ...]
+    results: tuple[types.TaskResult | None, ...]
+
+
+class PartsChanged(NamedTuple):
+    """What this instance may have in flight for each team."""
+
+    parts: quotas.Parts
+
+
 class StartTask(NamedTuple):
     """Send a task to a backend server."""
 
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_quotas.py
@@ -0,0 +1,368 @@
+import collections
+import heapq
+import itertools
+import random
+import unittest
+
+from cardamompath_core import identity
+from cardamompath_core import leases
+from cardamompath_core import reservations
+from cardamompath_core import types
+from cardamompathd import controllers
+from cardamompathd import messages
+
+OWNER = identity.Incarnation("pocitos", "entry-0", "0123456789ab")
+NAME = identity.format_incarnation(OWNER)
+TASK = types.TaskSpec("booking", "reserve", b"")
+FINISHED = types.BackendAnswer("done", 200, b"x" * 100, elapsed=0.1)
+FAILED = types.BackendAnswer("done", 500, elapsed=0.1)
+REFUSED = types.BackendAnswer("connect", error="refused")
+EACH = int(reservations.PRIOR_BYTES) + reservations.TASK_BYTES
+SHARE = 10 * EACH
+
+
+def make_backends(count, slots=4):
+    return tuple(
+        types.BackendSpec(f"b{one}", "booking", "pocitos", "::1", one, slots)
+        for one in range(count)
+    )
+
+
+def make_peer(number, status):
+    name = f"pocitos.entry-{number}.0123456789ab"
+    return types.PeerView(name, "::1", 1, status)
+
+
+class DispatchCase(unittest.TestCase):
+    """Jobs, quotas and backend servers of one instance on a clock."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.timers = []
+        self.order = itertools.count()
+        self.answers = {}
+        self.started = []
+        self.answer = None
+        """Function from what starts to the answer it gets at once."""
+        self.parts = None
+        rng = random.Random(1)
+        made = (
+            controllers.jobs.make_controller(OWNER, queue=messages.QUOTAS),
+            controllers.quotas.make_controller(OWNER, SHARE),
+            controllers.backends.make_controller(OWNER, rng),
+        )
+        self.receive = {one.name: one.receive for one in made}
+        self.configure(make_backends(2))
+
+    def configure(self, backends, teams=()):
+        services = (types.ServiceSpec("booking"), types.ServiceSpec("none"))
+        cfg = types.Configuration(1, 0, services, backends, teams)
+        for name in self.receive:
+            self.tell(name, messages.ConfigurationChanged(cfg))
+
+    def tell(self, to, msg):
+        pending = collections.deque([messages.Send(to, msg)])
+        while pending:
+            to, msg = pending.popleft()
+            if to in self.receive:
+                pending.extend(self.receive[to](msg, self.now))
+            elif to == messages.TIMERS:
+                heapq.heappush(self.timers, (msg.at, next(self.order), msg))
+            elif to == messages.CALLERS:
+                self.answers[msg.reply] = msg.answer
+            elif to == messages.CONNECTIONS:
+                self.started.append(msg)
+                if self.answer is not None:
+                    pending.append(self.ended(msg, self.answer(msg)))
+
+    @staticmethod
+    def ended(msg, answer):
+        ended = messages.TaskEnded(msg.backend.name, msg.task, answer)
+        return messages.Send(messages.BACKENDS, ended)
+
+    def end(self, answer=FINISHED, job=None):
+        """End all that was started, or what was of a job."""
+        flying, self.started = self.started, []
+        for msg in flying:
+            if job in (None, msg.task.job):
+                self.tell(*self.ended(msg, answer))
+            else:
+                self.started.append(msg)
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while self.timers and self.timers[0][0] <= end:
+            self.now, _, msg = heapq.heappop(self.timers)
+            self.tell(msg.to, messages.TimerFired(msg.key))
+        self.now = end
+
+    def submit(self, count=1, team="box-office", single=False, **fields):
+        """Submit; return the identifier, and its answer is under it."""
+        spec = types.JobSpec(team, (TASK,) * count, 30.0, "one")
+        spec = spec._replace(single=single, **fields)
+        job = ""
+        if not single:
+            self.tell(messages.JOBS, messages.IssueJob("issued"))
+            job = self.answers["issued"]
+        reply = job or f"request-{next(self.order)}"
+        self.tell(messages.JOBS, messages.Submit(job, spec, reply))
+        return reply
+
+    def cancel(self, job):
+        self.tell(messages.JOBS, messages.CancelJob(job, job))
+
+    def status(self, name):
+        self.tell(name, messages.GetStatus("status"))
+        return self.answers["status"]
+
+    def check_empty(self):
+        status = self.status(messages.QUOTAS)
+        self.assertEqual(0, status["reserved_bytes"])
+        self.assertEqual(0, status["waiting_for_memory"])
+        status = self.status(messages.BACKENDS)
+        self.assertEqual(0, status["queued"])
+        self.assertEqual({0}, {*status["in_flight"].values()})
+        self.assertEqual({}, status["teams"])
+        self.assertEqual(0, status["retrying"])
+        self.assertEqual(0, self.status(messages.JOBS)["unanswered"])
+
+
+class ReservationTest(DispatchCase):
+    """Ways out of a job, each with another that waits for its memory."""
+
+    def setUp(self):
+        super().setUp()
+        self.first = self.submit(10)
+        self.waiting = self.submit(2)
+
+    def check_released(self, kind, code=None):
+        answer = self.answers[self.first]
+        self.assertIsInstance(answer, kind)
+        self.assertEqual(code, getattr(answer, "code", None))
+        self.assertIn(self.waiting, {one.task.job for one in self.started})
+        self.end(job=self.waiting)
+        self.assertIsInstance(self.answers[self.waiting], types.Complete)
+        self.check_empty()
+
+    def test_nothing_starts_before_there_is_room(self):
+        self.assertEqual(8, len(self.started))
+        self.end()
+        self.assertEqual(2, len(self.started))
+        self.assertEqual({self.first}, {one.task.job for one in self.started})
+
+    def test_complete(self):
+        self.end()
+        self.end()
+        self.check_released(types.Complete)
+
+    def test_failed(self):
+        self.end(FAILED)
+        self.end(job=self.first)
+        self.check_released(types.Failed, "task_failed")
+
+    def test_cancelled(self):
+        self.cancel(self.first)
+        self.assertNotIn(self.first, self.answers)
+        self.end()
+        self.check_released(types.Failed, "cancelled")
+
+    def test_deadline(self):
+        self.now = 5.0
+        self.cancel(self.waiting)
+        self.waiting = self.submit(2)
+        self.advance(26.0)
+        self.end(job=self.first)
+        self.check_released(types.Failed, "deadline")
+
+    def test_lease_lapse(self):
+        lapsed = messages.LeaseChanged(NAME, leases.NEVER)
+        for name in (messages.BACKENDS, messages.JOBS):
+            self.tell(name, lapsed)
+        self.end()
+        self.assertEqual("lease_lapsed", self.answers[self.first].code)
+        answer = self.answers[self.waiting]
+        self.assertIsInstance(answer, types.Refused)
+        self.assertEqual("lease_lapsed", answer.code)
+        self.check_empty()
+
+    def test_refused(self):
+        self.cancel(self.first)
+        self.end()
+        self.end()
+        other = self.submit(2)
+        none = TASK._replace(service="none")
+        spec = types.JobSpec("box-office", (TASK, none), 30.0, "two")
+        self.tell(messages.JOBS, messages.IssueJob("issued"))
+        job = self.answers["issued"]
+        self.tell(messages.JOBS, messages.Submit(job, spec, job))
+        self.assertEqual("no_backend", self.answers[job].code)
+        self.assertIn("'none'", self.answers[job].reason)
+        self.end(job=other)
+        self.check_empty()
+
+    def test_one_that_waits_is_refused_when_it_is_cancelled(self):
+        self.cancel(self.waiting)
+        answer = self.answers[self.waiting]
+        self.assertIsInstance(answer, types.Refused)
+        self.assertEqual("cancelled", answer.code)
+        self.end()
+        self.end()
+        self.check_empty()
+
+    def test_one_that_waits_past_its_deadline_is_not_run(self):
+        self.advance(31.0)
+        self.assertIsInstance(self.answers[self.waiting], types.Refused)
+        self.end()
+        self.check_empty()
+
+    def test_a_request_needs_no_reservation(self):
+        self.end(job=self.first)
+        request = self.submit(single=True)
+        self.end()
+        self.assertIsInstance(self.answers[request], types.Complete)
+
+
+class TeamsTest(DispatchCase):
+    TEAMS = (types.TeamSpec("box-office", 8.0), types.TeamSpec("tours", 8.0))
+
+    def configure(self, backends, teams=None):
+        super().configure(backends, self.TEAMS)
+
+    def teams(self):
+        return collections.Counter(self.status(messages.BACKENDS)["teams"])
+
+    def peers(self, *statuses):
+        peers = [make_peer(*one) for one in enumerate(statuses, 1)]
+        msg = messages.PeersChanged(tuple(peers))
+        self.tell(messages.QUOTAS, msg)
+
+    def test_idle_shares_are_borrowed_and_given_back(self):
+        self.peers("alive")
+        self.submit(9)
+        self.assertEqual({"box-office": 8}, self.teams())
+        self.submit(1, "tours")
+        later = self.started.pop(0)
+        self.tell(*self.ended(later, FINISHED))
+        self.assertEqual({"box-office": 7, "tours": 1}, self.teams())
+
+    def test_unknown_team_is_refused_and_nothing_runs(self):
+        job = self.submit(3, "crew")
+        self.assertEqual("unknown_team", self.answers[job].code)
+        self.assertEqual([], self.started)
+        self.check_empty()
+
+    def test_instances_that_are_not_heard_keep_their_part(self):
+        for statuses, instances, cut_off in (
+            (("alive", "alive", "alive"), 4, False),
+            (("alive", "suspect", "suspect"), 4, True),
+            (("suspect", "suspect", "suspect"), 4, True),
+            (("dead", "dead", "dead"), 4, True),
+            (("alive", "leaving", "alive"), 3, False),
+            (("alive", "dead", "alive"), 3, False),
+            (("alive",), 2, False),
+        ):
+            self.peers(*statuses)
+            status = self.status(messages.QUOTAS)
+            self.assertEqual(instances, status["instances"], statuses)
+            self.assertEqual(cut_off, status["cut_off"], statuses)
+
+
+class AdmissionTest(DispatchCase):
+    def test_what_cannot_be_done_in_time_is_refused_and_not_run(self):
+        slow = FINISHED._replace(elapsed=1.0)
+        self.answer = lambda msg: slow
+        self.submit(1)
+        self.answer = None
+        for _ in range(48):
+            self.submit(1, single=True)
+        late = self.submit(1, single=True, timeout=4.0)
+        answer = self.answers[late]
+        self.assertIsInstance(answer, types.Refused)
+        self.assertEqual("overloaded", answer.code)
+        self.assertGreater(answer.retry_after, 0.0)
+        accepted = self.submit(1, single=True, timeout=30.0)
+        self.assertNotIn(accepted, self.answers)
+        self.assertNotIn(late, {one.task.job for one in self.started})
+
+
+class RetryTest(DispatchCase):
+    def request(self, **fields):
+        return self.submit(single=True, **{"idempotent": True, **fields})
+
+    def test_an_idempotent_request_runs_again_after_a_pause(self):
+        request = self.request()
+        self.end(FAILED)
+        self.assertEqual([], self.started)
+        self.advance(0.1)
+        self.end()
+        self.assertIsInstance(self.answers[request], types.Complete)
+        self.check_empty()
+
+    def test_others_never_run_again(self):
+        self.answer = lambda msg: FAILED
+        self.request(idempotent=False)
+        self.submit(1)
+        self.advance(5.0)
+        self.assertEqual(2, len(self.started))
+
+    def test_tries_are_bounded(self):
+        self.answer = lambda msg: FAILED
+        request = self.request()
+        self.advance(5.0)
+        self.assertEqual(3, len(self.started))
+        self.assertEqual("failed", self.answers[request].results[0].state)
+        for _ in range(200):
+            self.request()
+        self.advance(5.0)
+        self.assertLess(len(self.started), 3 + 200 + 10 + 20 + 1)
+        self.check_empty()
+
+    def test_one_that_ran_is_never_called_not_run(self):
+        self.configure(make_backends(1, slots=1))
+        for pause in (0.0, 0.1):
+            request = self.request(timeout=1.0)
+            self.end(FAILED)
+            self.submit(1, timeout=90.0)
+            self.advance(pause)
+            self.advance(1.1)
+            self.assertIsInstance(self.answers[request], types.Failed)
+            self.end()
+            self.end()
+        self.check_empty()
+
+    def test_refused_in_flight_after_a_try_is_still_a_failure(self):
+        request = self.request(timeout=1.0)
+        self.end(FAILED)
+        self.advance(0.5)
+        self.tell(messages.BACKENDS, messages.Withdraw(self.job()))
+        self.end(REFUSED)
+        self.assertIsInstance(self.answers[request], types.Failed)
+
+    def job(self):
+        return self.started[0].task.job
+
+    def test_a_dead_backend_server_is_not_called_in_a_loop(self):
+        self.configure(make_backends(1, slots=8))
+        self.answer = lambda msg: REFUSED
+        self.submit(10)
+        self.advance(10.0)
+        self.assertLessEqual(len(self.started), 60)
+        self.assertGreaterEqual(len(self.started), 10)
+        self.answer = lambda msg: FINISHED
+        self.advance(2.0)
+        self.check_empty()
+
+
+class WaveTest(DispatchCase):
+    def test_a_wave_of_cancellations_leaves_nothing(self):
+        jobs = [self.submit(1) for _ in range(2)]
+        jobs += [self.submit(500) for _ in range(10)]
+        for job in jobs:
+            self.cancel(job)
+        self.end()
+        self.end()
+        self.assertEqual([], self.started)
+        self.check_empty()
+        self.advance(700.0)
+        self.assertEqual({"tick"}, {one[2].key for one in self.timers})
+        self.assertEqual(0, self.status(messages.JOBS)["jobs"])
