--- /dev/null
+++ b/packages/proof/src/cardamompath_proof/model/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the core protocol, explored by minicheck."""
--- /dev/null
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
@@ -0,0 +1,78 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cardamompath_core import errors as core_errors
+from cardamompath_core import identity
+from cardamompath_proof.tests.properties import checked
+from cardamompathd.peers import errors
+from cardamompathd.peers import wire
+
+names = strategies.from_regex(r"[a-z0-9][a-z0-9-]{0,62}", fullmatch=True)
+nonces = strategies.from_regex(r"[a-z0-9]{8,32}", fullmatch=True)
+incarnations = strategies.builds(identity.Incarnation, names, names, nonces)
+text_maps = strategies.dictionaries(
+    strategies.text(max_size=8), strategies.text(max_size=8), max_size=4
+)
+requests = strategies.builds(
+    wire.RelayRequest,
+    strategies.text(max_size=8),
+    strategies.text(max_size=30),
+    text_maps,
+    strategies.binary(max_size=200),
+)
+METHODS = {wire.RELAY.name: wire.RELAY}
+
+
+class IdentityTest(unittest.TestCase):
+    @checked.checked
+    @hypothesis.given(incarnations, strategies.integers(0, 10**18 - 1))
+    def test_what_is_issued_is_read_back(self, owner, counter):
+        key = identity.JobKey(owner, counter)
+        text = identity.format_job(key)
+        self.assertEqual(key, identity.parse_job(text))
+        text = identity.format_incarnation(owner)
+        self.assertEqual(owner, identity.parse_incarnation(text))
+
+    @checked.checked
+    @hypothesis.given(
+        strategies.text(max_size=60)
+        | strategies.from_regex(r"[a-z0-9.-]{1,80}", fullmatch=True)
+        | strategies.from_regex(r"a\.b\.[a-z0-9]{6,9}\.[0-9]{1,3}\n?")
+    )
+    def test_no_two_texts_are_one_identifier(self, text):
+        try:
+            key = identity.parse_job(text)
+        except core_errors.IdentifierError:
+            return
+        self.assertEqual(text, identity.format_job(key))
+
+
+class WireTest(unittest.TestCase):
+    @checked.checked
+    @hypothesis.given(requests)
+    def test_a_request_is_read_back(self, request):
+        raw = wire.encode_call(wire.RELAY, request)
+        self.assertEqual((wire.RELAY, request), wire.decode_call(raw, METHODS))
+
+    @checked.checked
+    @hypothesis.given(
+        strategies.integers(0, 599), strategies.binary(max_size=99), text_maps
+    )
+    def test_a_reply_is_read_back(self, status, body, headers):
+        reply = wire.RelayReply(status, body, headers)
+        raw = wire.encode_reply(wire.RELAY, reply)
+        self.assertEqual(reply, wire.decode_reply(raw, wire.RELAY))
+
+    @checked.checked
+    @hypothesis.given(
+        requests, strategies.integers(0, 300), strategies.binary(max_size=20)
+    )
+    def test_broken_bytes_are_one_kind_of_error(self, request, place, junk):
+        raw = wire.encode_call(wire.RELAY, request)
+        for broken in (junk, raw[:place] + junk, junk + raw):
+            try:
+                wire.decode_call(broken, METHODS)
+            except errors.BadMessage:
+                continue
