Let jobs wait for memory by size, refuse what waited too long; test rules

Change: the place of a waiting job is its arrival plus 0.1 s a task; what waited is judged for its own work too. Two releases that nothing needed are gone. The replay closes its backend server as leaving instead of leaving it out: the same wait, and the same checks after it.

--- a/packages/core/src/cardamompath_core/admission.py
+++ b/packages/core/src/cardamompath_core/admission.py
@@ -27,11 +27,13 @@
     """Expected seconds of the submission's own work."""
 
 
-def judge(load: Load, timeout: float) -> types.Refused | None:
+def judge(
+    load: Load, timeout: float, waited: bool = False
+) -> types.Refused | None:
     """Refuse a submission that is expected to miss its deadline.
 
-    A submission is never refused for its own
-    size while nothing waits: its size is a guess then.
+    One that just came is not refused for its own size while nothing
+    waits: that size may be a guess.
 
     Parameters
     ----------
@@ -39,13 +41,17 @@
         The service's load.
     timeout : float
         Seconds until the deadline.
+    waited : bool
+        Whether it waited for memory before: it is refused then also for
+        its own size alone.
 
     Returns
     -------
     Refused or None
         None if the submission is to be accepted.
     """
-    if load.queued <= 0.0 or load.width <= 0.0:
+    idle = load.queued <= 0.0 and not waited
+    if idle or load.width <= 0.0:
         return None
     expected = (load.queued + load.size) / load.width
     if expected <= timeout:
--- a/packages/core/src/cardamompath_core/reservations.py
+++ b/packages/core/src/cardamompath_core/reservations.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import heapq
 from collections.abc import Sequence
 
 from cardamompath_core import types
@@ -15,6 +16,7 @@
 __all__ = [
     "AnswerSizes",
     "Reservations",
+    "place",
 ]
 
 PRIOR_BYTES = 4096.0
@@ -23,6 +25,8 @@
 """Memory of a result beside its payload."""
 SIZE_GAIN = 0.05
 """Weight of one more answer of a well-known kind."""
+TASK_SECONDS = 0.1
+"""Seconds of waiting that make up for one task more."""
 MOST_KINDS = 4096
 """Kinds whose sizes are kept; more are treated as unknown."""
 
@@ -64,6 +68,14 @@
         known.size += gain * (size - known.size)
 
 
+def place(now: float, tasks: int) -> float:
+    """Return the place of a job among those that wait.
+
+    Small jobs go ahead, and what waits long enough goes first.
+    """
+    return now + TASK_SECONDS * tasks
+
+
 class Reservations:
     """Who holds how much of a share of the memory, and who waits.
 
@@ -78,21 +90,34 @@
         self.held: dict[str, int] = {}
         self.used = 0
         self.waiting: dict[str, int] = {}
-        """Bytes wanted, in order of arrival."""
-
-    def ask(self, job: str, size: int) -> bool:
-        """Reserve for a job, or let it wait behind those before it.
+        """Bytes wanted by the jobs that wait."""
+        self._order: list[tuple[float, str]] = []
+
+    def ask(self, job: str, size: int, place: float) -> bool:
+        """Reserve for a job, or let it wait for its turn.
+
+        Parameters
+        ----------
+        job : str
+            Identifier of the job.
+        size : int
+            Bytes wanted.
+        place : float
+            Among those that wait the least goes first, and none of the
+            others goes before it.
 
         Returns
         -------
         bool
             Whether the job may start now.
         """
-        if self.waiting or not self._fits(size):
-            self.waiting[job] = size
-            return False
-        self._hold(job, size)
-        return True
+        first = self._first()
+        if (first is None or place < first[0]) and self._fits(size):
+            self._hold(job, size)
+            return True
+        self.waiting[job] = size
+        heapq.heappush(self._order, (place, job))
+        return False
 
     def release(self, job: str) -> list[str]:
         """Give back what a job held or waited for.
@@ -105,14 +130,20 @@
         self.waiting.pop(job, None)
         self.used -= self.held.pop(job, 0)
         granted = []
-        for other, size in self.waiting.items():
-            if not self._fits(size):
-                break
-            self._hold(other, size)
-            granted.append(other)
-        for other in granted:
-            del self.waiting[other]
-        return granted
+        while True:
+            first = self._first()
+            if first is None or not self._fits(self.waiting[first[1]]):
+                return granted
+            heapq.heappop(self._order)
+            self._hold(first[1], self.waiting.pop(first[1]))
+            granted.append(first[1])
+
+    def _first(self):
+        """Return the place and the name of the job whose turn is next."""
+        order = self._order
+        while order and order[0][1] not in self.waiting:
+            heapq.heappop(order)
+        return order[0] if order else None
 
     def _fits(self, size):
         """Return whether a job fits; one above the share goes alone."""
--- a/packages/core/src/cardamompath_core/tests/test_admission.py
+++ b/packages/core/src/cardamompath_core/tests/test_admission.py
@@ -24,6 +24,8 @@
     def test_nothing_is_refused_for_a_guess_or_an_unknown_rate(self):
         for load in ((0.0, 8.0, 900.0), (40.0, 0.0, 1.0)):
             self.assertIsNone(admission.judge(admission.Load(*load), 1.0))
+        late = admission.Load(0.0, 8.0, 900.0)
+        self.assertIsNotNone(admission.judge(late, 1.0, waited=True))
 
 
 class RetriesTest(unittest.TestCase):
@@ -76,29 +78,36 @@
         self.reserved = reservations.Reservations(100)
 
     def test_jobs_wait_in_order_for_room(self):
-        self.assertTrue(self.reserved.ask("a", 60))
-        self.assertFalse(self.reserved.ask("b", 50))
-        self.assertFalse(self.reserved.ask("c", 10))
+        self.assertTrue(self.reserved.ask("a", 60, 1.0))
+        self.assertFalse(self.reserved.ask("b", 50, 2.0))
+        self.assertFalse(self.reserved.ask("c", 10, 3.0))
+        self.assertTrue(self.reserved.ask("small", 10, 0.5))
+        self.assertEqual([], self.reserved.release("small"))
         self.assertEqual(["b", "c"], self.reserved.release("a"))
         self.assertEqual(60, self.reserved.used)
 
     def test_a_job_above_the_share_goes_in_alone(self):
-        self.reserved.ask("a", 10)
-        self.assertFalse(self.reserved.ask("large", 500))
+        self.reserved.ask("a", 10, 1.0)
+        self.assertFalse(self.reserved.ask("large", 500, 2.0))
         self.assertEqual(["large"], self.reserved.release("a"))
-        self.assertFalse(self.reserved.ask("b", 1))
+        self.assertFalse(self.reserved.ask("b", 1, 3.0))
         self.assertEqual(["b"], self.reserved.release("large"))
 
     def test_one_that_waits_can_leave_and_lets_the_next_in(self):
-        self.reserved.ask("a", 60)
-        self.reserved.ask("large", 500)
-        self.reserved.ask("c", 10)
+        self.reserved.ask("a", 60, 1.0)
+        self.reserved.ask("large", 500, 2.0)
+        self.reserved.ask("c", 10, 3.0)
         self.assertEqual(["c"], self.reserved.release("large"))
         self.assertEqual([], self.reserved.release("large"))
         self.reserved.release("a")
         self.reserved.release("c")
         self.assertEqual((0, {}), (self.reserved.used, self.reserved.held))
 
+    def test_small_jobs_go_ahead_of_large_ones_for_a_time(self):
+        large = reservations.place(0.0, 840)
+        self.assertLess(reservations.place(10.0, 20), large)
+        self.assertGreater(reservations.place(90.0, 20), large)
+
     def test_sizes_are_learned_by_kind_from_a_prior(self):
         sizes = reservations.AnswerSizes()
         task = types.TaskSpec("booking", "reserve", b"")
--- a/packages/daemon/src/cardamompathd/controllers/backend_admission.py
+++ b/packages/daemon/src/cardamompathd/controllers/backend_admission.py
@@ -7,6 +7,7 @@
 from cardamompath_core import admission
 from cardamompath_core import queueing
 from cardamompath_core import types
+from cardamompathd import messages
 from cardamompathd.controllers import service_state
 
 __all__ = [
@@ -18,7 +19,7 @@
     service: service_state.Service,
     tasks: Sequence[queueing.QueuedTask],
     now: float,
-    deadline: float,
+    msg: messages.Enqueue,
 ) -> types.Refused | None:
     """Refuse the tasks of a job for a service that cannot do them.
 
@@ -28,21 +29,24 @@
         The service.
     tasks : sequence of QueuedTask
         What the job wants of it.
-    now, deadline : float
-        Times in seconds.
+    now : float
+        The present time in seconds.
+    msg : Enqueue
+        The job.
     """
     if not service.backends:
         return admission.make_no_backend(service.name)
-    if not len(service.queue):
+    if not len(service.queue) and not msg.waited:
         return None
+    left = msg.deadline - now
     size = sum(one.size for one in tasks)
     load = admission.Load(service.queue.work, _width(service), size)
-    if admission.judge(load, deadline - now) is None:
+    if admission.judge(load, left, msg.waited) is None:
         return None
     longest = max(one.size for one in tasks)
     place = queueing.place(now, longest, size, service.width)
     load = load._replace(queued=service.queue.work_ahead(place))
-    return admission.judge(load, deadline - now)
+    return admission.judge(load, left, msg.waited)
 
 
 def _width(service):
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -107,7 +107,7 @@
         queued = _queued_task(service, index, task)
         by_service.setdefault(service, []).append(queued)
     for service, tasks in by_service.items():
-        refusal = backend_admission.refuse(service, tasks, now, msg.deadline)
+        refusal = backend_admission.refuse(service, tasks, now, msg)
         if refusal is not None:
             declined = messages.Declined(msg.job, refusal)
             return [messages.Send(messages.JOBS, declined)]
@@ -319,19 +319,18 @@
             left += state.services[name].queue.withdraw(queued)
     sends = []
     if work is not None and work.enqueued.spec.single:
-        sends += _settle_tried(state, types.TaskRef(msg.job, 0), left)
+        sends += _settle_tried(state, types.TaskRef(msg.job, 0))
     withdrawn = messages.Withdrawn(msg.job, tuple(left))
     return [*sends, messages.Send(messages.JOBS, withdrawn)]
 
 
-def _settle_tried(state, ref, left):
+def _settle_tried(state, ref):
     """Settle a request that ran before and is not in flight now."""
     if state.teams.is_in_flight(ref):
         return []
     result = state.retries.forget(ref)
     if result is None:
         return []
-    left.clear()
     settled = messages.TaskSettled(ref, result)
     return [messages.Send(messages.JOBS, settled)]
 
--- a/packages/daemon/src/cardamompathd/controllers/quotas.py
+++ b/packages/daemon/src/cardamompathd/controllers/quotas.py
@@ -62,8 +62,9 @@
         return [messages.Send(messages.JOBS, declined)]
     if not msg.spec.single:
         size = state.sizes.expected(msg.spec.tasks)
-        if not state.reserved.ask(msg.job, size):
-            state.waiting[msg.job] = msg
+        place = reservations.place(now, len(msg.spec.tasks))
+        if not state.reserved.ask(msg.job, size, place):
+            state.waiting[msg.job] = msg._replace(waited=True)
             return []
     return [messages.Send(messages.BACKENDS, msg)]
 
@@ -74,14 +75,13 @@
         return [messages.Send(messages.BACKENDS, msg)]
     indexes = tuple(range(len(waited.spec.tasks)))
     withdrawn = messages.Withdrawn(msg.job, indexes)
-    return [messages.Send(messages.JOBS, withdrawn), *_release(state, msg)]
+    return [messages.Send(messages.JOBS, withdrawn)]
 
 
 def _ended(state, msg, now):
     for task, result in zip(msg.tasks, msg.results, strict=True):
         if result is not None and result.state == "finished":
             state.sizes.observe(task, len(result.payload))
-    state.waiting.pop(msg.job, None)
     withdraw = messages.Withdraw(msg.job)
     return [
         messages.Send(messages.BACKENDS, withdraw),
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -205,6 +205,8 @@
     job: str
     spec: types.JobSpec
     deadline: float
+    waited: bool = False
+    """Whether a part of its time is gone already."""
 
 
 class Withdraw(NamedTuple):
--- a/packages/daemon/src/cardamompathd/settings/table.py
+++ b/packages/daemon/src/cardamompathd/settings/table.py
@@ -213,7 +213,8 @@
         1 << 20,
         1 << 40,
         "bytes",
-        "Memory for answers that can be asked for again.",
+        "Memory for answers that can be asked for again; as much again is "
+        "reserved for those of unanswered jobs.",
     ),
     _address(
         "operators", "listen", None, "Where operators reach the instance."
--- a/packages/daemon/src/cardamompathd/tests/test_quotas.py
+++ b/packages/daemon/src/cardamompathd/tests/test_quotas.py
@@ -98,7 +98,8 @@
 
     def submit(self, count=1, team="box-office", single=False, **fields):
         """Submit; return the identifier, and its answer is under it."""
-        spec = types.JobSpec(team, (TASK,) * count, 30.0, "one")
+        task = TASK._replace(kind=fields.pop("kind", TASK.kind))
+        spec = types.JobSpec(team, (task,) * count, 30.0, "one")
         spec = spec._replace(single=single, **fields)
         job = ""
         if not single:
@@ -215,6 +216,36 @@
         self.end()
         self.check_empty()
 
+    def test_one_that_waited_too_long_is_not_run(self):
+        self.cancel(self.waiting)
+        large = FINISHED._replace(payload=b"x" * 5000)
+        self.end(large)
+        self.end(large)
+        self.submit(10, timeout=90.0)
+        late = self.submit(10)
+        self.advance(29.95)
+        self.end()
+        self.end()
+        self.assertEqual("overloaded", self.answers[late].code)
+        self.assertEqual([], self.started)
+
+    def test_declined_under_a_lapsed_lease(self):
+        self.tell(messages.JOBS, messages.LeaseChanged(NAME, 5.0))
+        self.now = 6.0
+        refusal = types.Refused("overloaded", "late")
+        declined = messages.Declined(self.waiting, refusal)
+        self.tell(messages.JOBS, declined)
+        self.assertEqual("lease_lapsed", self.answers[self.waiting].code)
+
+    def test_sizes_are_learned_from_answers(self):
+        self.end()
+        self.end()
+        self.end()
+        self.submit(3)
+        status = self.status(messages.QUOTAS)
+        each = 100 + reservations.TASK_BYTES
+        self.assertEqual(3 * each, status["reserved_bytes"])
+
     def test_a_request_needs_no_reservation(self):
         self.end(job=self.first)
         request = self.submit(single=True)
@@ -245,6 +276,31 @@
         self.tell(*self.ended(later, FINISHED))
         self.assertEqual({"box-office": 7, "tours": 1}, self.teams())
 
+    def test_cut_off_a_team_above_its_part_uses_own_slots_only(self):
+        self.configure(make_backends(4, slots=8))
+        peers = tuple(make_peer(one, "alive") for one in (1, 2, 3))
+        self.tell(messages.BACKENDS, messages.PeersChanged(peers))
+        self.peers("alive", "suspect", "suspect")
+        self.submit(9)
+        self.assertEqual(8, len(self.started))
+        self.peers("alive", "alive", "alive")
+        self.submit(1)
+        self.assertEqual(10, len(self.started))
+
+    def test_the_order_of_teams_holds_for_long_kinds_too(self):
+        self.peers("alive")
+        self.answer = lambda msg: FINISHED._replace(
+            elapsed=5.0 if msg.kind == "report" else 0.05
+        )
+        for kind in ("confirm", "report") * 3 + ("confirm",) * 60:
+            self.submit(kind=kind)
+        self.answer = None
+        self.started.clear()
+        self.submit(10, kind="confirm")
+        self.submit(1, "tours", kind="report")
+        self.tell(*self.ended(self.started.pop(), FINISHED))
+        self.assertEqual({"box-office": 7, "tours": 1}, self.teams())
+
     def test_unknown_team_is_refused_and_nothing_runs(self):
         job = self.submit(3, "crew")
         self.assertEqual("unknown_team", self.answers[job].code)
@@ -284,6 +340,19 @@
         self.assertNotIn(accepted, self.answers)
         self.assertNotIn(late, {one.task.job for one in self.started})
 
+    def test_short_work_that_goes_first_is_not_refused(self):
+        for _ in range(3):
+            self.submit(1, single=True, kind="report", timeout=900.0)
+        self.end(FINISHED._replace(elapsed=60.0))
+        self.submit(1, single=True, kind="reserve")
+        self.end(FINISHED._replace(elapsed=0.1))
+        for _ in range(60):
+            self.submit(1, single=True, kind="report", timeout=900.0)
+        late = self.submit(1, single=True, kind="report", timeout=200.0)
+        short = self.submit(1, single=True, kind="reserve")
+        self.assertEqual("overloaded", self.answers[late].code)
+        self.assertNotIn(short, self.answers)
+
 
 class RetryTest(DispatchCase):
     def request(self, **fields):
@@ -341,6 +410,53 @@
     def job(self):
         return self.started[0].task.job
 
+    def test_no_retry_is_planned_past_the_deadline(self):
+        request = self.request(timeout=0.01)
+        self.end(FAILED)
+        self.assertIsInstance(self.answers[request], types.Failed)
+
+    def test_the_last_try_is_unknown_while_it_is_in_flight(self):
+        request = self.request(timeout=1.0)
+        self.end(FAILED)
+        self.advance(1.1)
+        self.assertEqual("unknown", self.answers[request].results[0].state)
+
+    def test_a_probe_that_failed_is_never_called_not_run(self):
+        self.configure(make_backends(3, slots=1))
+        self.answer = lambda msg: (
+            FAILED if msg.backend.name == "b0" else FINISHED
+        )
+        for _ in range(60):
+            self.submit(1)
+        self.answer = None
+        self.advance(2.0)
+        self.started.clear()
+        self.submit(2, timeout=90.0)
+        request = self.request(timeout=1.0)
+        self.assertEqual("b0", self.started[-1].backend.name)
+        self.tell(*self.ended(self.started.pop(), FAILED))
+        self.advance(1.1)
+        self.assertIsInstance(self.answers[request], types.Failed)
+
+    def test_refusals_of_one_moment_count_once(self):
+        self.configure(make_backends(1, slots=8))
+        self.submit(10)
+        self.end(REFUSED)
+        self.advance(0.3)
+        self.assertEqual(8, len(self.started))
+
+    def test_a_server_that_works_again_gets_its_full_share(self):
+        self.configure(make_backends(1, slots=8))
+        self.answer = lambda msg: REFUSED
+        self.submit(10)
+        self.advance(10.0)
+        self.answer = None
+        self.started.clear()
+        self.advance(1.5)
+        self.assertEqual(1, len(self.started))
+        self.end()
+        self.assertEqual(8, len(self.started))
+
     def test_a_dead_backend_server_is_not_called_in_a_loop(self):
         self.configure(make_backends(1, slots=8))
         self.answer = lambda msg: REFUSED
--- a/packages/proof/src/cardamompath_proof/model/replay.py
+++ b/packages/proof/src/cardamompath_proof/model/replay.py
@@ -35,11 +35,12 @@
 SPEC = types.JobSpec(
     "team", (types.TaskSpec("booking", "reserve", b"payload"),), 60.0, "one"
 )
-EMPTY = types.Configuration(1, 0, (types.ServiceSpec("booking"),))
-SERVED = EMPTY._replace(
-    revision=2,
-    backends=(types.BackendSpec("x1", "booking", "alpha", "10.1.0.1", 80, 1),),
+BACKEND = types.BackendSpec("x1", "booking", "alpha", "10.1.0.1", 80, 1)
+CLOSED = types.Configuration(
+    1, 0, (types.ServiceSpec("booking"),), (BACKEND._replace(leaving=True),)
 )
+"""Tasks wait: their backend server is leaving."""
+SERVED = CLOSED._replace(revision=2, backends=(BACKEND,))
 
 
 class Party:
@@ -114,7 +115,7 @@
 
     def _begin(self):
         for party in (self.owner, self.peer):
-            self._configure(party, EMPTY)
+            self._configure(party, CLOSED)
         self.owner.tell(messages.JOBS, messages.IssueJob("job"), 0.0)
         self.job = self.owner.take(messages.Reply)[0].answer
         for party in (self.owner, self.peer):
