Part what becomes of ended tasks from the backends controller

Cause: the backends controller had grown to 460 lines with the admission and the retries. Conclusion: no behaviour changed.

--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -21,6 +21,7 @@
 from cardamompathd import messages
 from cardamompathd.controllers import backend_admission
 from cardamompathd.controllers import backend_health
+from cardamompathd.controllers import backend_results
 from cardamompathd.controllers import backend_retries
 from cardamompathd.controllers import fence
 from cardamompathd.controllers import load_reports
@@ -105,7 +106,7 @@
     by_service = {}
     for index, task in enumerate(msg.spec.tasks):
         service = _service(state, task.service)
-        queued = _queued_task(service, index, task)
+        queued = backend_results.queued_task(service, index, task)
         by_service.setdefault(service, []).append(queued)
     for service, tasks in by_service.items():
         refusal = backend_admission.refuse(service, tasks, now, msg)
@@ -129,11 +130,6 @@
     return sends
 
 
-def _queued_task(service, index, task):
-    size = service.learned.size(task.kind, task.declared)
-    return queueing.QueuedTask(size, index, service.lane(task, size))
-
-
 def _start_ready(state, service, now):
     sends = []
     if not len(service.queue):
@@ -181,7 +177,7 @@
 def _choose(state, service, queued, task, now):
     if service.ejected:
         spec = state.jobs[queued.job].enqueued.spec
-        harmless = _is_harmless(spec)
+        harmless = backend_results.is_harmless(spec)
         backend = backend_health.find_probe(service, harmless, now)
         if backend is not None:
             backend.health.probing = True
@@ -226,9 +222,9 @@
     work = state.jobs.get(msg.task.job)
     sends = []
     if work is not None:
-        sends += _settle(state, work, msg, verdict, flight, now)
+        sends += backend_results.settle(state, work, msg, verdict, flight, now)
     else:
-        sends.append(_settle_withdrawn(state, msg, verdict))
+        sends.append(backend_results.settle_withdrawn(state, msg, verdict))
     if backend is not None:
         sends += _start_ready(state, backend.service, now)
     return sends
@@ -250,67 +246,15 @@
     backend.server.speed = service.learned.speed(name)
 
 
-def _settle(state, work, msg, verdict, flight, now):
-    task = work.enqueued.spec.tasks[msg.task.index]
-    if verdict == "not_run":
-        _requeue(state, work, msg.task, task)
-        return []
-    result = backend_retries.make_result(msg, verdict)
-    if _is_spoilt_probe(work, verdict, flight):
-        state.retries.note(msg.task, result)
-        _requeue(state, work, msg.task, task)
-        return []
-    if verdict != "finished":
-        left = work.enqueued.deadline - now
-        spec = work.enqueued.spec
-        wait = state.retries.plan(msg.task, spec, result, left)
-        if wait is not None:
-            key = ("retry", msg.task)
-            timer = messages.SetTimer(now + wait, messages.BACKENDS, key)
-            return [messages.Send(messages.TIMERS, timer)]
-    state.retries.forget(msg.task)
-    settled = messages.TaskSettled(msg.task, result)
-    return [messages.Send(messages.JOBS, settled)]
-
-
 def _retry(state, ref, now):
     work = state.jobs.get(ref.job)
     if work is None:
         return []
     task = work.enqueued.spec.tasks[ref.index]
-    _requeue(state, work, ref, task)
+    backend_results.requeue(state, work, ref, task)
     return _start_ready(state, _service(state, task.service), now)
 
 
-def _settle_withdrawn(state, msg, verdict):
-    """Settle a task that was in flight when its job was withdrawn."""
-    known = "not_started" if verdict == "not_run" else verdict
-    result = backend_retries.make_result(msg, known)
-    tried = state.retries.forget(msg.task)
-    if tried is not None and known == "not_started":
-        result = tried
-    settled = messages.TaskSettled(msg.task, result)
-    return messages.Send(messages.JOBS, settled)
-
-
-def _is_spoilt_probe(work, verdict, flight):
-    """Return whether a probe failed with a task that may run again."""
-    if flight is None or not flight.probe or verdict == "finished":
-        return False
-    return _is_harmless(work.enqueued.spec)
-
-
-def _is_harmless(spec):
-    return spec.single and spec.idempotent
-
-
-def _requeue(state, work, ref, task):
-    service = _service(state, task.service)
-    queued = work.queued[task.service]
-    again = _queued_task(service, ref.index, task)
-    service.queue.add(queued, [again], service.width)
-
-
 def _withdraw(state, msg, now):
     work = state.jobs.pop(msg.job, None)
     left = []
@@ -320,22 +264,11 @@
             left += state.services[name].queue.withdraw(queued)
     sends = []
     if work is not None and work.enqueued.spec.single:
-        sends += _settle_tried(state, types.TaskRef(msg.job, 0))
+        sends += backend_results.settle_tried(state, types.TaskRef(msg.job, 0))
     withdrawn = messages.Withdrawn(msg.job, tuple(left))
     return [*sends, messages.Send(messages.JOBS, withdrawn)]
 
 
-def _settle_tried(state, ref):
-    """Settle a request that ran before and is not in flight now."""
-    if state.teams.is_in_flight(ref):
-        return []
-    result = state.retries.forget(ref)
-    if result is None:
-        return []
-    settled = messages.TaskSettled(ref, result)
-    return [messages.Send(messages.JOBS, settled)]
-
-
 def _configure(state, msg, now):
     known = state.backends
     state.backends = {}
