--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -278,7 +278,7 @@
     job = state.jobs.get(msg.job)
     if job is None or job.answer is not None:
         return []
-    job.results = [NOT_STARTED] * len(job.results)
+    job.results = [job_store.NOT_STARTED] * len(job.results)
     job.open = 0
     job_store.note_change(state, job)
     return _finish(state, job, now, msg.refusal)
