--- a/packages/daemon/src/cardamompathd/controllers/backend_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/backend_health.py
@@ -6,6 +6,7 @@
 
 from cardamompath_core import health
 from cardamompath_core import outcomes
+from cardamompath_core import retries
 from cardamompath_core import types
 from cardamompathd.controllers import service_state
 
@@ -48,7 +49,7 @@
     if answer.leaving:
         backend.leaving_until = now + LEAVING_PAUSE
     if verdict == "not_run":
-        backend.refuse(now)
+        _pause(backend, flight, now)
     else:
         backend.refusals = 0
     if flight.probe:
@@ -64,12 +65,22 @@
         verdict == "finished"
         and not answer.leaving
         and not backend.stalled
+        and not backend.refusals
         and not flight.probe
         and not backend.health.evidence
         and not backend.refusals
     )
 
 
+def _pause(backend, flight, now):
+    """Leave a server that refuses alone, longer each time."""
+    if flight.began < backend.refused_until:
+        return
+    pause = retries.refusal_pause(backend.refusals, backend.service.rng)
+    backend.refusals += 1
+    backend.refused_until = now + pause
+
+
 def _take_probe(backend, verdict, now):
     service = backend.service
     backend.health.probed(verdict == "finished", now, service.rng)
