Add a drill with separate processes; count bytes with peers

Cause: nothing showed with real processes that a job whose owner is killed is settled alike everywhere and starts no task twice, nor how soon a note is in force while a failure domain lacks the platform.

The instances count the frames exchanged with peers: `peers` in /v1/status, and a metric.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	packages/proof
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test lint format demo idle bench bench-daemon bench-small \
+.PHONY: setup test lint format demo drill idle bench bench-daemon bench-small \
 	scenarios model model-wide
 
 setup: $(STAMP)
@@ -34,6 +34,10 @@
 demo: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.demo
 
+# Kills an owner amid its job and cuts the platform from one failure domain.
+drill: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.drill
+
 bench-daemon: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.bench_daemon
 
--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -25,6 +25,7 @@
 from cardamompathd.operators import handlers as operator_handlers
 from cardamompathd.peers import relay
 from cardamompathd.peers import server as peer_server
+from cardamompathd.peers import traffic
 from cardamompathd.platform import appender
 from cardamompathd.platform import log_client
 from cardamompathd.platform import reader
@@ -114,7 +115,7 @@
         cfg["metrics", "exporter"], lambda: operator_handlers.status(asks)
     )
     callers, operators, peers = _start_listeners(
-        cfg, asks, exporter, together.services, clock
+        cfg, asks, exporter, together.services, table, clock
     )
     together.listening((peers.host, peers.port))
     stops = _start_journal(cfg, table)
@@ -197,8 +198,11 @@
     )
 
 
-def _start_listeners(cfg, asks, exporter, services, clock):
-    relaying = relay.make_relay(cfg["peers", "addresses"], clock)
+def _start_listeners(cfg, asks, exporter, services, table, clock):
+    tell = table[messages.TELEMETRY]
+    relaying = relay.make_relay(
+        cfg["peers", "addresses"], clock, traffic.make_call(tell)
+    )
     owner_chain = listeners.make_owner_chain(cfg, asks.jobs)
     services = [relay.make_service(owner_chain), *services]
     starts = (
@@ -208,7 +212,9 @@
         lambda: listeners.start_operators(
             cfg, listeners.make_operator_chain(asks, exporter.scrape, clock)
         ),
-        lambda: peer_server.start(cfg["peers", "listen"], services),
+        lambda: peer_server.start(
+            cfg["peers", "listen"], services, count=traffic.make_count(tell)
+        ),
     )
     with contextlib.ExitStack() as stack:
         started = []
--- a/packages/daemon/src/cardamompathd/controllers/observations.py
+++ b/packages/daemon/src/cardamompathd/controllers/observations.py
@@ -1,4 +1,6 @@
-"""Counts of ended submissions, for metrics and the burn report.
+"""Counts of ended submissions and of the bytes exchanged with peers.
+
+For metrics and the burn report.
 
 Minutes are kept for some hours and then folded into hours.  The number
 of series in each bucket is bounded; what is beyond goes into one series.
@@ -81,6 +83,7 @@
         self.limits = limits
         self.outcomes: collections.Counter = collections.Counter()
         self.tasks: collections.Counter = collections.Counter()
+        self.peers: collections.Counter = collections.Counter()
         self.minutes: collections.OrderedDict = collections.OrderedDict()
         self.hours: collections.OrderedDict = collections.OrderedDict()
 
@@ -103,6 +106,9 @@
         if isinstance(msg, messages.Observed):
             _count(state, msg, now)
             return []
+        if isinstance(msg, messages.PeerBytes):
+            _count_bytes(state, msg)
+            return []
         if isinstance(msg, messages.GetBurn):
             answer = _burn(state, domain, now)
         else:
@@ -125,6 +131,12 @@
     _add(_series(state, bucket, msg.service, msg.team), msg)
 
 
+def _count_bytes(state, msg):
+    state.peers["calls"] += 1
+    state.peers["sent"] += msg.sent
+    state.peers["received"] += msg.received
+
+
 def _series(state, bucket, service, team):
     key = (service, team)
     if key not in bucket and len(bucket) >= state.limits.series - 1:
@@ -212,4 +224,8 @@
         {"outcome": outcome, "code": code, "count": count}
         for (outcome, code), count in sorted(state.outcomes.items())
     ]
-    return {"outcomes": outcomes, "tasks": dict(state.tasks)}
+    counted = ("calls", "sent", "received")
+    return {
+        "submissions": {"outcomes": outcomes, "tasks": dict(state.tasks)},
+        "peers": {key: state.peers[key] for key in counted},
+    }
--- a/packages/daemon/src/cardamompathd/coordination.py
+++ b/packages/daemon/src/cardamompathd/coordination.py
@@ -20,6 +20,7 @@
 from cardamompathd import messages
 from cardamompathd.peers import exchanges
 from cardamompathd.peers import server
+from cardamompathd.peers import traffic
 from cardamompathd.platform import instances
 from cardamompathd.platform import log_client
 from cardamompathd.platform import snapshots
@@ -115,7 +116,9 @@
 def _start_tasks(cfg, table, deliver):
     address = cfg["platform", "address"]
     timeout = cfg["platform", "timeout"]
-    calling = exchanges.start(deliver)
+    calling = exchanges.start(
+        deliver, traffic.make_call(table[messages.TELEMETRY])
+    )
     appending = snapshots.start(log_client.make_client(*address, timeout))
     listing = instances.start(address, timeout, table[messages.MEMBERSHIP])
     table[messages.PEERS] = calling.tell
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -66,6 +66,7 @@
     "OwnerChanged",
     "PEERS",
     "PeerConfiguration",
+    "PeerBytes",
     "PeersChanged",
     "PeersListening",
     "ProgressCollected",
@@ -399,6 +400,14 @@
     """Number of tasks by what is known of them."""
 
 
+class PeerBytes(NamedTuple):
+    """A call of or by a peer ended; for metrics."""
+
+    sent: int
+    """Bytes of frames that were sent."""
+    received: int
+
+
 class GetBurn(NamedTuple):
     """Ask for the counts of ended submissions by time."""
 
--- a/packages/daemon/src/cardamompathd/operators/handlers.py
+++ b/packages/daemon/src/cardamompathd/operators/handlers.py
@@ -107,9 +107,8 @@
     return {
         "jobs": _ask(asks.jobs, messages.GetStatus),
         "backends": _ask(asks.backends, messages.GetStatus),
-        "submissions": _ask(asks.telemetry, messages.GetStatus),
         "revision": cfg.revision,
-    }
+    } | _ask(asks.telemetry, messages.GetStatus)
 
 
 def _configuration(asks):
--- a/packages/daemon/src/cardamompathd/peers/__init__.py
+++ b/packages/daemon/src/cardamompathd/peers/__init__.py
@@ -6,6 +6,7 @@
 from cardamompathd.peers import gossip_codec
 from cardamompathd.peers import relay
 from cardamompathd.peers import server
+from cardamompathd.peers import traffic
 from cardamompathd.peers import wire
 
 __all__ = [
@@ -15,5 +16,6 @@
     "gossip_codec",
     "relay",
     "server",
+    "traffic",
     "wire",
 ]
--- a/packages/daemon/src/cardamompathd/peers/client.py
+++ b/packages/daemon/src/cardamompathd/peers/client.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "Call",
+    "Count",
     "call",
 ]
 
@@ -26,10 +27,20 @@
 
 Address = tuple[str, int]
 Call = Callable[[Address, wire.Method, Any, float], Any]
+Count = Callable[[int, int], None]
+"""Called with the bytes of frames that were sent and received."""
+
+
+def _count_nothing(sent, received):
+    return None
 
 
 def call(
-    address: Address, method: wire.Method, request: Any, timeout: float
+    address: Address,
+    method: wire.Method,
+    request: Any,
+    timeout: float,
+    count: Count = _count_nothing,
 ) -> Any:
     """Call a method of a peer and return its reply.
 
@@ -43,6 +54,8 @@
         Its request.
     timeout : float
         Seconds for which the peer may be silent.
+    count : callable, optional
+        Told of the bytes, with no answer too.
 
     Raises
     ------
@@ -61,7 +74,12 @@
     with conn:
         conn.settimeout(timeout)
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return wire.decode_reply(_exchange(conn, raw), method)
+        reply = b""
+        try:
+            reply = _exchange(conn, raw)
+        finally:
+            count(wire.framed_size(raw), wire.framed_size(reply))
+        return wire.decode_reply(reply, method)
 
 
 def _exchange(conn, raw):
--- a/packages/daemon/src/cardamompathd/peers/exchanges.py
+++ b/packages/daemon/src/cardamompathd/peers/exchanges.py
@@ -110,9 +110,12 @@
         return messages.Send(messages.CONFIGURATION, fetched)
 
 
-def start(deliver: Callable[[messages.Send], None]) -> ExchangePool:
+def start(
+    deliver: Callable[[messages.Send], None],
+    call: client.Call = client.call,
+) -> ExchangePool:
     """Start the tasks that call peers."""
-    pool = ExchangePool(deliver)
+    pool = ExchangePool(deliver, call)
     for index in range(TASKS):
         name = f"exchange-{index}"
         threading.Thread(target=pool.run, name=name, daemon=True).start()
--- a/packages/daemon/src/cardamompathd/peers/server.py
+++ b/packages/daemon/src/cardamompathd/peers/server.py
@@ -19,6 +19,7 @@
 from thrift.transport import TSocket
 from thrift.transport import TTransport
 
+from cardamompathd.peers import client
 from cardamompathd.peers import errors
 from cardamompathd.peers import wire
 
@@ -62,9 +63,21 @@
     address: tuple[str, int],
     services: Sequence[Service],
     limits: PeerLimits | None = None,
+    count: client.Count | None = None,
 ) -> Listener:
     """Serve peers until stopped.
 
+    Parameters
+    ----------
+    address : tuple
+        IP number and port.
+    services : sequence of Service
+        The methods.
+    limits : PeerLimits, optional
+        Bounds of the listener.
+    count : callable, optional
+        Told of the bytes of each call that was answered.
+
     Raises
     ------
     OSError
@@ -76,7 +89,7 @@
     table = {one.method.name: one for one in services}
     _spawn("peers-accept", _accept, listening, accepted, limits)
     for index in range(limits.threads):
-        _spawn(f"peers-{index}", _serve_all, accepted, table, limits)
+        _spawn(f"peers-{index}", _serve_all, accepted, table, limits, count)
 
     def stop():
         with contextlib.suppress(OSError):
@@ -106,7 +119,7 @@
         accepted.put(None)
 
 
-def _serve_all(accepted, table, limits):
+def _serve_all(accepted, table, limits, count):
     while True:
         conn = accepted.get()
         if conn is None:
@@ -114,10 +127,10 @@
         with conn:
             conn.settimeout(limits.idle)
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            _serve(conn, table, limits)
+            _serve(conn, table, limits, count)
 
 
-def _serve(conn, table, limits):
+def _serve(conn, table, limits, count):
     sock = TSocket.TSocket()
     sock.setHandle(conn)
     framed = TTransport.TFramedTransport(sock, limits.frame)
@@ -125,8 +138,11 @@
         while True:
             framed.readFrame()
             raw = framed.cstringio_buf.getvalue()
-            framed.write(_answer(raw, table))
+            reply = _answer(raw, table)
+            framed.write(reply)
             framed.flush()
+            if count is not None:
+                count(wire.framed_size(reply), wire.framed_size(raw))
     except errors.BadMessage as exc:
         loguru.logger.warning("peers: closed a connection: {}", exc)
     except (TTransport.TTransportException, OSError):
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/peers/traffic.py
@@ -0,0 +1,30 @@
+"""Counts the bytes that an instance exchanges with its peers."""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import Callable
+
+from cardamompathd import messages
+from cardamompathd.peers import client
+
+__all__ = [
+    "make_call",
+    "make_count",
+]
+
+Tell = Callable[[messages.PeerBytes], None]
+
+
+def make_count(tell: Tell) -> client.Count:
+    """Make the function that tells a controller of the bytes."""
+
+    def count(sent: int, received: int) -> None:
+        tell(messages.PeerBytes(sent, received))
+
+    return count
+
+
+def make_call(tell: Tell) -> client.Call:
+    """Make a `client.call` that tells a controller of its bytes."""
+    return functools.partial(client.call, count=make_count(tell))
--- a/packages/daemon/src/cardamompathd/peers/wire.py
+++ b/packages/daemon/src/cardamompathd/peers/wire.py
@@ -33,8 +33,12 @@
     "declare",
     "encode_call",
     "encode_reply",
+    "framed_size",
 ]
 
+FRAME_HEADER = 4
+"""Bytes in front of each message, with its length."""
+
 FRAME_LIMIT = 16 << 20
 """Largest message, in bytes."""
 
@@ -102,6 +106,11 @@
 RELAY = Method("relay", RelayRequest, RelayReply)
 
 
+def framed_size(raw: bytes) -> int:
+    """Return the bytes that a message takes on the connection."""
+    return FRAME_HEADER + len(raw) if raw else 0
+
+
 def encode_call(method: Method, request: Any) -> bytes:
     """Return the message that calls a method."""
     return _encode(method.name, Thrift.TMessageType.CALL, request)
--- a/packages/daemon/src/cardamompathd/telemetry/metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/metrics.py
@@ -152,6 +152,13 @@
             "Revision of the configuration in force.",
             lambda status: [(status["revision"], {})],
         ),
+        (
+            counter,
+            "cardamompath.peer_transfer",
+            "By",
+            "Bytes of calls between instances, by direction.",
+            _peer_bytes,
+        ),
         (
             gauge,
             "cardamompath.resident_memory",
@@ -186,6 +193,11 @@
     return [(count, {"backend": name}) for name, count in flying.items()]
 
 
+def _peer_bytes(status):
+    ways = ("sent", "received")
+    return [(status["peers"][way], {"direction": way}) for way in ways]
+
+
 def _resident_bytes():
     with open("/proc/self/statm", encoding="ascii") as stream:
         pages = int(stream.read().split()[1])
--- a/packages/daemon/src/cardamompathd/tests/test_observations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_observations.py
@@ -51,6 +51,13 @@
         for bound, seconds in zip(series["seconds"], (0.2, 9.0), strict=True):
             self.assertTrue(seconds <= float(bound) < 1.5 * seconds)
 
+    def test_bytes_with_peers_add_up(self):
+        for msg in (messages.PeerBytes(3, 5), messages.PeerBytes(7, 0)):
+            self.assertEqual([], self.ended.receive(msg, 0.0))
+        status = self.ended.receive(messages.GetStatus("fut"), 0.0)
+        wanted = {"calls": 2, "sent": 10, "received": 5}
+        self.assertEqual(wanted, status[0].msg.answer["peers"])
+
     def test_minutes_fold_into_hours_and_hours_end(self):
         for minute in range(200):
             self.ended.receive(observe(), minute * 60.0)
--- a/packages/daemon/src/cardamompathd/tests/test_peers.py
+++ b/packages/daemon/src/cardamompathd/tests/test_peers.py
@@ -1,4 +1,5 @@
 import json
+import queue
 import socket
 import threading
 import unittest
@@ -14,6 +15,7 @@
 from cardamompathd.peers import errors
 from cardamompathd.peers import relay
 from cardamompathd.peers import server
+from cardamompathd.peers import traffic
 from cardamompathd.peers import wire
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import asking
@@ -164,6 +166,24 @@
         reply = client.call(address, wire.RELAY, request, 5.0)
         self.assertEqual(200, reply.status)
 
+    def test_both_ends_count_the_same_frames(self):
+        handled = server.Service(
+            wire.RELAY, lambda _: wire.RelayReply(200, b"{}")
+        )
+        counted = queue.Queue()
+        listener = server.start(
+            LOOPBACK, [handled], count=traffic.make_count(counted.put)
+        )
+        self.addCleanup(listener.stop)
+        address = ("127.0.0.1", listener.port)
+        request = wire.RelayRequest("GET", "/", {}, b"x" * 99)
+        call = traffic.make_call(counted.put)
+        call(address, wire.RELAY, request, 5.0)
+        ends = [counted.get(timeout=5.0) for _ in range(2)]
+        self.assertEqual({ends[0]}, {ends[1][::-1]})
+        sent = len(wire.encode_call(wire.RELAY, request)) + 4
+        self.assertEqual(sent, max(ends[0]))
+
     def test_missing_field_is_a_bad_message(self):
         raw = wire.encode_call(wire.RELAY, wire.RelayReply(1, b""))
         with self.assertRaises(errors.BadMessage):
--- a/packages/proof/src/cardamompath_proof/processes.py
+++ b/packages/proof/src/cardamompath_proof/processes.py
@@ -25,6 +25,7 @@
     "free_port",
     "start",
     "stop",
+    "stop_all",
     "use",
 ]
 
@@ -34,6 +35,9 @@
 STOP_TIMEOUT = 20.0
 """Seconds that a process may take to end after SIGTERM."""
 
+STOP_ALL_TIMEOUT = 5.0
+"""Seconds that several processes may take together to end."""
+
 PORTS = (12_000, 30_000)
 """Range of the ports that are handed out."""
 
@@ -104,6 +108,19 @@
         return running.process.wait()
 
 
+def stop_all(started: Sequence[Running]) -> None:
+    """Send SIGTERM to all, and SIGKILL to those that stay for long."""
+    for one in started:
+        one.process.terminate()
+    until = time.monotonic() + STOP_ALL_TIMEOUT
+    for one in started:
+        try:
+            one.process.wait(max(0.0, until - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            one.process.kill()
+            one.process.wait()
+
+
 def await_ready(url: str) -> None:
     """Wait until a GET of `url` answers 200.
 
