Log failures in a row once

Cause: the drill showed two warnings a second, 'cannot read back', while the platform was cut off after a lost append answer, and a line for each request that was relayed to a dead owner. Change: the appender warns of the first failure in a row; a relay that failed is logged at DEBUG, as the membership tells who is out of reach.

--- a/packages/daemon/src/cardamompathd/peers/relay.py
+++ b/packages/daemon/src/cardamompathd/peers/relay.py
@@ -75,7 +75,7 @@
     try:
         return call(address, wire.RELAY, request, timeout)
     except errors.PeerError as exc:
-        loguru.logger.info("peers: relay to {} failed: {}", address, exc)
+        loguru.logger.debug("peers: relay to {} failed: {}", address, exc)
         return None
 
 
--- a/packages/daemon/src/cardamompathd/platform/appender.py
+++ b/packages/daemon/src/cardamompathd/platform/appender.py
@@ -65,9 +65,7 @@
         try:
             self._client.append(msg.stream, msg.records)
         except errors.LogUnavailable as exc:
-            if not self._down:
-                loguru.logger.warning("platform: append refused: {}", exc)
-            self._down = True
+            self._warn_once("append refused", exc)
             return "refused"
         except errors.AppendUnknown as exc:
             loguru.logger.warning("platform: append answer lost: {}", exc)
@@ -83,12 +81,19 @@
                 read = self._client.read(msg.stream, offset, 0.0)
                 records += [record for _, record in read.records]
                 if not read.records or read.records[-1][0] + 1 >= read.head:
+                    self._down = False
                     return tuple(records)
                 offset = read.records[-1][0] + 1
         except errors.LogUnavailable as exc:
-            loguru.logger.warning("platform: cannot read back: {}", exc)
+            self._warn_once("cannot read back", exc)
             return None
 
+    def _warn_once(self, text, exc):
+        """Warn of the first failure in a row only."""
+        if not self._down:
+            loguru.logger.warning("platform: {}: {}", text, exc)
+        self._down = True
+
 
 def start(client, answer) -> AppenderTask:
     """Start the task that appends."""
