--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -70,6 +70,7 @@
     "PEERS",
     "PartsChanged",
     "PeerConfiguration",
+    "PeerBytes",
     "PeersChanged",
     "PeersListening",
     "ProgressCollected",
@@ -426,6 +427,14 @@
     """Number of tasks by what is known of them."""
 
 
+class PeerBytes(NamedTuple):
+    """A call of or by a peer ended; for metrics."""
+
+    sent: int
+    """Bytes of frames that were sent."""
+    received: int
+
+
 class GetBurn(NamedTuple):
     """Ask for the counts of ended submissions by time."""
 
