--- a/packages/core/src/cardamompath_core/outcomes.py
+++ b/packages/core/src/cardamompath_core/outcomes.py
@@ -9,6 +9,7 @@
 __all__ = [
     "Verdict",
     "judge",
+    "was_sent",
 ]
 
 Verdict = Literal["finished", "failed", "not_run", "unknown"]
@@ -41,3 +42,8 @@
     if 200 <= answer.status < 300:
         return "finished"
     return "failed"
+
+
+def was_sent(answer: types.BackendAnswer) -> bool:
+    """Return whether an exchange may have sent any byte."""
+    return answer.phase != "connect"
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -47,6 +47,8 @@
     """What waits of it, by service."""
     held: list[int]
     """Tasks taken out of the queue because the lease lapsed."""
+    wasted: dict[int, int]
+    """Exchanges that did not run their task, by its index."""
 
 
 class BackendsState:
@@ -96,7 +98,7 @@
 
 
 def _enqueue(state, msg, now):
-    work = _Work(msg, {}, [])
+    work = _Work(msg, {}, [], {})
     state.jobs[msg.job] = work
     by_service = {}
     for index, task in enumerate(msg.spec.tasks):
@@ -233,16 +235,28 @@
 def _settle(state, work, msg, verdict, flight):
     task = work.enqueued.spec.tasks[msg.task.index]
     if verdict == "not_run" or _is_spoilt_probe(work, verdict, flight):
+        if outcomes.was_sent(msg.answer):
+            index = msg.task.index
+            work.wasted[index] = work.wasted.get(index, 0) + 1
         _requeue(state, work, msg.task, task)
         return []
     answer = msg.answer
     result = types.TaskResult(
         verdict, answer.status, answer.payload, msg.backend
     )
-    settled = messages.TaskSettled(msg.task, result)
+    ideal = _ideal(state, task) if verdict == "finished" else 0.0
+    wasted = work.wasted.pop(msg.task.index, 0)
+    settled = messages.TaskSettled(msg.task, result, ideal, wasted)
     return [messages.Send(messages.JOBS, settled)]
 
 
+def _ideal(state, task):
+    learned = _service(state, task.service).learned
+    if not learned.knows(task.kind):
+        return 0.0
+    return learned.size(task.kind, None)
+
+
 def _settle_withdrawn(msg, verdict):
     """Settle a task that was in flight when its job was withdrawn."""
     known = "not_started" if verdict == "not_run" else verdict
@@ -250,7 +264,8 @@
     result = types.TaskResult(
         known, answer.status, answer.payload, msg.backend
     )
-    settled = messages.TaskSettled(msg.task, result)
+    wasted = int(verdict == "not_run" and outcomes.was_sent(answer))
+    settled = messages.TaskSettled(msg.task, result, wasted=wasted)
     return messages.Send(messages.JOBS, settled)
 
 
@@ -275,11 +290,13 @@
 def _withdraw(state, msg, now):
     work = state.jobs.pop(msg.job, None)
     left = []
+    wasted = 0
     if work is not None:
+        wasted = sum(work.wasted.values())
         left += work.held
         for name, queued in work.queued.items():
             left += state.services[name].queue.withdraw(queued)
-    withdrawn = messages.Withdrawn(msg.job, tuple(left))
+    withdrawn = messages.Withdrawn(msg.job, tuple(left), wasted)
     return [messages.Send(messages.JOBS, withdrawn)]
 
 
--- a/packages/daemon/src/cardamompathd/controllers/job_reports.py
+++ b/packages/daemon/src/cardamompathd/controllers/job_reports.py
@@ -107,6 +107,8 @@
         now - _accepted(job),
         now <= job.deadline,
         dict(counts),
+        job.ideal,
+        job.wasted,
     )
     return messages.Send(messages.TELEMETRY, observed)
 
--- a/packages/daemon/src/cardamompathd/controllers/job_store.py
+++ b/packages/daemon/src/cardamompathd/controllers/job_store.py
@@ -34,11 +34,13 @@
         "cancelled",
         "deadline",
         "fetched",
+        "ideal",
         "job",
         "open",
         "results",
         "spec",
         "waiters",
+        "wasted",
     )
 
     def __init__(self, job: str, spec: types.JobSpec, deadline: float):
@@ -52,6 +54,10 @@
         self.cancelled = ""
         self.fetched = False
         """Whether anyone got the answer."""
+        self.ideal = 0.0
+        """Learned seconds of the longest task so far."""
+        self.wasted = 0
+        """Exchanges that were sent but did not run their task."""
 
 
 class Named:
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs.py
@@ -235,6 +235,8 @@
     if job.results[msg.task.index] is not None:
         return []
     job.results[msg.task.index] = msg.result
+    job.ideal = max(job.ideal, msg.ideal)
+    job.wasted += msg.wasted
     job.open -= 1
     job_store.note_change(state, job)
     if job.open == 0:
@@ -249,6 +251,7 @@
     job = state.jobs.get(msg.job)
     if job is None or job.answer is not None:
         return []
+    job.wasted += msg.wasted
     for index in msg.indexes:
         if job.results[index] is None:
             job.results[index] = NOT_STARTED
--- a/packages/daemon/src/cardamompathd/controllers/observations.py
+++ b/packages/daemon/src/cardamompathd/controllers/observations.py
@@ -33,10 +33,17 @@
 CLASSES = 44
 """Classes of response times; the last bound is over 40 minutes."""
 
+SHORT_WORK = 1.0
+"""Submissions whose longest task is ideally below are short, seconds."""
+
 OTHER = "other"
 """Name of service and team in the series beyond the bound."""
 
 
+_COUNTERS = ("codes", "seconds", "short", "long")
+"""Fields of a series that count by name."""
+
+
 class BurnLimits(NamedTuple):
     """Bounds of what is kept."""
 
@@ -63,6 +70,14 @@
     """Refusals and failures by code."""
     seconds: dict[str, int]
     """Answers by upper bound of the response time, in seconds."""
+    short: dict[str, int]
+    """Complete short work by upper bound of its slowdown."""
+    long: dict[str, int]
+    """Complete long work by upper bound of its slowdown."""
+    tasks: int
+    """Tasks that ran, or may have."""
+    wasted: int
+    """Exchanges that were sent but did not run their task."""
 
 
 class BurnBucket(TypedDict):
@@ -144,6 +159,10 @@
         "failed": 0,
         "codes": {},
         "seconds": {},
+        "short": {},
+        "long": {},
+        "tasks": 0,
+        "wasted": 0,
     }
 
 
@@ -154,12 +173,22 @@
         codes = series["codes"]
         codes[msg.code] = codes.get(msg.code, 0) + 1
     if msg.outcome != "refused":
-        bound = _bound(msg.seconds)
-        series["seconds"][bound] = series["seconds"].get(bound, 0) + 1
+        _raise(series["seconds"], _bound(msg.seconds))
+    if msg.outcome == "complete" and msg.ideal > 0:
+        length = "short" if msg.ideal < SHORT_WORK else "long"
+        _raise(series[length], _bound(msg.seconds / msg.ideal))
+    series["tasks"] += sum(msg.tasks.values())
+    series["tasks"] -= msg.tasks.get("not_started", 0)
+    series["wasted"] += msg.wasted
+
+
+def _raise(counts, bound):
+    counts[bound] = counts.get(bound, 0) + 1
 
 
-def _bound(seconds):
-    ratio = max(seconds, FIRST_BOUND) / FIRST_BOUND
+def _bound(value):
+    """Return the upper bound of the class of a time or a slowdown."""
+    ratio = max(value, FIRST_BOUND) / FIRST_BOUND
     steps = math.ceil(math.log2(ratio) * BOUNDS_PER_DOUBLING)
     steps = min(steps, CLASSES - 1)
     return f"{FIRST_BOUND * 2 ** (steps / BOUNDS_PER_DOUBLING):.6g}"
@@ -177,9 +206,9 @@
 
 
 def _merge(into, series):
-    for key in ("complete", "late", "refused", "failed"):
+    for key in ("complete", "late", "refused", "failed", "tasks", "wasted"):
         into[key] += series[key]
-    for key in ("codes", "seconds"):
+    for key in _COUNTERS:
         for name, count in series[key].items():
             into[key][name] = into[key].get(name, 0) + count
 
@@ -202,9 +231,7 @@
 
 
 def _copy(series):
-    codes = dict(series["codes"])
-    seconds = dict(series["seconds"])
-    return series | {"codes": codes, "seconds": seconds}
+    return series | {key: dict(series[key]) for key in _COUNTERS}
 
 
 def _status(state):
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -214,6 +214,8 @@
 
     job: str
     indexes: tuple[int, ...]
+    wasted: int = 0
+    """Wasted exchanges of the tasks that did not start."""
 
 
 class StartTask(NamedTuple):
@@ -243,6 +245,10 @@
 
     task: types.TaskRef
     result: types.TaskResult
+    ideal: float = 0.0
+    """Learned seconds of the task at usual speed, 0 when not known."""
+    wasted: int = 0
+    """Exchanges of the task that were sent but did not run it."""
 
 
 class SetTimer(NamedTuple):
@@ -397,6 +403,10 @@
     """Whether the answer was there before the deadline."""
     tasks: dict[str, int]
     """Number of tasks by what is known of them."""
+    ideal: float = 0.0
+    """Learned seconds of the longest task, 0 when not known."""
+    wasted: int = 0
+    """Exchanges that were sent but did not run their task."""
 
 
 class GetBurn(NamedTuple):
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_burn_counts.py
@@ -0,0 +1,43 @@
+import unittest
+
+from cardamompathd import messages
+from cardamompathd.tests import test_backends
+
+NOT_CONNECTED = test_backends.NOT_RUN._replace(phase="connect")
+
+
+class BurnCountsTest(test_backends.BackendsCase):
+    def setUp(self):
+        super().setUp()
+        self.configure(*test_backends.make_backends(1))
+
+    def last(self):
+        return self.sends[0].msg
+
+    def test_settled_tasks_carry_ideal_and_wasted_exchanges(self):
+        self.submit()
+        for answer in (test_backends.NOT_RUN, NOT_CONNECTED):
+            self.end([*self.flying][0], answer)
+            self.now += 60.0
+            self.tell(messages.TimerFired("tick"))
+        self.end([*self.flying][0], elapsed=0.3)
+        self.assertEqual(1, self.last().wasted)
+        self.assertAlmostEqual(0.3, self.last().ideal)
+
+    def test_failed_tasks_have_no_ideal(self):
+        self.submit()
+        self.end([*self.flying][0], test_backends.FAILED)
+        self.assertEqual((0.0, 0), (self.last().ideal, self.last().wasted))
+
+    def test_withdrawn_tasks_keep_their_wasted_exchanges(self):
+        job = self.submit(9)
+        refs = [*self.flying]
+        self.end(refs[0], test_backends.NOT_RUN)
+        self.tell(messages.Withdraw(job))
+        before = self.last().wasted
+        self.end(refs[1], test_backends.NOT_RUN)
+        self.assertEqual((1, 1), (before, self.last().wasted))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/src/cardamompathd/tests/test_observations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_observations.py
@@ -51,6 +51,22 @@
         for bound, seconds in zip(series["seconds"], (0.2, 9.0), strict=True):
             self.assertTrue(seconds <= float(bound) < 1.5 * seconds)
 
+    def test_slowdowns_and_wasted_exchanges(self):
+        for ideal, outcome in (
+            (0.1, "complete"),
+            (2.0, "complete"),
+            (0.0, "complete"),
+            (0.1, "failed"),
+        ):
+            seen = observe(outcome=outcome, seconds=0.8)
+            tasks = {"finished": 2, "not_started": 5}
+            seen = seen._replace(ideal=ideal, wasted=3, tasks=tasks)
+            self.ended.receive(seen, 0.0)
+        series = self.burn()["buckets"][0]["series"][0]
+        self.assertEqual({"8.192": 1}, series["short"])
+        self.assertEqual([1], list(series["long"].values()))
+        self.assertEqual((8, 12), (series["tasks"], series["wasted"]))
+
     def test_minutes_fold_into_hours_and_hours_end(self):
         for minute in range(200):
             self.ended.receive(observe(), minute * 60.0)
@@ -89,10 +105,11 @@
         sends = self.sends(msg, now)
         return [s.msg.answer for s in sends if s.to == messages.CALLERS]
 
-    def settle(self, index, now=6.0):
+    def settle(self, index, now=6.0, **fields):
         result = types.TaskResult("finished", 200)
         ref = types.TaskRef(self.job, index)
-        return self.sends(messages.TaskSettled(ref, result), now)
+        settled = messages.TaskSettled(ref, result, **fields)
+        return self.sends(settled, now)
 
     def test_given_up_waits_leave_nothing(self):
         self.settle(0)
@@ -121,13 +138,14 @@
 
     def test_ends_are_observed(self):
         for index in range(2):
-            self.settle(index)
+            self.settle(index, ideal=2.0 - index, wasted=1)
         sends = self.settle(2, 16.0)
         seen = [s.msg for s in sends if s.to == messages.TELEMETRY][0]
         self.assertEqual(
             ("kiosk", "complete", 11.0, False, {"finished": 3}),
             (seen.team, seen.outcome, seen.seconds, seen.in_time, seen.tasks),
         )
+        self.assertEqual((2.0, 2), (seen.ideal, seen.wasted))
         self.sends(messages.Drain("drain"))
         other = self.submit._replace(job="")
         sends = self.sends(other)
