--- a/packages/cli/src/cardamompath_cli/main.py
+++ b/packages/cli/src/cardamompath_cli/main.py
@@ -15,6 +15,7 @@
 from cardamompath_cli import jobs
 from cardamompath_cli import listing
 from cardamompath_cli import notes
+from cardamompath_cli import report
 from cardamompath_cli import settings
 from cardamompath_cli import status
 
@@ -38,6 +39,7 @@
         | jobs.Request
         | listing.Jobs
         | notes.Note
+        | report.Report
         | settings.Settings
         | status.Status
     ]
--- a/packages/cli/src/cardamompath_cli/tests/test_commands.py
+++ b/packages/cli/src/cardamompath_cli/tests/test_commands.py
@@ -76,6 +76,32 @@
             (exits.DONE, "0 jobs\n"), self.run_command("jobs", "list", *to)
         )
 
+    def test_report_of_a_running_instance(self):
+        to = ("--to", f"127.0.0.1:{self.port}")
+        file = self.write(edge_fixtures.job_body(2, 0.01, team="kiosk"))
+        self.assertEqual(
+            exits.DONE, self.run_command("job", "submit", file, *to)[0]
+        )
+        to = ("--to", f"127.0.0.1:{self.operators}")
+        status, body = self.run_json("report", "burn", *to)
+        for _ in range(1000):
+            # The count may arrive just after the answer.
+            if body["rows"]:
+                break
+            status, body = self.run_json("report", "burn", *to)
+        parts = [list(row["key"].values()) for row in body["rows"]]
+        expected = [
+            ["booking", "", ""],
+            ["booking", "", "pocitos"],
+            ["booking", "kiosk", ""],
+        ]
+        self.assertEqual((exits.DONE, expected), (status, parts))
+        self.assertEqual(0.999, body["rows"][0]["objective"])
+        self.assertEqual(1, body["rows"][0]["windows"][0]["counts"]["good"])
+        response = body["measures"][0]["response"]
+        self.assertEqual(1, response["measured"])
+        self.assertEqual(0.0, response["wasted_per_task"])
+
     def test_no_answer(self):
         to = ("--to", f"127.0.0.1:{self.platform.port}")
         for argv in (("status",), ("jobs", "stuck"), ("request", "booking")):
