--- a/packages/daemon/src/cardamompathd/runtime/actors.py
+++ b/packages/daemon/src/cardamompathd/runtime/actors.py
@@ -37,7 +37,12 @@
     """
 
     def deliver(send: messages.Send) -> None:
-        table[send.to](send.msg)
+        tell = table.get(send.to)
+        if tell is None:
+            kind = type(send.msg).__name__
+            loguru.logger.error("actor: no task {!r} for {}", send.to, kind)
+            return
+        tell(send.msg)
 
     return deliver
 
