--- a/packages/cli/src/cardamompath_cli/tests/test_report.py
+++ b/packages/cli/src/cardamompath_cli/tests/test_report.py
@@ -128,7 +128,3 @@
     def test_unwritable_page(self):
         status, text = self.report("--to", "one", "--html", "/none/burn.html")
         self.assertEqual(exits.USAGE, status)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/packages/daemon/src/cardamompathd/tests/test_burn_counts.py
+++ b/packages/daemon/src/cardamompathd/tests/test_burn_counts.py
@@ -1,5 +1,3 @@
-import unittest
-
 from cardamompathd import messages
 from cardamompathd.tests import test_backends
 
@@ -37,7 +35,3 @@
         before = self.last().wasted
         self.end(refs[1], test_backends.NOT_RUN)
         self.assertEqual((1, 1), (before, self.last().wasted))
-
-
-if __name__ == "__main__":
-    unittest.main()
