--- a/packages/daemon/src/cardamompathd/controllers/backend_results.py
+++ b/packages/daemon/src/cardamompathd/controllers/backend_results.py
@@ -48,10 +48,12 @@
     """
     task = work.enqueued.spec.tasks[msg.task.index]
     if verdict == "not_run":
+        _note_wasted(work, msg)
         requeue(state, work, msg.task, task)
         return []
     result = backend_retries.make_result(msg, verdict)
     if _is_spoilt_probe(work, verdict, flight):
+        _note_wasted(work, msg)
         state.retries.note(msg.task, result)
         requeue(state, work, msg.task, task)
         return []
@@ -64,10 +66,25 @@
             timer = messages.SetTimer(now + wait, messages.BACKENDS, key)
             return [messages.Send(messages.TIMERS, timer)]
     state.retries.forget(msg.task)
-    settled = messages.TaskSettled(msg.task, result)
+    ideal = _ideal(state, task) if verdict == "finished" else 0.0
+    wasted = work.wasted.pop(msg.task.index, 0)
+    settled = messages.TaskSettled(msg.task, result, ideal, wasted)
     return [messages.Send(messages.JOBS, settled)]
 
 
+def _note_wasted(work, msg):
+    if outcomes.was_sent(msg.answer):
+        index = msg.task.index
+        work.wasted[index] = work.wasted.get(index, 0) + 1
+
+
+def _ideal(state, task):
+    learned = state.services[task.service].learned
+    if not learned.knows(task.kind):
+        return 0.0
+    return learned.size(task.kind, None)
+
+
 def settle_withdrawn(
     state: Any, msg: messages.TaskEnded, verdict: outcomes.Verdict
 ) -> messages.Send:
@@ -77,7 +94,8 @@
     tried = state.retries.forget(msg.task)
     if tried is not None and known == "not_started":
         result = tried
-    settled = messages.TaskSettled(msg.task, result)
+    wasted = int(verdict == "not_run" and outcomes.was_sent(msg.answer))
+    settled = messages.TaskSettled(msg.task, result, wasted=wasted)
     return messages.Send(messages.JOBS, settled)
 
 
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -52,6 +52,8 @@
     """What waits of it, by service."""
     held: list[int]
     """Tasks taken out of the queue because the lease lapsed."""
+    wasted: dict[int, int]
+    """Exchanges that did not run their task, by its index."""
 
 
 class BackendsState:
@@ -117,7 +119,7 @@
 
 
 def _queue(state, msg, by_service, now):
-    work = _Work(msg, {}, [])
+    work = _Work(msg, {}, [], {})
     state.jobs[msg.job] = work
     team = state.teams.team(msg.spec.team)
     sends = []
@@ -258,14 +260,16 @@
 def _withdraw(state, msg, now):
     work = state.jobs.pop(msg.job, None)
     left = []
+    wasted = 0
     if work is not None:
+        wasted = sum(work.wasted.values())
         left += work.held
         for name, queued in work.queued.items():
             left += state.services[name].queue.withdraw(queued)
     sends = []
     if work is not None and work.enqueued.spec.single:
         sends += backend_results.settle_tried(state, types.TaskRef(msg.job, 0))
-    withdrawn = messages.Withdrawn(msg.job, tuple(left))
+    withdrawn = messages.Withdrawn(msg.job, tuple(left), wasted)
     return [*sends, messages.Send(messages.JOBS, withdrawn)]
 
 
