--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	packages/proof
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test lint format demo drill idle bench bench-daemon bench-small \
+.PHONY: setup test lint format demo drill idle bench bench-daemon slopes bench-small \
 	scenarios model model-wide
 
 setup: $(STAMP)
@@ -38,6 +38,10 @@
 drill: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.drill
 
+# Costs at several sizes and the lines through them, for CAPACITY.md.
+slopes: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.slopes
+
 bench-daemon: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.bench_daemon
 
