--- a/packages/daemon/src/cardamompathd/backends/connections.py
+++ b/packages/daemon/src/cardamompathd/backends/connections.py
@@ -18,12 +18,15 @@
 from cardamompathd.runtime import inboxes
 
 __all__ = [
+    "LEAVING_HEADER",
     "NOT_RUN_HEADER",
     "BackendActor",
     "ConnectionLimits",
     "start",
 ]
 
+LEAVING_HEADER = "Server-Leaving"
+"""A backend server that takes no more work answers with it set to yes."""
 NOT_RUN_HEADER = "Task-Run"
 """A backend server that refuses a task answers with ``Task-Run: no``."""
 
@@ -280,4 +283,7 @@
         error = f"answer ended {response.length} bytes early"
         return types.BackendAnswer("answer", error=error)
     not_run = response.headers.get(NOT_RUN_HEADER) == "no"
-    return types.BackendAnswer("done", response.status, payload, not_run)
+    leaving = response.headers.get(LEAVING_HEADER) == "yes"
+    return types.BackendAnswer(
+        "done", response.status, payload, not_run, leaving=leaving
+    )
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -18,6 +18,7 @@
 from cardamompath_core import subsets
 from cardamompath_core import types
 from cardamompathd import messages
+from cardamompathd.controllers import backend_health
 from cardamompathd.controllers import fence
 from cardamompathd.controllers import service_state
 
@@ -31,6 +32,13 @@
 """Status of the peers that have a share of the backend servers."""
 
 
+TICK = 0.25
+"""Seconds between reviews of the backend servers."""
+PROBE_SECONDS = 0.5
+PROBE_FACTOR = 4.0
+"""A probe is given up after so many times its expected size."""
+
+
 class _Work(NamedTuple):
     """A job whose tasks are queued or in flight."""
 
@@ -50,6 +58,10 @@
         self.services: dict[str, service_state.Service] = {}
         self.backends: dict[str, service_state.Backend] = {}
         self.jobs: dict[str, _Work] = {}
+        self.leaving: frozenset[str] = frozenset()
+        self.busy: frozenset[str] = frozenset()
+        self.ticking = False
+        self.reported = types.LoadHint()
         self.instances: tuple[subsets.Member, ...] = (self.own,)
         self.leases: dict[str, float] = {}
 
@@ -78,6 +90,7 @@
     known = state.services.get(name)
     if known is None:
         known = service_state.Service(name, state.rng)
+        known.busy = state.busy
         state.services[name] = known
     return known
 
@@ -101,28 +114,61 @@
 
 def _queued_task(service, index, task):
     size = service.learned.size(task.kind, task.declared)
-    return queueing.QueuedTask(size, index, queueing.SHORT)
+    return queueing.QueuedTask(size, index, service.lane(task, size))
 
 
 def _start_ready(state, service, now):
     sends = []
-    while True:
-        head = service.queue.head(queueing.SHORT)
-        if head is None:
-            return sends
-        queued = head[1]
+    if not len(service.queue):
+        return sends
+    lanes = [queueing.SHORT, queueing.LONG]
+    while lanes:
+        lane = _next_lane(service, lanes)
+        if lane is None:
+            break
+        queued = service.queue.head(lane)[1]
         until = fence.start_by(state.leases, queued.job)
         if not leases.may_start(until, now):
-            held = service.queue.withdraw(queued)
-            state.jobs[queued.job].held.extend(held)
-            sends += fence.lapse(state.leases, queued.job)
+            sends += _hold(state, service, queued)
             continue
-        first = queued.lanes[queueing.SHORT][-1]
-        server = service.choose(first, now)
+        first = queued.lanes[lane][-1]
+        server = _choose(state, service, queued, first, now)
         if server is None:
-            return sends
-        task = service.queue.take(queueing.SHORT, service.width)
+            lanes.remove(lane)
+            continue
+        task = service.queue.take(lane, service.width)
         sends.append(_start(state, queued, task, server.name, now))
+    return sends
+
+
+def _next_lane(service, lanes):
+    """Return the lane whose first job goes before the others'."""
+    best = None
+    best_place = float("inf")
+    for lane in lanes:
+        head = service.queue.head(lane)
+        if head is None or not service.may_start(lane):
+            continue
+        if head[0] < best_place:
+            best, best_place = lane, head[0]
+    return best
+
+
+def _hold(state, service, queued):
+    held = service.queue.withdraw(queued)
+    state.jobs[queued.job].held.extend(held)
+    return fence.lapse(state.leases, queued.job)
+
+
+def _choose(state, service, queued, task, now):
+    if service.ejected:
+        spec = state.jobs[queued.job].enqueued.spec
+        harmless = _is_harmless(spec)
+        backend = backend_health.find_probe(service, harmless, now)
+        if backend is not None:
+            backend.health.probing = True
+            return backend.server
+    return service.choose(task, now)
 
 
 def _start(state, queued, chosen, name, now):
@@ -133,6 +179,8 @@
     queued.started = True
     backend.start(ref, task, chosen, now)
     timeout = min(queued.deadline - now, backend.service.timeout)
+    if backend.health.probing:
+        timeout = min(timeout, PROBE_SECONDS + PROBE_FACTOR * chosen.size)
     return messages.Send(
         messages.CONNECTIONS,
         messages.StartTask(
@@ -149,14 +197,16 @@
 
 def _ended(state, msg, now):
     backend = state.backends.get(msg.backend)
-    flight = backend.end(msg.task) if backend else None
+    flight = backend.end(msg.task, now) if backend else None
     verdict = outcomes.judge(msg.answer)
     if flight is not None:
         _learn(backend, flight, msg.answer, verdict, now)
+        job = msg.task.job
+        backend_health.observe(backend, flight, job, msg.answer, verdict, now)
     work = state.jobs.get(msg.task.job)
     sends = []
     if work is not None:
-        sends += _settle(state, work, msg, verdict)
+        sends += _settle(state, work, msg, verdict, flight)
     else:
         sends.append(_settle_withdrawn(msg, verdict))
     if backend is not None:
@@ -180,9 +230,9 @@
     backend.server.speed = service.learned.speed(name)
 
 
-def _settle(state, work, msg, verdict):
+def _settle(state, work, msg, verdict, flight):
     task = work.enqueued.spec.tasks[msg.task.index]
-    if verdict == "not_run":
+    if verdict == "not_run" or _is_spoilt_probe(work, verdict, flight):
         _requeue(state, work, msg.task, task)
         return []
     answer = msg.answer
@@ -204,6 +254,17 @@
     return messages.Send(messages.JOBS, settled)
 
 
+def _is_spoilt_probe(work, verdict, flight):
+    """Return whether a probe failed with a task that may run again."""
+    if flight is None or not flight.probe or verdict == "finished":
+        return False
+    return _is_harmless(work.enqueued.spec)
+
+
+def _is_harmless(spec):
+    return spec.single and spec.idempotent
+
+
 def _requeue(state, work, ref, task):
     service = _service(state, task.service)
     queued = work.queued[task.service]
@@ -233,8 +294,35 @@
         if backend is None or backend.service is not service:
             backend = service_state.Backend(spec, service)
         backend.spec = spec
+        backend.leaving = spec.leaving or spec.name in state.leaving
         state.backends[spec.name] = backend
-    return _assign(state, now)
+    sends = _assign(state, now)
+    if not state.ticking:
+        state.ticking = True
+        sends.append(_set_tick(now))
+    return sends
+
+
+def _set_tick(now):
+    tick = messages.SetTimer(now + TICK, messages.BACKENDS, "tick")
+    return messages.Send(messages.TIMERS, tick)
+
+
+def _tick(state, msg, now):
+    for backend in state.backends.values():
+        backend_health.review(backend, now)
+    sends = [_set_tick(now), *_report_load(state)]
+    for service in state.services.values():
+        sends += _start_ready(state, service, now)
+    return sends
+
+
+def _leave(state, msg, now):
+    state.leaving = msg.names
+    for name, backend in state.backends.items():
+        backend.leaving = backend.spec.leaving or name in msg.names
+        backend.update_room(now)
+    return []
 
 
 def _assign(state, now):
@@ -243,7 +331,7 @@
         backends = [
             one for one in state.backends.values() if one.service is service
         ]
-        service.assign(backends, state.own, state.instances)
+        service.assign(backends, state.own, state.instances, now)
         sends += _start_ready(state, service, now)
     return sends
 
@@ -260,10 +348,37 @@
             owner = identity.parse_incarnation(peer.incarnation)
             instances.add(subsets.Member(owner.instance, owner.domain))
     found = tuple(sorted(instances))
-    if found == state.instances:
+    sends = []
+    if found != state.instances:
+        state.instances = found
+        sends += _assign(state, now)
+    return sends + _take_busy(state, msg.peers, now)
+
+
+def _take_busy(state, peers, now):
+    busy = frozenset(
+        identity.parse_incarnation(peer.incarnation).instance
+        for peer in peers
+        if peer.load.queued
+    )
+    state.busy = busy
+    sends = []
+    for service in state.services.values():
+        if service.take_busy(busy, now):
+            sends += _start_ready(state, service, now)
+    return sends
+
+
+def _report_load(state):
+    """Tell the peers when work begins or ceases to wait here."""
+    queued = sum(len(one.queue) for one in state.services.values())
+    if bool(queued) == bool(state.reported.queued):
         return []
-    state.instances = found
-    return _assign(state, now)
+    in_flight = sum(one.server.in_flight for one in state.backends.values())
+    limit = sum(one.server.home for one in state.backends.values())
+    state.reported = types.LoadHint(queued, in_flight, limit)
+    report = messages.LoadReport(state.reported)
+    return [messages.Send(messages.MEMBERSHIP, report)]
 
 
 def _status(state, msg, now):
@@ -278,11 +393,13 @@
 
 
 _HANDLERS = {
+    messages.BackendsLeaving: _leave,
     messages.ConfigurationChanged: _configure,
     messages.Enqueue: _enqueue,
     messages.GetStatus: _status,
     messages.LeaseChanged: _take_lease,
     messages.PeersChanged: _take_peers,
     messages.TaskEnded: _ended,
+    messages.TimerFired: _tick,
     messages.Withdraw: _withdraw,
 }
--- a/packages/daemon/src/cardamompathd/tests/test_recovery.py
+++ b/packages/daemon/src/cardamompathd/tests/test_recovery.py
@@ -124,6 +124,17 @@
         self.assertEqual([got[0]] * 3, got)
         self.assertEqual(6, sum(self.world.starts.values()))
 
+    def test_failed_job_ends_with_its_tasks_in_flight(self):
+        self.world.failing = {0}
+        spec = fakes.make_spec(20)
+        got = self.world.submit(self.owner, self.job, spec)
+        self.world.advance(5.0)
+        states = self.states(got[0])
+        self.assertEqual("task_failed", got[0].code)
+        self.assertNotIn("unknown", states)
+        self.assertEqual(1, states.count("failed"))
+        self.world.check(self)
+
     def test_settlement_is_the_same_at_every_peer(self):
         self.world.submit(self.owner, self.job)
         self.world.advance(1.75)
@@ -280,6 +291,28 @@
         answer = self.world.submit(self.two, self.job)[0]
         self.assertEqual(["finished"] * 6, self.states(answer))
 
+    def test_tasks_that_end_in_a_pause_complete_no_job(self):
+        self.world.submit(self.owner, self.job, fakes.make_spec(4))
+        self.world.advance(0.75)
+        self.owner.pause()
+        self.world.advance(30.0)
+        self.owner.resume()
+        answer = self.world.submit(self.owner, self.job, fakes.make_spec(4))[0]
+        self.assertEqual("lease_lapsed", answer.code)
+        self.assertEqual(["finished"] * 4, self.states(answer))
+
+    def test_owner_that_was_never_announced_is_given_up_in_the_end(self):
+        self.world.mode = "down"
+        self.world.advance(10.0)
+        job = self.world.issue(self.owner)
+        self.world.submit(self.owner, job)
+        self.owner.alive = False
+        self.world.mode = "up"
+        for expected in (types.Pending, types.Pending, types.Failed):
+            answer = self.world.submit(self.two, job)[0]
+            self.assertIsInstance(answer, expected)
+            self.world.advance(601.0)
+
     def test_single_request_needs_no_lease(self):
         self.owner.cut = True
         single = fakes.make_spec(1)._replace(single=True)
@@ -314,6 +347,10 @@
                 self.world.mode = mode
                 got = self.submit_everywhere()
                 self.world.advance(5.0)
+                if mode == "silent":
+                    node = self.world.nodes[0]
+                    late = self.world.submit_named(node, "night")
+                    self.assertEqual("log_unavailable", late[0].code)
                 started = sum(self.world.starts.values())
                 self.assertEqual(6 if mode in ("lost", "slow") else 0, started)
                 self.world.mode = "up"
