--- a/packages/daemon/src/cardamompathd/telemetry/metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/metrics.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
+from typing import Literal
 from typing import NamedTuple
 
 import prometheus_client
@@ -34,6 +35,16 @@
 """Returns the body of ``GET /v1/status``."""
 
 
+class Instrument(NamedTuple):
+    """One metric and the function that reads it from the status."""
+
+    kind: Literal["counter", "gauge"]
+    name: str
+    unit: str
+    help: str
+    observe: Callable[[dict[str, Any]], list[tuple[float, dict[str, str]]]]
+
+
 class Exporter(NamedTuple):
     """Where the metrics go."""
 
@@ -86,12 +97,16 @@
 def _make_provider(reader, read_status):
     provider = sdk.MeterProvider([reader], shutdown_on_exit=False)
     meter = provider.get_meter(METER)
-    for create, name, unit, text, observe in _instruments(meter):
-        create(
-            name,
-            [_make_callback(observe, read_status)],
-            unit=unit,
-            description=text,
+    creators = {
+        "counter": meter.create_observable_counter,
+        "gauge": meter.create_observable_gauge,
+    }
+    for one in _INSTRUMENTS:
+        creators[one.kind](
+            one.name,
+            [_make_callback(one.observe, read_status)],
+            unit=one.unit,
+            description=one.help,
         )
     return provider
 
@@ -106,76 +121,6 @@
     return callback
 
 
-def _instruments(meter):
-    counter = meter.create_observable_counter
-    gauge = meter.create_observable_gauge
-    return (
-        (
-            counter,
-            "cardamompath.submissions",
-            "",
-            "Submissions that ended, by outcome and code.",
-            _submissions,
-        ),
-        (
-            counter,
-            "cardamompath.tasks",
-            "",
-            "Tasks of ended submissions, by what is known of them.",
-            _tasks,
-        ),
-        (
-            gauge,
-            "cardamompath.unanswered",
-            "",
-            "Jobs without an answer.",
-            lambda status: [(status["jobs"]["unanswered"], {})],
-        ),
-        (
-            gauge,
-            "cardamompath.queued",
-            "",
-            "Tasks in the queue.",
-            lambda status: [(status["backends"]["queued"], {})],
-        ),
-        (
-            gauge,
-            "cardamompath.in_flight",
-            "",
-            "Tasks in flight, by backend server.",
-            _in_flight,
-        ),
-        (
-            gauge,
-            "cardamompath.revision",
-            "",
-            "Revision of the configuration in force.",
-            lambda status: [(status["revision"], {})],
-        ),
-        (
-            counter,
-            "cardamompath.peer_transfer",
-            "By",
-            "Bytes of calls between instances, by direction.",
-            _peer_bytes,
-        ),
-        (
-            gauge,
-            "cardamompath.resident_memory",
-            "By",
-            "Resident memory of the process.",
-            lambda status: [(_resident_bytes(), {})],
-        ),
-        (
-            counter,
-            "cardamompath.processor",
-            "s",
-            "Processor time of the process.",
-            lambda status: [(_processor_seconds(), {})],
-        ),
-    )
-
-
 def _submissions(status):
     return [
         (one["count"], {"outcome": one["outcome"], "code": one["code"]})
@@ -207,3 +152,70 @@
 def _processor_seconds():
     used = resource.getrusage(resource.RUSAGE_SELF)
     return used.ru_utime + used.ru_stime
+
+
+_INSTRUMENTS = (
+    Instrument(
+        "counter",
+        "cardamompath.submissions",
+        "",
+        "Submissions that ended, by outcome and code.",
+        _submissions,
+    ),
+    Instrument(
+        "counter",
+        "cardamompath.tasks",
+        "",
+        "Tasks of ended submissions, by what is known of them.",
+        _tasks,
+    ),
+    Instrument(
+        "gauge",
+        "cardamompath.unanswered",
+        "",
+        "Jobs without an answer.",
+        lambda status: [(status["jobs"]["unanswered"], {})],
+    ),
+    Instrument(
+        "gauge",
+        "cardamompath.queued",
+        "",
+        "Tasks in the queue.",
+        lambda status: [(status["backends"]["queued"], {})],
+    ),
+    Instrument(
+        "gauge",
+        "cardamompath.in_flight",
+        "",
+        "Tasks in flight, by backend server.",
+        _in_flight,
+    ),
+    Instrument(
+        "gauge",
+        "cardamompath.revision",
+        "",
+        "Revision of the configuration in force.",
+        lambda status: [(status["revision"], {})],
+    ),
+    Instrument(
+        "counter",
+        "cardamompath.peer_transfer",
+        "By",
+        "Bytes of calls between instances, by direction.",
+        _peer_bytes,
+    ),
+    Instrument(
+        "gauge",
+        "cardamompath.resident_memory",
+        "By",
+        "Resident memory of the process.",
+        lambda status: [(_resident_bytes(), {})],
+    ),
+    Instrument(
+        "counter",
+        "cardamompath.processor",
+        "s",
+        "Processor time of the process.",
+        lambda status: [(_processor_seconds(), {})],
+    ),
+)
