--- a/packages/proof/src/cardamompath_proof/bench_daemon.py
+++ b/packages/proof/src/cardamompath_proof/bench_daemon.py
@@ -96,7 +96,7 @@
     for _ in range(jobs):
         pending.put(body)
 
-    def call():
+    def call(index):
         conn = urllib3.connection_from_url(rig.callers, maxsize=1)
         while True:
             try:
@@ -113,7 +113,9 @@
 
 
 def _run_threads(call, count):
-    threads = [threading.Thread(target=call) for _ in range(count)]
+    threads = [
+        threading.Thread(target=call, args=(index,)) for index in range(count)
+    ]
     for thread in threads:
         thread.start()
     for thread in threads:
@@ -146,7 +148,7 @@
 def _run_requests(rig, count, callers):
     body = json.dumps({"service": "booking", "payload": 1}).encode()
 
-    def call():
+    def call(index):
         conn = urllib3.connection_from_url(rig.callers, maxsize=1)
         for _ in range(count // callers):
             response = conn.request("POST", "/v1/requests", body=body)
@@ -180,9 +182,10 @@
     took: queue.SimpleQueue = queue.SimpleQueue()
     step = CALLERS / rate
 
-    def call():
+    def call(index):
         conn = urllib3.connection_from_url(base, maxsize=1)
-        due = time.perf_counter()
+        # Callers that ask at the same moment would wait for each other.
+        due = time.perf_counter() + step * index / CALLERS
         for _ in range(REQUESTS // CALLERS):
             due += step
             time.sleep(max(0.0, due - time.perf_counter()))
