--- a/packages/cli/src/cardamompath_cli/exits.py
+++ b/packages/cli/src/cardamompath_cli/exits.py
@@ -8,6 +8,7 @@
     "PENDING",
     "REFUSED",
     "UNREACHABLE",
+    "UNREAD",
     "USAGE",
 ]
 
@@ -22,3 +23,5 @@
 """The instance gave no answer."""
 PENDING = 5
 """The job has no answer yet."""
+UNREAD = 6
+"""The output was closed before all of it was written."""
--- a/packages/cli/src/cardamompath_cli/main.py
+++ b/packages/cli/src/cardamompath_cli/main.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 
 import cappa
@@ -31,7 +32,8 @@
 
     Exit codes: 0 done; 1 refused, not run, or there are stuck jobs; 2
     wrong usage, settings or note; 3 failed, parts may have run; 4 the
-    instance or the platform gave no answer; 5 not answered yet.
+    instance or the platform gave no answer; 5 not answered yet; 6 the
+    output was closed.
     """
 
     command: cappa.Subcommands[
@@ -53,6 +55,12 @@
     except client.CallError as exc:
         print(exc, file=sys.stderr)
         return exits.UNREACHABLE
+    except BrokenPipeError:
+        # The reader of the output has seen enough; the interpreter must
+        # not fail once more when it flushes.
+        null = os.open(os.devnull, os.O_WRONLY)
+        os.dup2(null, sys.stdout.fileno())
+        return exits.UNREAD
 
 
 if __name__ == "__main__":
