Tell every instance of a backend server's own leaving sign

Cause: a leaving sign in an answer was acted on by the instance that saw it alone; a backend server withdrawn with long tasks in flight left them counted for ever, which closed the lane of long kinds step by step. Change: the sign goes to the membership, which tells the peers; a withdrawn backend server is kept until its tasks are counted out.

--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends.py
@@ -23,6 +23,7 @@
 from cardamompathd.controllers import backend_health
 from cardamompathd.controllers import backend_results
 from cardamompathd.controllers import backend_retries
+from cardamompathd.controllers import backend_withdrawal
 from cardamompathd.controllers import fence
 from cardamompathd.controllers import load_reports
 from cardamompathd.controllers import service_state
@@ -68,6 +69,8 @@
         self.retries = backend_retries.Retries(rng)
         self.teams = quotas.Quotas()
         self.leaving: frozenset[str] = frozenset()
+        self.withdrawn: dict[str, list[service_state.Backend]] = {}
+        """Left the configuration with tasks in flight, by name."""
         self.busy: frozenset[str] = frozenset()
         self.ticking = False
         self.reported = types.LoadHint()
@@ -213,7 +216,7 @@
 
 
 def _ended(state, msg, now):
-    backend = state.backends.get(msg.backend)
+    backend = backend_withdrawal.find(state, msg)
     flight = backend.end(msg.task, now) if backend else None
     state.teams.ended(msg.task)
     verdict = outcomes.judge(msg.answer)
@@ -229,6 +232,9 @@
         sends.append(backend_results.settle_withdrawn(state, msg, verdict))
     if backend is not None:
         sends += _start_ready(state, backend.service, now)
+    if msg.answer.leaving and msg.backend not in state.leaving:
+        sign = messages.BackendsLeaving(frozenset({msg.backend}))
+        sends.append(messages.Send(messages.MEMBERSHIP, sign))
     return sends
 
 
@@ -286,6 +292,7 @@
         backend.spec = spec
         backend.leaving = spec.leaving or spec.name in state.leaving
         state.backends[spec.name] = backend
+    backend_withdrawal.keep(state, known)
     sends = _assign(state, now)
     if not state.ticking:
         state.ticking = True
--- a/packages/daemon/src/cardamompathd/tests/test_backends.py
+++ b/packages/daemon/src/cardamompathd/tests/test_backends.py
@@ -181,6 +181,15 @@
         self.submit(40, kind="confirm")
         self.assertEqual(16, len(self.flying))
 
+    def test_long_tasks_of_a_withdrawn_server_are_counted_out(self):
+        self.submit(12, kind="report")
+        self.assertEqual(12, len(self.flying))
+        self.configure(*make_backends(4)[2:])
+        for ref in list(self.flying):
+            self.end(ref, elapsed=5.0)
+        self.submit(12, kind="report")
+        self.assertEqual(12, len(self.flying))
+
     def test_declared_size_makes_no_known_kind_long(self):
         self.submit(16, kind="confirm", declared=500.0)
         self.assertEqual(16, len(self.flying))
@@ -369,6 +378,9 @@
         self.submit(2)
         (ref,) = self.refs_on("b0")
         self.end(ref, FINISHED._replace(leaving=True))
+        sign = messages.BackendsLeaving(frozenset({"b0"}))
+        told = messages.Send(messages.MEMBERSHIP, sign)
+        self.assertIn(told, self.sends)
         self.submit(20)
         self.assertEqual({"b1": 8}, self.in_flight())
 
--- a/packages/daemon/src/cardamompathd/tests/test_connections.py
+++ b/packages/daemon/src/cardamompathd/tests/test_connections.py
@@ -114,6 +114,14 @@
         answer = self.end().answer
         self.assertEqual("answer", answer.phase)
 
+    def test_leaving_sign_is_read(self):
+        self.start(0)
+        conn, _ = self.server.take()
+        head = b"HTTP/1.1 200 OK\r\nServer-Leaving: yes\r\n"
+        conn.sendall(head + b"Content-Length: 1\r\n\r\na")
+        answer = self.end().answer
+        self.assertEqual(("done", True), (answer.phase, answer.leaving))
+
     def test_refused_connection_never_sent(self):
         with socket.socket() as bound:
             bound.bind(("127.0.0.1", 0))
