--- a/packages/standins/src/cardamompath_standins/platform.py
+++ b/packages/standins/src/cardamompath_standins/platform.py
@@ -49,7 +49,8 @@
     def __init__(self, append_rate: float, retention: int):
         self.changed = threading.Condition()
         self.streams: dict[str, Stream] = {}
-        self.instances: list[dict[str, Any]] = []
+        self.lists: list[tuple[float, list[dict[str, Any]]]] = [(0.0, [])]
+        """Every list of instances and the time when it was set."""
         self.append_rate = append_rate
         self.retention = retention
         self.tokens = append_rate
@@ -64,6 +65,11 @@
             self.ended = True
             self.changed.notify_all()
 
+    def instances(self, now: float) -> list[dict[str, Any]]:
+        """Return the list of instances as it was ``list_lag`` ago."""
+        seen = now - self.faults.get("list_lag", 0.0)
+        return [one for at, one in self.lists if at <= seen][-1]
+
     def take_token(self, now: float) -> bool:
         """Take one append off the rate limit."""
         grown = (now - self.refilled) * self.append_rate
@@ -82,7 +88,8 @@
 
     ``PUT /v1/faults`` sets faults: ``down`` (answer 503), ``delay``
     (seconds before each answer), ``lose_answers`` (drop the connection
-    after that many appends took effect).  ``PUT /v1/instances`` sets the
+    after that many appends took effect) and ``list_lag`` (seconds by
+    which the instance list is behind).  ``PUT /v1/instances`` sets the
     instance list.
     """
     state = PlatformState(append_rate, retention)
@@ -118,9 +125,10 @@
 
 
 def _instances(state, call):
+    now = time.monotonic()
     if call.method == "PUT":
-        state.instances = json.loads(call.body)
-    body = json.dumps({"instances": state.instances}).encode()
+        state.lists.append((now, json.loads(call.body)))
+    body = json.dumps({"instances": state.instances(now)}).encode()
     tag = f'"{zlib.crc32(body):08x}"'
     headers = (("ETag", tag),)
     if call.headers.get("if-none-match") == tag:
