Share local settings and process readings; bound relays by tokens

Cause: demo and idle repeated their settings, idle and the rig the reading of /proc; a semaphore stood where the waiting filter uses tokens. Conclusion: no change of behaviour intended.

--- a/packages/daemon/src/cardamompathd/peers/relay.py
+++ b/packages/daemon/src/cardamompathd/peers/relay.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import json
-import threading
+import queue
 from collections.abc import Callable
 from collections.abc import Sequence
 
@@ -93,15 +93,20 @@
         The callers' handler without the relay, so that a request is
         relayed once at most.
     """
-    places = threading.BoundedSemaphore(CONCURRENT)
+    # A place is a token: a relayed request that finds none is refused.
+    tokens: queue.SimpleQueue = queue.SimpleQueue()
+    for _ in range(CONCURRENT):
+        tokens.put(None)
 
     def handle(request: wire.RelayRequest) -> wire.RelayReply:
-        if not places.acquire(blocking=False):
+        try:
+            tokens.get_nowait()
+        except queue.Empty:
             return wire.RelayReply(0, b"")
         try:
             return _reply(handler(_request(request)))
         finally:
-            places.release()
+            tokens.put(None)
 
     return server.Service(wire.RELAY, handle)
 
--- a/packages/proof/src/cardamompath_proof/demo.py
+++ b/packages/proof/src/cardamompath_proof/demo.py
@@ -9,19 +9,17 @@
 import collections
 import contextlib
 import json
-import pathlib
 import sys
-import tempfile
 import threading
 import time
 
 import urllib3
 
+from cardamompath_proof import local_settings
 from cardamompath_standins import backend
 from cardamompath_standins import platform
 from cardamompathd import app
 from cardamompathd.platform import log_client
-from cardamompathd.settings import loading
 from cardamompathd.telemetry import logs
 
 __all__ = [
@@ -31,23 +29,6 @@
 SPEEDS = (1.0, 1.5, 2.0, 4.0)
 EXAMPLE = "examples/job-200.json"
 
-SETTINGS = """
-[instance]
-name = entry-1
-domain = ciudad-vieja
-leave_notice = 0
-[callers]
-listen = 127.0.0.1:0
-[operators]
-listen = 127.0.0.1:0
-[peers]
-listen = 127.0.0.1:0
-[platform]
-address = 127.0.0.1:{port}
-[log]
-level = WARNING
-"""
-
 
 def main() -> int:
     """Run the job and print its summary; 0 when it is complete."""
@@ -61,7 +42,8 @@
         for one in backends:
             stack.callback(one.stop)
         _publish(platform_standin, backends)
-        instance = app.start(_settings(platform_standin.port))
+        cfg = local_settings.load(f"127.0.0.1:{platform_standin.port}")
+        instance = app.start(cfg)
         stack.callback(app.stop, instance, 5.0)
         return _run_job(instance, backends, body)
 
@@ -74,13 +56,6 @@
     return _summarize(answer, _starts(backends), len(body["tasks"]))
 
 
-def _settings(port):
-    with tempfile.TemporaryDirectory() as folder:
-        file = pathlib.Path(folder, "demo.ini")
-        file.write_text(SETTINGS.format(port=port))
-        return loading.load([str(file)]).unwrap()
-
-
 def _publish(platform_standin, backends):
     added = {
         f"executor-{index}": {
--- a/packages/proof/src/cardamompath_proof/idle.py
+++ b/packages/proof/src/cardamompath_proof/idle.py
@@ -9,14 +9,12 @@
 
 import argparse
 import os
-import pathlib
 import sys
-import tempfile
 import time
-from typing import NamedTuple
 
+from cardamompath_proof import local_settings
+from cardamompath_proof import processes
 from cardamompathd import app
-from cardamompathd.settings import loading
 from cardamompathd.telemetry import logs
 
 __all__ = [
@@ -32,56 +30,14 @@
 TARGET = 0.005
 """Share of a core that an idle daemon may use."""
 
-SETTINGS = """
-[instance]
-name = entry-1
-domain = ciudad-vieja
-leave_notice = 0
-[callers]
-listen = 127.0.0.1:0
-[operators]
-listen = 127.0.0.1:0
-[peers]
-listen = 127.0.0.1:0
-[platform]
-address = {platform}
-[log]
-level = ERROR
-"""
-
-
-class Usage(NamedTuple):
-    """What a process used so far."""
-
-    processor: float
-    """Processor time in seconds."""
-    resident: int
-    """Resident memory in bytes."""
-    threads: int
-
-
-def read_usage(pid: int) -> Usage:
-    """Read the usage of a process.
-
-    Raises
-    ------
-    OSError
-        If there is no such process.
-    """
-    folder = pathlib.Path("/proc", str(pid))
-    fields = folder.joinpath("stat").read_text().rpartition(") ")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    resident = int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
-    return Usage(ticks / os.sysconf("SC_CLK_TCK"), resident, int(fields[17]))
-
 
 def measure(pid: int) -> int:
     """Print the usage over the span; 0 when it is within the target."""
     time.sleep(SETTLE)
-    before = read_usage(pid)
+    before = processes.use(pid)
     time.sleep(SPAN)
-    after = read_usage(pid)
-    share = (after.processor - before.processor) / SPAN
+    after = processes.use(pid)
+    share = (after.cpu - before.cpu) / SPAN
     print(f"processor  {share:.3%} of a core over {SPAN:g} s")
     print(f"memory     {after.resident / 1e6:.1f} MB resident")
     print(f"threads    {after.threads}")
@@ -97,10 +53,7 @@
     if args.pid is not None:
         return measure(args.pid)
     logs.configure("ERROR", "text")
-    with tempfile.TemporaryDirectory() as folder:
-        file = pathlib.Path(folder, "idle.ini")
-        file.write_text(SETTINGS.format(platform=args.platform))
-        cfg = loading.load([str(file)]).unwrap()
+    cfg = local_settings.load(args.platform)
     instance = app.start(cfg)
     try:
         return measure(os.getpid())
