Plan batches on a pool of executors; first adapter to the platform

The whole path in the project's shape: filter chain at the callers' listener, controllers for fleet, gateway and planner, tasks that own the links and the executors' connections. Not measured yet.

--- a/packages/cli/src/cardamompath_cli/note_log.py
+++ b/packages/cli/src/cardamompath_cli/note_log.py
@@ -8,8 +8,8 @@
 
 from cardamompath_core import log_fold
 from cardamompath_core import types
-from cardamompathd.platform import errors
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import errors
+from cardamompathd.recordlog import log_client
 
 __all__ = [
     "STREAM",
--- a/packages/cli/src/cardamompath_cli/notes.py
+++ b/packages/cli/src/cardamompath_cli/notes.py
@@ -16,8 +16,8 @@
 from cardamompath_cli import note_status
 from cardamompath_cli import options
 from cardamompath_cli import publishing
-from cardamompathd.platform import errors
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import errors
+from cardamompathd.recordlog import log_client
 
 __all__ = [
     "Check",
--- a/packages/cli/src/cardamompath_cli/publishing.py
+++ b/packages/cli/src/cardamompath_cli/publishing.py
@@ -17,8 +17,8 @@
 from cardamompath_core import release_notes
 from cardamompath_core import snapshots
 from cardamompath_core import types
-from cardamompathd.platform import errors
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import errors
+from cardamompathd.recordlog import log_client
 
 __all__ = [
     "Report",
--- a/packages/cli/src/cardamompath_cli/tests/test_notes.py
+++ b/packages/cli/src/cardamompath_cli/tests/test_notes.py
@@ -13,7 +13,7 @@
 from cardamompath_core import snapshots
 from cardamompath_core import types
 from cardamompathd import messages
-from cardamompathd.platform import errors
+from cardamompathd.recordlog import errors
 
 
 def note(name, **fields):
--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -26,9 +26,9 @@
 from cardamompathd.peers import relay
 from cardamompathd.peers import server as peer_server
 from cardamompathd.peers import traffic
-from cardamompathd.platform import appender
-from cardamompathd.platform import log_client
-from cardamompathd.platform import reader
+from cardamompathd.recordlog import appender
+from cardamompathd.recordlog import log_client
+from cardamompathd.recordlog import reader
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import asking
 from cardamompathd.runtime import clocks
--- a/packages/daemon/src/cardamompathd/backends/connections.py
+++ b/packages/daemon/src/cardamompathd/backends/connections.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable
 from http import client
+from typing import Any
 from typing import NamedTuple
 
 import pykka
@@ -78,6 +79,10 @@
         self.sock.sendall(whole)
 
 
+Write = Callable[[BufferedConnection, Any], None]
+Conclude = Callable[[Any, types.BackendAnswer], None]
+
+
 class Exchange:
     """One connection and the task that is on it, if any."""
 
@@ -87,7 +92,7 @@
         self.number = number
         self.conn = conn
         self.sock = conn.sock
-        self.task: messages.StartTask | None = None
+        self.task: Any = None
         self.began = 0.0
         self.used = 0.0
 
@@ -103,10 +108,12 @@
     ----------
     limits : ConnectionLimits
         Timeouts.
-    tell : callable
-        Called with `TaskEnded` after each exchange.
+    conclude : callable
+        Called with the message and the `BackendAnswer` of each exchange.
     clock : callable
         Returns the present time in seconds.
+    write : callable
+        Writes the request of a message on a connection.
     """
 
     use_daemon_thread = True
@@ -114,17 +121,19 @@
     def __init__(
         self,
         limits: ConnectionLimits,
-        tell: Callable[[messages.TaskEnded], None],
+        conclude: Conclude,
         clock: Callable[[], float],
+        write: Write,
     ):
         super().__init__()
         self._limits = limits
-        self._tell = tell
+        self._conclude = conclude
         self._clock = clock
+        self._write = write
         self._numbers = itertools.count()
         self._free: list[Exchange] = []
         self._open: dict[int, Exchange] = {}
-        self._due: list[tuple[float, int, messages.StartTask]] = []
+        self._due: list[tuple[float, int, Any]] = []
 
     @staticmethod
     def _create_actor_inbox():
@@ -133,10 +142,10 @@
     def on_receive(self, message) -> None:
         """Start a task, read an answer, or give up what is overdue."""
         now = self._clock()
-        if isinstance(message, messages.StartTask):
-            self._start(message, now)
-        elif isinstance(message, inboxes.Readable):
+        if isinstance(message, inboxes.Readable):
             self._read(message.key)
+        elif not isinstance(message, inboxes.Due):
+            self._start(message, now)
         self._expire(now)
 
     def on_stop(self) -> None:
@@ -158,7 +167,8 @@
             phase = "send"
             exchange.task = msg
             exchange.began = now
-            _send(exchange.conn, msg)
+            self._write(exchange.conn, msg)
+            exchange.conn.flush()
         except (exceptions.HTTPError, OSError) as exc:
             if exchange is not None:
                 self._close(exchange)
@@ -245,15 +255,19 @@
         exchange.conn.close()
 
     def _end(self, msg, answer):
-        self._tell(messages.TaskEnded(msg.backend.name, msg.task, answer))
+        self._conclude(msg, answer)
 
 
 def start(limits, tell, clock) -> pykka.ActorRef:
     """Start the actor of one backend server's connections."""
-    return BackendActor.start(limits, tell, clock)
+
+    def conclude(msg, answer):
+        tell(messages.TaskEnded(msg.backend.name, msg.task, answer))
+
+    return BackendActor.start(limits, conclude, clock, _write_task)
 
 
-def _send(conn, msg):
+def _write_task(conn, msg):
     conn.putrequest(
         "POST",
         f"/v1/services/{msg.service}/tasks",
@@ -263,7 +277,6 @@
     conn.putheader("Task-Kind", msg.kind)
     conn.putheader("Task-Id", f"{msg.task.job}/{msg.task.index}")
     conn.endheaders(msg.payload)
-    conn.flush()
 
 
 def _receive(conn):
--- a/packages/daemon/src/cardamompathd/backends/pool.py
+++ b/packages/daemon/src/cardamompathd/backends/pool.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
-from cardamompathd import messages
 from cardamompathd.backends import connections
 
 __all__ = [
@@ -28,8 +28,8 @@
         self._open = open_backend
         self._actors: dict[tuple[str, str, int], object] = {}
 
-    def start(self, msg: messages.StartTask) -> None:
-        """Hand a task to its backend server's actor."""
+    def start(self, msg: Any) -> None:
+        """Hand a message to the actor of its backend server."""
         spec = msg.backend
         key = (spec.name, spec.host, spec.port)
         actor = self._actors.get(key)
--- a/packages/daemon/src/cardamompathd/callers/server.py
+++ b/packages/daemon/src/cardamompathd/callers/server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import queue
+import select
 import socket
 import threading
 from collections.abc import Callable
@@ -31,6 +33,10 @@
 """Seconds to reach the own listener when it stops."""
 
 
+GONE = "cardamompath.gone"
+"""Key of the function that tells whether the caller has left."""
+
+
 class ListenerLimits(NamedTuple):
     """Bounds of a listener."""
 
@@ -52,6 +58,30 @@
     """Ends the listener after the requests in progress."""
 
 
+class _Gateway(wsgi.Gateway_10):
+    """Lets the application see whether the caller is still there."""
+
+    def get_environ(self):
+        """Return the environment of the request."""
+        environ = super().get_environ()
+        environ[GONE] = functools.partial(_is_gone, self.req.conn.socket)
+        return environ
+
+
+def _is_gone(sock):
+    """Return whether the other side of a connection has closed it."""
+    poll = select.poll()
+    try:
+        poll.register(sock, select.POLLIN)
+        if not poll.poll(0):
+            return False
+        return sock.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except (OSError, ValueError):
+        return True
+
+
 def make_application(handler: chain.Handler):
     """Make the WSGI application that runs a handler."""
 
@@ -100,6 +130,7 @@
         headers,
         read,
         length,
+        gone=environ.get(GONE, bool),
     )
 
 
@@ -196,6 +227,7 @@
     server.max_request_header_size = limits.header_bytes
     server.keep_alive_conn_limit = limits.connections
     server.expiration_interval = EXPIRY_INTERVAL
+    server.gateway = _Gateway
     server.prepare()
     thread = threading.Thread(target=server.serve, name=name, daemon=True)
     thread.start()
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -0,0 +1,341 @@
+"""Routes in force, and batches whose callers wait at this instance.
+
+Each batch is handed to a planner.  When the planner changes, the batch
+is handed to the next one, which takes over what still runs.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from cardamompath_core import batches
+from cardamompath_core import routes
+from cardamompath_core import seniority
+from cardamompathd import messages
+from cardamompathd import pool_messages
+
+__all__ = [
+    "GatewayState",
+    "make_controller",
+]
+
+REFRESH = 0.4
+"""Seconds after which a planner is told again of a batch, in case that
+the message or its answer was lost.  Below `fleet.SILENCE`."""
+NO_PLANNER_RETRY = 1.0
+"""Seconds after which a caller may try again while no planner is
+known; a successor takes over in about that time."""
+NO_ROUTES_RETRY = 1.0
+"""Seconds after which a caller may try again while the configuration
+was not read yet."""
+OFFER_INTERVAL = 0.5
+"""Seconds between offers of the configuration to the same member."""
+
+
+class _Waiting:
+    __slots__ = (
+        "batch", "handed", "planner", "replies", "round", "submitted",
+        "until",
+    )  # fmt: skip
+
+    def __init__(self, batch, reply, wait, now):
+        self.batch: batches.Batch = batch
+        self.replies: list[Any] = [reply]
+        self.submitted = now
+        self.until = now + wait
+        self.planner = ""
+        self.round = 0
+        self.handed = False
+
+
+class GatewayState:
+    """The routes, the batches that wait, and the planners known."""
+
+    def __init__(self, own: str):
+        self.own = own
+        self.table: routes.RouteTable | None = None
+        self.document = b""
+        self.offered: dict[tuple[str, int], float] = {}
+        self.waiting: dict[str, _Waiting] = {}
+        self.by_reply: dict[Any, str] = {}
+        self.planners: tuple[seniority.Member, ...] = ()
+        self.leaving = False
+        self.ticking = False
+
+
+def make_controller(own: str) -> messages.Controller:
+    """Make the controller of the batches that wait at instance `own`."""
+    state = GatewayState(own)
+
+    def receive(msg, now):
+        handler = _HANDLERS.get(type(msg))
+        return handler(state, msg, now) if handler else ()
+
+    return messages.Controller(pool_messages.GATEWAY, receive)
+
+
+def _submit(state, msg, now):
+    if state.table is None:
+        outcome = batches.Outcome(
+            batches.REFUSED, "no configuration yet", NO_ROUTES_RETRY
+        )
+        return _refuse(msg, outcome)
+    route = state.table.find(msg.host, msg.path)
+    if route is None or len(route.prefix) == len(msg.path):
+        return _refuse(msg, batches.Outcome(batches.UNKNOWN, "no such route"))
+    name = msg.path[len(route.prefix) :]
+    state.by_reply[msg.reply] = name
+    known = state.waiting.get(name)
+    if known is not None:
+        known.replies.append(msg.reply)
+        return ()
+    batch = batches.Batch(name, msg.spec, msg.steps, route.terms)
+    wait = min(msg.wait, route.timeout or msg.wait)
+    one = state.waiting[name] = _Waiting(batch, msg.reply, wait, now)
+    sends = [_note_accepted(state, one)]
+    sends += _hand_over(state, one, now)
+    sends.append(_timer(one.until, name))
+    if not state.ticking:
+        state.ticking = True
+        sends.append(_timer(now + REFRESH, None))
+    return sends
+
+
+def _refuse(msg, outcome):
+    reply = messages.Reply(msg.reply, outcome)
+    fields = {"path": msg.path, "reason": outcome.reason}
+    return [
+        messages.Send(messages.CALLERS, reply),
+        _note(outcome.state, "", fields),
+    ]
+
+
+def _note_accepted(state, one):
+    fields = {
+        "route": one.batch.terms.route,
+        "version": state.table.version,
+        "wait_ms": round((one.until - one.submitted) * 1000.0),
+    }
+    return _note("submitted", one.batch.name, fields)
+
+
+def _count(state, msg, _):
+    count = None
+    route = state.table and state.table.find(msg.host, msg.path)
+    if route is not None:
+        count = 0
+    reply = messages.Reply(msg.reply, count)
+    return [messages.Send(messages.CALLERS, reply)]
+
+
+def _cancel(state, msg, now):
+    route = state.table and state.table.find(msg.host, msg.path)
+    name = msg.path[len(route.prefix) :] if route else ""
+    one = state.waiting.get(name)
+    reply = messages.Reply(msg.reply, one is not None)
+    sends = [messages.Send(messages.CALLERS, reply)]
+    if one is not None:
+        outcome = batches.Outcome(batches.CANCELLED, "cancelled")
+        sends += _drop(state, one, "cancelled", now)
+        sends += _answer(state, one, outcome, now)
+    return sends
+
+
+def _configure(state, msg, _):
+    table = msg.table
+    if state.table is not None and table.version <= state.table.version:
+        return ()
+    fields = {
+        "version": table.version,
+        "before": state.table.version if state.table else None,
+        "routes": sum(len(some) for some in table.by_host.values()),
+        "source": msg.source,
+    }
+    state.table = table
+    state.document = msg.document
+    in_force = pool_messages.ConfigurationInForce(table.version)
+    return [
+        messages.Send(pool_messages.FLEET, in_force),
+        _note("configuration in force", "", fields),
+    ]
+
+
+def _offer(state, msg, now):
+    if state.table is None or (
+        now - state.offered.get(msg.address, -math.inf) < OFFER_INTERVAL
+    ):
+        return ()
+    state.offered[msg.address] = now
+    offer = pool_messages.ConfigurationOffered(
+        state.table.version, state.document
+    )
+    to_member = pool_messages.SendToMember(msg.address, offer)
+    return [messages.Send(pool_messages.LINKS, to_member)]
+
+
+def _readiness(state, msg, _):
+    reason = ""
+    if state.leaving:
+        reason = "shutting down"
+    elif state.table is None:
+        reason = "no configuration yet"
+    elif not state.planners:
+        reason = "no planner is known"
+    reply = messages.Reply(msg.reply, reason)
+    return [messages.Send(messages.CALLERS, reply)]
+
+
+def _count_open(state, msg, _):
+    reply = messages.Reply(msg.reply, len(state.waiting))
+    return [messages.Send(messages.CALLERS, reply)]
+
+
+def _leave(state, _, now):
+    state.leaving = True
+    return ()
+
+
+def _hand_over(state, one, now):
+    planner = _choose(state, one)
+    if planner is None:
+        return []
+    if planner.name != one.planner:
+        one.round += one.handed
+        one.planner = planner.name
+    one.handed = True
+    msg = pool_messages.PlanBatch(
+        one.batch,
+        state.own,
+        now - one.submitted,
+        one.until - now,
+        one.round,
+    )
+    return [_send_to(state, planner, msg)]
+
+
+def _choose(state, one):
+    for planner in state.planners:
+        if planner.name == one.planner:
+            return planner
+    if not state.planners:
+        return None
+    return seniority.planner_of(one.batch.name, state.planners)
+
+
+def _send_to(state, planner, msg):
+    if planner.name == state.own:
+        return messages.Send(pool_messages.PLANNER, msg)
+    to_member = pool_messages.SendToMember(planner.address, msg)
+    return messages.Send(pool_messages.LINKS, to_member)
+
+
+def _withdraw(state, msg, now):
+    one = state.waiting.get(state.by_reply.pop(msg.reply, ""))
+    if one is None or msg.reply not in one.replies:
+        return ()
+    one.replies.remove(msg.reply)
+    if one.replies:
+        return ()
+    return _drop(state, one, "caller left", now)
+
+
+def _drop(state, one, reason, now):
+    del state.waiting[one.batch.name]
+    fields = {"reason": reason, "planner": one.planner}
+    fields["age_ms"] = round((now - one.submitted) * 1000.0)
+    sends = [_note("withdrawn", one.batch.name, fields)]
+    for planner in state.planners:
+        if planner.name == one.planner:
+            drop = pool_messages.DropBatch(one.batch.name, state.own)
+            sends.append(_send_to(state, planner, drop))
+    return sends
+
+
+def _ended(state, msg, now):
+    one = state.waiting.get(msg.name)
+    if one is None:
+        return ()
+    outcome = msg.outcome
+    if outcome.state == batches.REFUSED and one.round > 0:
+        # An earlier planner may have started some of it.
+        outcome = outcome._replace(state=batches.GIVEN_UP)
+    del state.waiting[msg.name]
+    return _answer(state, one, outcome, now)
+
+
+def _answer(state, one, outcome, now):
+    for reply in one.replies:
+        state.by_reply.pop(reply, None)
+    fields = {
+        "state": outcome.state,
+        "reason": outcome.reason,
+        "planner": one.planner,
+        "route": one.batch.terms.route,
+        "age_ms": round((now - one.submitted) * 1000.0),
+    }
+    sends = [
+        messages.Send(messages.CALLERS, messages.Reply(reply, outcome))
+        for reply in one.replies
+    ]
+    return [*sends, _note("answered", one.batch.name, fields)]
+
+
+def _fleet(state, msg, now):
+    state.planners = seniority.choose_planners(msg.alive)
+    names = {one.name for one in state.planners}
+    sends = []
+    for one in state.waiting.values():
+        if one.planner not in names:
+            sends += _hand_over(state, one, now)
+    return sends
+
+
+def _fired(state, msg, now):
+    if msg.key is not None:
+        return _reach_limit(state, state.waiting.get(msg.key), now)
+    sends = []
+    for one in state.waiting.values():
+        sends += _hand_over(state, one, now)
+    state.ticking = bool(state.waiting)
+    if state.ticking:
+        sends.append(_timer(now + REFRESH, None))
+    return sends
+
+
+def _reach_limit(state, one, now):
+    if one is None or now < one.until:
+        return ()
+    sends = _drop(state, one, "time limit", now)
+    outcome = batches.Outcome(batches.GIVEN_UP, "time limit reached")
+    if not one.handed:
+        outcome = batches.Outcome(
+            batches.REFUSED, "no planner is known", NO_PLANNER_RETRY
+        )
+    return sends + _answer(state, one, outcome, now)
+
+
+def _timer(at, name):
+    due = messages.SetTimer(at, pool_messages.GATEWAY, name)
+    return messages.Send(messages.TIMERS, due)
+
+
+def _note(event, name, fields):
+    note = pool_messages.Note("gateway", event, name, fields)
+    return messages.Send(pool_messages.JOURNAL, note)
+
+
+_HANDLERS = {
+    pool_messages.SubmitBatch: _submit,
+    pool_messages.CancelBatch: _cancel,
+    pool_messages.CountWaiting: _count,
+    pool_messages.CountOpen: _count_open,
+    pool_messages.GetReadiness: _readiness,
+    pool_messages.RoutesConfigured: _configure,
+    pool_messages.OfferConfiguration: _offer,
+    pool_messages.Leave: _leave,
+    pool_messages.WithdrawBatch: _withdraw,
+    pool_messages.BatchEnded: _ended,
+    pool_messages.FleetChanged: _fleet,
+    messages.TimerFired: _fired,
+}
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -0,0 +1,262 @@
+"""Plans batches on the executors that this instance holds.
+
+An instance plans while the fleet says that it is one of the planners
+(`seniority`).  It claims its executors with a higher token than any
+planner before; an executor that sees a higher token refuses the orders
+of the others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cardamompath_core import batches
+from cardamompath_core import executors
+from cardamompath_core import seniority
+from cardamompathd import messages
+from cardamompathd import pool_messages
+from cardamompathd.controllers import planner_dispatch
+from cardamompathd.controllers import planner_holds
+from cardamompathd.controllers import planner_notes
+from cardamompathd.controllers import planner_runs
+from cardamompathd.controllers import planner_state
+
+__all__ = [
+    "make_controller",
+]
+
+TICK = 0.05
+"""Seconds between looks at leases, hopeless batches and silent ones."""
+SETTLE = 0.8
+"""Seconds after its start in which an instance looks for others before
+it plans; above `fleet.SILENCE`."""
+CAUTION = 4.0
+"""Seconds for which an instance that lost sight of most others does not
+claim executors that the others may still hold."""
+PROBE_TIME = 0.5
+"""Seconds for probes of executors to be answered."""
+
+
+def make_controller(
+    own: str,
+    make_token: Callable[[], int],
+    started_at: float,
+) -> messages.Controller:
+    """Make the controller that plans at instance `own`.
+
+    Parameters
+    ----------
+    own : str
+        Name of the instance.
+    make_token : callable
+        Returns a token above those of earlier planners.
+    started_at : float
+        Start of the instance, in seconds of its clock.
+    """
+    state = planner_state.PlannerState(own, 0)
+
+    def receive(msg, now):
+        if type(msg) is messages.TimerFired:
+            return _tick(state, make_token, started_at, now)
+        handler = _HANDLERS.get(type(msg))
+        if handler is None:
+            return ()
+        sends = handler(state, msg, now)
+        if state.active_since is not None:
+            sends = [*sends, *planner_dispatch.dispatch(state, now)]
+        return sends
+
+    return messages.Controller(pool_messages.PLANNER, receive)
+
+
+def _tick(state, make_token, started_at, now):
+    due = messages.SetTimer(now + TICK, pool_messages.PLANNER, "tick")
+    sends = [messages.Send(messages.TIMERS, due)]
+    sends += _change_role(state, make_token, started_at, now)
+    if state.active_since is None:
+        return sends
+    sends += planner_holds.expire(state, now)
+    sends += planner_dispatch.refuse_hopeless(state, now)
+    return sends + planner_dispatch.dispatch(state, now)
+
+
+def _change_role(state, make_token, started_at, now):
+    if state.fleet is None:
+        return []
+    names = {one.name for one in state.planners}
+    wanted = state.own in names and now >= started_at + SETTLE
+    if wanted and state.active_since is None:
+        return _begin(state, make_token, now)
+    if not wanted and state.active_since is not None:
+        return _end(state, now)
+    return []
+
+
+def _begin(state, make_token, now):
+    state.active_since = now
+    state.began = now
+    state.token = max(make_token(), state.token + 1)
+    state.fences = 0
+    fields = {
+        "token": state.token,
+        "listed": len(state.listed),
+        "alive": len(state.fleet.alive),
+        "missing": len(state.fleet.missing),
+    }
+    begun = planner_notes.note("began to plan", **fields)
+    return [begun, _follow(True), *_assign(state, now)]
+
+
+def _follow(planning):
+    msg = pool_messages.FollowListings(planning)
+    return messages.Send(pool_messages.LISTINGS, msg)
+
+
+def _end(state, now):
+    state.active_since = None
+    state.held.clear()
+    dropped = len(state.plans)
+    state.plans.clear()
+    ended = planner_notes.note("ended to plan", batches=dropped)
+    return [ended, _follow(False)]
+
+
+def _assign(state, now):
+    """Hold the executors that are this planner's."""
+    mine = {
+        name: spec
+        for name, spec in state.listed.items()
+        if _is_mine(state, name)
+    }
+    return planner_holds.update_listing(state, mine, now)
+
+
+def _is_mine(state, name):
+    planner = seniority.planner_of(name, state.planners)
+    return planner is not None and planner.name == state.own
+
+
+def _fleet(state, msg, now):
+    state.fleet = msg
+    state.planners = seniority.choose_planners(msg.alive)
+    if state.active_since is None:
+        return []
+    sends = []
+    alive = {one.name for one in msg.alive}
+    for plan in list(state.plans.values()):
+        plan.origins &= alive
+        if not plan.origins:
+            note = planner_notes.note("origin is gone", plan.name)
+            sends += [note, *planner_runs.drop_plan(state, plan)]
+    return sends + _assign(state, now)
+
+
+def _listed(state, msg, now):
+    state.listed = {one.name: one for one in msg.executors}
+    state.listed_at = now
+    if state.active_since is None:
+        return []
+    return _assign(state, now)
+
+
+def _plan(state, msg, now):
+    name = msg.batch.name
+    ended = state.ended.get(name)
+    if ended is not None:
+        again = pool_messages.BatchEnded(name, msg.origin, ended)
+        return [planner_runs.to_member(state, msg.origin, again)]
+    known = state.plans.get(name)
+    if known is not None:
+        known.origins.add(msg.origin)
+        return []
+    if state.active_since is None:
+        # Handed over before this instance plans; it comes again.
+        return []
+    return _take_up(state, msg, now)
+
+
+def _take_up(state, msg, now):
+    first = msg.round * planner_runs.OLD_STEP
+    plan = planner_state.Plan(msg, first, now)
+    reason = _why_unfit(state, plan)
+    if reason:
+        outcome = batches.Outcome(batches.FAILED, reason)
+        return planner_runs.finish(state, plan, outcome, now)
+    state.plans[plan.name] = plan
+    _rebind(state, plan)
+    return [
+        planner_notes.note(
+            "batch planned",
+            plan.name,
+            origin=msg.origin,
+            route=plan.batch.terms.route,
+            tasks=len(plan.tasks),
+            round=msg.round,
+            age_ms=round(msg.age * 1000.0),
+        )
+    ]
+
+
+def _rebind(state, plan):
+    """Tie runs of an earlier submission of a batch to the new one."""
+    for held in state.held.values():
+        for run in [one for one in held.runs if one.batch == plan.name]:
+            old = held.runs[run][1]
+            task = plan.find(run.step, run.index)
+            if task is None or task.status != "waiting":
+                continue
+            plan.waiting.remove(task)
+            plan.started = True
+            task.status = old.status
+            task.attempt = max(task.attempt, run.attempt)
+            task.executor = old.executor
+            task.run = run
+            task.since = old.since
+            task.expires = old.expires
+            task.stopping = True
+            held.runs[run] = (plan, task)
+
+
+def _why_unfit(state, plan):
+    """Return why no executor could ever run a batch, or nothing."""
+    specs = [
+        one
+        for one in state.listed.values()
+        if one.service == plan.batch.terms.service
+    ]
+    if not specs:
+        return ""
+    for number, step in enumerate(plan.batch.steps):
+        room = any(executors.fits(step.room, one.capacity) for one in specs)
+        if not room:
+            return f"step {number} takes {step.room!r}; no executor has that"
+    return ""
+
+
+def _drop(state, msg, now):
+    plan = state.plans.get(msg.name)
+    if plan is None:
+        return []
+    plan.origins.discard(msg.origin)
+    if plan.origins:
+        return []
+    note = planner_notes.note(
+        "batch dropped",
+        plan.name,
+        done=plan.done,
+        tasks=len(plan.tasks),
+        age_ms=round((now - plan.submitted) * 1000.0),
+    )
+    return [note, *planner_runs.drop_plan(state, plan)]
+
+
+_HANDLERS = {
+    pool_messages.FleetChanged: _fleet,
+    pool_messages.ExecutorsListed: _listed,
+    pool_messages.PlanBatch: _plan,
+    pool_messages.DropBatch: _drop,
+    pool_messages.RunAnswered: planner_runs.start_answered,
+    pool_messages.StopAnswered: planner_runs.stop_answered,
+    pool_messages.HoldAnswered: planner_holds.hold_answered,
+    pool_messages.HoldFailed: planner_holds.hold_failed,
+}
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/planner_notes.py
@@ -0,0 +1,16 @@
+"""Lines of a planner in the log of decisions."""
+
+from __future__ import annotations
+
+from cardamompathd import messages
+from cardamompathd import pool_messages
+
+__all__ = [
+    "note",
+]
+
+
+def note(event: str, request: str = "", **fields) -> messages.Send:
+    """Return a line for the log of decisions."""
+    one = pool_messages.Note("planner", event, request, fields)
+    return messages.Send(pool_messages.JOURNAL, one)
--- a/packages/daemon/src/cardamompathd/coordination.py
+++ b/packages/daemon/src/cardamompathd/coordination.py
@@ -21,9 +21,9 @@
 from cardamompathd.peers import exchanges
 from cardamompathd.peers import server
 from cardamompathd.peers import traffic
-from cardamompathd.platform import instances
-from cardamompathd.platform import log_client
-from cardamompathd.platform import snapshots
+from cardamompathd.recordlog import instances
+from cardamompathd.recordlog import log_client
+from cardamompathd.recordlog import snapshots
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import asking
 
--- a/packages/daemon/src/cardamompathd/filters/chain.py
+++ b/packages/daemon/src/cardamompathd/filters/chain.py
@@ -43,6 +43,8 @@
     """Seconds that the caller is ready to wait, if it said so."""
     may_wait: bool = True
     """Whether the handler may wait at all."""
+    gone: Callable[[], bool] = bool
+    """Whether the caller has closed its connection."""
 
 
 class Owner(NamedTuple):
--- a/packages/daemon/src/cardamompathd/platform/__init__.py
+++ b/packages/daemon/src/cardamompathd/platform/__init__.py
@@ -1,9 +1,4 @@
-"""The platform's log and instance list over HTTP."""
+"""The adapter between the product and the platform of its users.
 
-from cardamompathd.platform import appender
-from cardamompathd.platform import log_client
-
-__all__ = [
-    "appender",
-    "log_client",
-]
+It translates names, units, headers and calls; it decides nothing.
+"""
--- a/packages/daemon/src/cardamompathd/platform/errors.py
+++ b/packages/daemon/src/cardamompathd/platform/errors.py
@@ -1,21 +1,31 @@
-"""Errors of the platform boundary."""
+"""Errors of the platform's adapter."""
 
 from __future__ import annotations
 
 __all__ = [
-    "AppendUnknown",
-    "LogUnavailable",
-    "PlatformError",
+    "AdapterError",
+    "BadDocument",
+    "BadSettings",
+    "StoreUnavailable",
+    "Trimmed",
 ]
 
 
-class PlatformError(Exception):
-    """Base of all errors of the platform boundary."""
+class AdapterError(Exception):
+    """Base of all errors of the adapter."""
 
 
-class LogUnavailable(PlatformError):
-    """The log refused a call or cannot be reached; nothing was done."""
+class BadSettings(AdapterError):
+    """The settings file cannot be used."""
 
 
-class AppendUnknown(PlatformError):
-    """An append may have taken effect; read back before another one."""
+class BadDocument(AdapterError):
+    """A document in the store, or a body, does not have its form."""
+
+
+class StoreUnavailable(AdapterError):
+    """The store refused a call or did not answer it."""
+
+
+class Trimmed(AdapterError):
+    """The records that were asked for are no longer kept."""
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -0,0 +1,204 @@
+"""One instance of the product on the platform."""
+
+from __future__ import annotations
+
+import os
+import signal
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import loguru
+import pykka
+
+from cardamompath_core import seniority
+from cardamompathd import pool_app
+from cardamompathd import pool_messages
+from cardamompathd.callers import server
+from cardamompathd.platform import errors
+from cardamompathd.platform import executors
+from cardamompathd.platform import followers
+from cardamompathd.platform import frontend
+from cardamompathd.platform import settings
+from cardamompathd.platform import store
+from cardamompathd.runtime import clocks
+from cardamompathd.telemetry import decisions
+
+__all__ = [
+    "main",
+]
+
+EXIT_SETTINGS = 2
+CALLER_THREADS = 96
+"""Callers that wait at once; at the crest of the users' days an instance
+has about 25 requests a second, of up to 1.5 s each."""
+CONNECTIONS = 1024
+IDLE_TIME = 20.0
+"""Seconds for which an idle connection is kept; the desired state asks
+for 15."""
+READY_THREADS = 2
+RELOAD_INTERVAL = 2.0
+"""Seconds between looks at the settings file."""
+DRAIN_TIME = 3.0
+"""Seconds after a signal to stop in which callers still come: two missed
+looks at the readiness, a second apart, and some to spare."""
+STOP_TIME = 5.2
+"""Seconds after that signal at which the process ends at the latest; it
+is killed after 6."""
+LOOK_INTERVAL = 0.1
+"""Seconds between looks whether callers still wait."""
+
+
+class _Running(NamedTuple):
+    app: pool_app.Instance
+    listeners: tuple[server.Listener, ...]
+    followers: tuple[Any, ...]
+
+
+def main() -> int:
+    """Run an instance until SIGTERM.
+
+    Returns
+    -------
+    int
+        0 after a graceful shutdown, 2 if it cannot start.
+    """
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    decisions.configure()
+    try:
+        cfg = settings.load()
+        running = _start(cfg)
+    except (errors.BadSettings, OSError) as exc:
+        loguru.logger.error("instance: cannot start: {}", exc)
+        return EXIT_SETTINGS
+    loguru.logger.info("instance: {} is up, process {}", cfg.name, os.getpid())
+    tell = running.app.tellers[pool_messages.FLEET]
+    _follow_settings(cfg, tell, signals)
+    _stop(running)
+    return 0
+
+
+def _follow_settings(cfg, tell, signals):
+    """Return when a signal to stop came."""
+    while True:
+        info = signal.sigtimedwait(signals, RELOAD_INTERVAL)
+        if info is not None and info.si_signo != signal.SIGHUP:
+            name = signal.Signals(info.si_signo).name
+            loguru.logger.info("instance: {} received, draining", name)
+            return
+        cfg = _reload(cfg, tell, info is not None)
+
+
+def _reload(cfg, tell, asked):
+    try:
+        changed = settings.load()
+    except errors.BadSettings as exc:
+        loguru.logger.error("instance: settings kept as they were: {}", exc)
+        return cfg
+    if changed != cfg or asked:
+        loguru.logger.info("instance: settings reloaded")
+    if changed.seeds != cfg.seeds:
+        tell(pool_messages.AddressesFound(changed.seeds, "settings"))
+    return changed
+
+
+def _start(cfg):
+    clock = clocks.boottime
+    own = seniority.Member(
+        cfg.name, cfg.domain, cfg.peers, int(time.time() * 1000.0)
+    )
+    app = pool_app.start(own, _make_protocol(), _make_token(cfg.name), clock)
+    tell_planner = app.tellers[pool_messages.PLANNER]
+    tell_fleet = app.tellers[pool_messages.FLEET]
+    tell_gateway = app.tellers[pool_messages.GATEWAY]
+    executor_task = followers.ExecutorFollower(
+        store.make_client(cfg.store), tell_planner, clock
+    )
+    app.table[pool_messages.CONFIGURED] = _make_offer_reader(tell_gateway)
+    app.table[pool_messages.LISTINGS] = lambda msg: executor_task.follow_fast(
+        msg.planning
+    )
+    tasks = (
+        followers.ConfigurationFollower(
+            store.make_client(cfg.store), tell_gateway
+        ),
+        executor_task,
+        followers.MemberFollower(
+            store.make_client(cfg.store), cfg.name, cfg.peers, tell_fleet
+        ),
+    )
+    tell_fleet(pool_messages.AddressesFound(cfg.seeds, "settings"))
+    for task in tasks:
+        task.start()
+    return _Running(app, _start_listeners(cfg, tell_gateway), tasks)
+
+
+def _make_protocol():
+    return pool_app.Protocol(
+        executors.encode, executors.write, executors.conclude
+    )
+
+
+def _make_token(name) -> Callable[[], int]:
+    """Make the function that draws fencing tokens.
+
+    The time of day orders the tokens of different instances, and the
+    low digits tell those of the same millisecond apart.
+    """
+    digits = sum(name.encode()) % 1000
+
+    def make_token() -> int:
+        return int(time.time() * 1000.0) * 1000 + digits
+
+    return make_token
+
+
+def _make_offer_reader(tell):
+    def read(msg):
+        followers.tell_configuration(msg.document, "a peer", tell)
+
+    return read
+
+
+def _start_listeners(cfg, tell):
+    limits = server.ListenerLimits(
+        threads=CALLER_THREADS, connections=CONNECTIONS, timeout=IDLE_TIME
+    )
+    ready_limits = server.ListenerLimits(threads=READY_THREADS)
+    return (
+        server.start(
+            "callers", cfg.callers, frontend.make_chain(tell), limits
+        ),
+        server.start(
+            "ready",
+            cfg.readiness,
+            frontend.make_readiness(tell),
+            ready_limits,
+        ),
+    )
+
+
+def _stop(running):
+    """Leave the fleet, answer who waits, and end."""
+    began = clocks.boottime()
+    running.app.leave()
+    while clocks.boottime() < began + STOP_TIME:
+        time.sleep(LOOK_INTERVAL)
+        if clocks.boottime() < began + DRAIN_TIME:
+            continue
+        fut = pykka.ThreadingFuture()
+        tell = running.app.tellers[pool_messages.GATEWAY]
+        tell(pool_messages.CountOpen(fut))
+        if fut.get(timeout=LOOK_INTERVAL * 10.0) == 0:
+            break
+    loguru.logger.info("instance: stopped")
+    for listener in running.listeners:
+        threading.Thread(target=listener.stop, daemon=True).start()
+    for task in running.followers:
+        task.stop()
+    time.sleep(LOOK_INTERVAL)
+    running.app.stop()
+    decisions.close()
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -0,0 +1,153 @@
+"""Wires the tasks of an instance that runs batches on executors."""
+
+from __future__ import annotations
+
+import queue
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import loguru
+
+from cardamompath_core import seniority
+from cardamompath_core import types
+from cardamompathd import messages
+from cardamompathd import pool_messages
+from cardamompathd.backends import connections
+from cardamompathd.backends import pool
+from cardamompathd.controllers import fleet
+from cardamompathd.controllers import gateway
+from cardamompathd.controllers import planner
+from cardamompathd.peers import links
+from cardamompathd.runtime import actors
+from cardamompathd.telemetry import decisions
+
+__all__ = [
+    "Instance",
+    "Protocol",
+    "start",
+]
+
+LIMITS = connections.ConnectionLimits(connect=0.25, idle=30.0)
+"""A usual connection opens in 3 ms; an executor that does not answer is
+given up within a quarter of a lease."""
+
+
+class Protocol(NamedTuple):
+    """How orders reach executors."""
+
+    encode: Callable[[Any, float], Any]
+    """From an order and the present time to what goes to a connection."""
+    write: connections.Write
+    conclude: Callable[[Any, types.BackendAnswer], messages.Send]
+    """From what went there, and its answer, to a message."""
+
+
+class Instance(NamedTuple):
+    """A running instance."""
+
+    table: dict[str, Callable[[Any], None]]
+    """Tasks by name; those of the adapter are added to it."""
+    tellers: dict[str, Callable[[Any], None]]
+    leave: Callable[[], None]
+    stop: Callable[[], None]
+
+
+class _PoolActor(actors.ControllerActor):
+    """Owns the controllers, and the connections to the executors."""
+
+    def __init__(self, controllers, deliver, clock, protocol):
+        super().__init__(controllers, self._deliver_or_call, clock)
+        self._elsewhere = deliver
+        self._protocol = protocol
+        self._executors = pool.Pool(self._open)
+
+    def on_stop(self):
+        """Close the connections."""
+        self._executors.close()
+
+    def _open(self):
+        return connections.BackendActor.start(
+            LIMITS, self._take_back, self._clock, self._protocol.write
+        )
+
+    def _take_back(self, call, answer):
+        self.actor_ref.tell(self._protocol.conclude(call, answer))
+
+    def _deliver_or_call(self, send):
+        if send.to == pool_messages.EXECUTORS:
+            call = self._protocol.encode(send.msg, self._clock())
+            self._executors.start(call)
+            return
+        self._elsewhere(send)
+
+
+def start(
+    own: seniority.Member,
+    protocol: Protocol,
+    make_token: Callable[[], int],
+    clock: Callable[[], float],
+) -> Instance:
+    """Start the tasks of an instance.
+
+    Parameters
+    ----------
+    own : Member
+        This instance.
+    protocol : Protocol
+        How orders reach executors.
+    make_token : callable
+        Draws fencing tokens.
+    clock : callable
+        Returns the present time in seconds.
+
+    Raises
+    ------
+    OSError
+        If the address for peers cannot be bound.
+    """
+    table: dict[str, Callable[[Any], None]] = {
+        messages.CALLERS: _answer,
+        pool_messages.JOURNAL: decisions.write_note,
+    }
+    deliver = actors.make_router(table)
+    ref = _PoolActor.start(
+        [
+            fleet.make_controller(own),
+            gateway.make_controller(own.name),
+            planner.make_controller(own.name, make_token, clock()),
+        ],
+        deliver,
+        clock,
+        protocol,
+    )
+    names = (
+        pool_messages.FLEET,
+        pool_messages.GATEWAY,
+        pool_messages.PLANNER,
+    )
+    tellers = {name: actors.make_teller(ref, name) for name in names}
+    table.update(tellers)
+    link_ref = links.LinksActor.start(own.address, deliver, clock)
+    table[pool_messages.LINKS] = actors.make_teller(
+        link_ref, pool_messages.LINKS
+    )
+    for name in (pool_messages.FLEET, pool_messages.PLANNER):
+        tellers[name](messages.TimerFired("start"))
+
+    def leave():
+        tellers[pool_messages.FLEET](pool_messages.Leave())
+        tellers[pool_messages.GATEWAY](pool_messages.Leave())
+
+    def stop():
+        ref.stop(block=False)
+        link_ref.stop(block=False)
+
+    return Instance(table, tellers, leave, stop)
+
+
+def _answer(msg):
+    try:
+        msg.reply.set(msg.answer)
+    except queue.Full:
+        loguru.logger.error("gateway: a caller was answered twice")
--- a/packages/daemon/src/cardamompathd/platform/appender.py
+++ b/packages/daemon/src/cardamompathd/recordlog/appender.py
@@ -14,8 +14,8 @@
 import loguru
 
 from cardamompathd import messages
-from cardamompathd.platform import errors
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import errors
+from cardamompathd.recordlog import log_client
 
 __all__ = [
     "AppenderTask",
--- a/packages/daemon/src/cardamompathd/platform/log_client.py
+++ b/packages/daemon/src/cardamompathd/recordlog/log_client.py
@@ -18,7 +18,7 @@
 from urllib3 import connection
 
 from cardamompathd import messages
-from cardamompathd.platform import errors
+from cardamompathd.recordlog import errors
 
 __all__ = [
     "LogClient",
--- a/packages/daemon/src/cardamompathd/platform/reader.py
+++ b/packages/daemon/src/cardamompathd/recordlog/reader.py
@@ -9,8 +9,8 @@
 import loguru
 
 from cardamompathd import messages
-from cardamompathd.platform import errors
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import errors
+from cardamompathd.recordlog import log_client
 
 __all__ = [
     "ReaderTask",
--- a/packages/daemon/src/cardamompathd/runtime/inboxes.py
+++ b/packages/daemon/src/cardamompathd/runtime/inboxes.py
@@ -22,6 +22,7 @@
     "Readable",
     "SelectorInbox",
     "TimedInbox",
+    "Writable",
 ]
 
 
@@ -31,6 +32,12 @@
     key: Any
 
 
+class Writable(NamedTuple):
+    """A registered socket takes bytes, or failed to connect."""
+
+    key: Any
+
+
 class Due(NamedTuple):
     """The time that was asked for has come."""
 
@@ -104,7 +111,7 @@
             if self._messages:
                 return self._messages.popleft()
             if self._ready:
-                return _envelope.Envelope(Readable(self._ready.popleft()))
+                return _envelope.Envelope(self._ready.popleft())
             self._sleep()
 
     def empty(self) -> bool:
@@ -120,6 +127,13 @@
         """Wait for a socket to become readable."""
         self._selector.register(sock, selectors.EVENT_READ, key)
 
+    def await_write(self, sock: socket.socket, key: Any, wanted: bool) -> None:
+        """Wait for a registered socket to take bytes, or no longer."""
+        events = selectors.EVENT_READ
+        if wanted:
+            events |= selectors.EVENT_WRITE
+        self._selector.modify(sock, events, key)
+
     def unregister(self, sock: socket.socket) -> None:
         """Wait for a socket no longer."""
         self._selector.unregister(sock)
@@ -148,11 +162,14 @@
             timeout = 0.0
         events = self._selector.select(timeout)
         self._asleep = False
-        for selected, _ in events:
+        for selected, mask in events:
             if selected.fileobj is self._wake_in:
                 self._drain()
-            else:
-                self._ready.append(selected.data)
+                continue
+            if mask & selectors.EVENT_WRITE:
+                self._ready.append(Writable(selected.data))
+            if mask & selectors.EVENT_READ:
+                self._ready.append(Readable(selected.data))
 
     def _drain(self):
         with contextlib.suppress(BlockingIOError):
--- a/packages/daemon/src/cardamompathd/tests/edge_fixtures.py
+++ b/packages/daemon/src/cardamompathd/tests/edge_fixtures.py
@@ -12,7 +12,7 @@
 from cardamompath_standins import backend
 from cardamompath_standins import platform
 from cardamompathd import app
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import log_client
 from cardamompathd.settings import loading
 
 SETTINGS = """
--- a/packages/daemon/src/cardamompathd/tests/test_appender.py
+++ b/packages/daemon/src/cardamompathd/tests/test_appender.py
@@ -4,8 +4,8 @@
 import loguru
 
 from cardamompathd import messages
-from cardamompathd.platform import appender
-from cardamompathd.platform import errors
+from cardamompathd.recordlog import appender
+from cardamompathd.recordlog import errors
 
 
 class AppenderTest(unittest.TestCase):
--- a/packages/daemon/src/cardamompathd/tests/test_exchanges.py
+++ b/packages/daemon/src/cardamompathd/tests/test_exchanges.py
@@ -18,7 +18,7 @@
 from cardamompathd.peers import gossip_codec
 from cardamompathd.peers import server
 from cardamompathd.peers import wire
-from cardamompathd.platform import instances
+from cardamompathd.recordlog import instances
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import asking
 from cardamompathd.runtime import clocks
--- a/packages/proof/src/cardamompath_proof/daemon_rig.py
+++ b/packages/proof/src/cardamompath_proof/daemon_rig.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from cardamompath_proof import processes
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import log_client
 
 __all__ = [
     "Rig",
--- a/packages/proof/src/cardamompath_proof/demo.py
+++ b/packages/proof/src/cardamompath_proof/demo.py
@@ -19,7 +19,7 @@
 from cardamompath_standins import backend
 from cardamompath_standins import platform
 from cardamompathd import app
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import log_client
 from cardamompathd.telemetry import logs
 
 __all__ = [
--- a/packages/proof/src/cardamompath_proof/drill/rig.py
+++ b/packages/proof/src/cardamompath_proof/drill/rig.py
@@ -10,7 +10,7 @@
 
 from cardamompath_proof import processes
 from cardamompath_proof.drill import proxy
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import log_client
 
 __all__ = [
     "Instance",
--- a/packages/proof/src/cardamompath_proof/drill/steps.py
+++ b/packages/proof/src/cardamompath_proof/drill/steps.py
@@ -14,7 +14,7 @@
 
 from cardamompath_proof.drill import checks
 from cardamompath_proof.drill import rig as rigs
-from cardamompathd.platform import log_client
+from cardamompathd.recordlog import log_client
 
 __all__ = [
     "count_control",
--- a/packages/proof/src/cardamompath_proof/harness/instances.py
+++ b/packages/proof/src/cardamompath_proof/harness/instances.py
@@ -18,7 +18,7 @@
 from cardamompathd import app
 from cardamompathd import controllers
 from cardamompathd import messages
-from cardamompathd.platform import reader
+from cardamompathd.recordlog import reader
 
 __all__ = [
     "ANSWER_TTL",
--- a/packages/proof/src/cardamompath_proof/harness/links.py
+++ b/packages/proof/src/cardamompath_proof/harness/links.py
@@ -9,8 +9,8 @@
 from cardamompath_proof.harness import backends
 from cardamompath_proof.harness import network
 from cardamompathd import messages
-from cardamompathd.platform import errors
-from cardamompathd.platform import snapshots
+from cardamompathd.recordlog import errors
+from cardamompathd.recordlog import snapshots
 
 __all__ = [
     "make_links",
--- a/packages/proof/src/cardamompath_proof/harness/log.py
+++ b/packages/proof/src/cardamompath_proof/harness/log.py
@@ -8,8 +8,8 @@
 from cardamompath_proof.harness import events
 from cardamompath_proof.harness import network
 from cardamompathd import messages
-from cardamompathd.platform import errors
-from cardamompathd.platform import reader
+from cardamompathd.recordlog import errors
+from cardamompathd.recordlog import reader
 
 __all__ = [
     "FakeLog",
--- a/packages/proof/src/cardamompath_proof/harness/operators.py
+++ b/packages/proof/src/cardamompath_proof/harness/operators.py
@@ -8,7 +8,7 @@
 from cardamompath_core import types
 from cardamompath_proof.harness import network
 from cardamompathd import messages
-from cardamompathd.platform import errors
+from cardamompathd.recordlog import errors
 
 __all__ = [
     "Operators",
