--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -35,12 +35,10 @@
     waiting = [one for one in state.plans.values() if one.waiting]
     if not waiting:
         return []
-    settled = now >= state.began + TAKE_OVER
-    settled = settled or planner_holds.all_claimed(state)
     ranked = [
         (_rank(state, plan, now), plan)
         for plan in waiting
-        if settled or plan.round == 0
+        if _may_start(state, plan, now)
     ]
     ranked.sort(key=operator.itemgetter(0))
     sends = []
@@ -51,6 +49,13 @@
     return sends
 
 
+def _may_start(state, plan, now):
+    """Return whether no other planner can have runs of a batch left."""
+    if plan.round == 0 or planner_holds.all_claimed(state):
+        return True
+    return now >= max(state.began, plan.arrived) + TAKE_OVER
+
+
 def _usable(held, now):
     if not held.claimed or held.suspect or held.gone or held.orphans:
         return False
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -232,8 +232,10 @@
 
 
 def all_claimed(state):
-    """Return whether every executor answered under the present token."""
-    return all(one.claimed for one in state.held.values())
+    """Return whether every executor answers under the present token."""
+    return all(
+        one.claimed and not one.suspect for one in state.held.values()
+    )
 
 
 def update_listing(state, mine, now):
