--- a/packages/daemon/src/cardamompathd/callers/connections.py
+++ b/packages/daemon/src/cardamompathd/callers/connections.py
@@ -82,7 +82,7 @@
 
     def parse_request(self) -> None:
         """Read the header within the connection's timeout."""
-        self.conn.rfile.expire_in(self.server.timeout)
+        self.conn.rfile.expire_in(self.server.header_timeout)
         super().parse_request()
         self.conn.rfile.expire_in(BODY_TIME)
 
@@ -103,10 +103,17 @@
     def respond(self) -> None:
         """Respond; a body that was not read is discarded at the close."""
         super().respond()
+        self.close_connection |= self.server.draining
         if self.chunked_read or getattr(self.rfile, "remaining", 0):
             self.close_connection = True
             self.conn.unread = True
 
+    def send_headers(self) -> None:
+        """Say in the response that a draining listener closes."""
+        if self.server.draining:
+            self.close_connection = True
+        super().send_headers()
+
     def simple_response(self, status: str, msg: str = "") -> None:
         """Answer an error of the protocol with a JSON body and close."""
         number = str(status)[:3]
--- a/packages/daemon/src/cardamompathd/callers/server.py
+++ b/packages/daemon/src/cardamompathd/callers/server.py
@@ -56,6 +56,8 @@
     port: int
     stop: Callable[[], None]
     """Ends the listener after the requests in progress."""
+    drain: Callable[[], None] = lambda: None
+    """Closes each connection after its next response."""
 
 
 class _Gateway(wsgi.Gateway_10):
@@ -147,6 +149,12 @@
     """A server whose threads wait for whole requests only."""
 
     ConnectionClass = connections.BoundedConnection
+    draining = False
+    header_timeout = 10.0
+
+    def drain(self) -> None:
+        """Close each connection after its next response."""
+        self.draining = True
 
     def process_conn(self, conn) -> None:
         """Hand a connection that has bytes to a thread.
@@ -225,6 +233,7 @@
         accepted_queue_timeout=0.001,
     )
     server.max_request_header_size = limits.header_bytes
+    server.header_timeout = limits.timeout
     server.keep_alive_conn_limit = limits.connections
     server.expiration_interval = EXPIRY_INTERVAL
     server.gateway = _Gateway
@@ -232,4 +241,4 @@
     thread = threading.Thread(target=server.serve, name=name, daemon=True)
     thread.start()
     host, port = server.bind_addr[:2]
-    return Listener(host, port, server.stop)
+    return Listener(host, port, server.stop, server.drain)
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -186,11 +186,6 @@
     return [messages.Send(messages.CALLERS, reply)]
 
 
-def _count_open(state, msg, _):
-    reply = messages.Reply(msg.reply, len(state.waiting))
-    return [messages.Send(messages.CALLERS, reply)]
-
-
 def _leave(state, _, now):
     state.leaving = True
     return ()
@@ -329,7 +324,6 @@
     pool_messages.SubmitBatch: _submit,
     pool_messages.CancelBatch: _cancel,
     pool_messages.CountWaiting: _count,
-    pool_messages.CountOpen: _count_open,
     pool_messages.GetReadiness: _readiness,
     pool_messages.RoutesConfigured: _configure,
     pool_messages.OfferConfiguration: _offer,
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -33,6 +33,9 @@
 CAUTION = 4.0
 """Seconds for which an instance that lost sight of most others does not
 claim executors that the others may still hold."""
+EARLY_TIME = 2.0
+"""Seconds for which a batch waits that was handed over by an instance
+which knew earlier than this one that it is to plan."""
 PROBE_TIME = 0.5
 """Seconds for probes of executors to be answered."""
 
@@ -56,28 +59,26 @@
     state = planner_state.PlannerState(own, 0)
 
     def receive(msg, now):
-        if type(msg) is messages.TimerFired:
-            return _tick(state, make_token, started_at, now)
         handler = _HANDLERS.get(type(msg))
         if handler is None:
             return ()
-        sends = handler(state, msg, now)
+        sends = [*handler(state, msg, now)]
+        if type(msg) in (messages.TimerFired, pool_messages.FleetChanged):
+            sends += _change_role(state, make_token, started_at, now)
         if state.active_since is not None:
-            sends = [*sends, *planner_dispatch.dispatch(state, now)]
+            sends += planner_dispatch.dispatch(state, now)
         return sends
 
     return messages.Controller(pool_messages.PLANNER, receive)
 
 
-def _tick(state, make_token, started_at, now):
+def _tick(state, _, now):
     due = messages.SetTimer(now + TICK, pool_messages.PLANNER, "tick")
     sends = [messages.Send(messages.TIMERS, due)]
-    sends += _change_role(state, make_token, started_at, now)
     if state.active_since is None:
         return sends
     sends += planner_holds.expire(state, now)
-    sends += planner_dispatch.refuse_hopeless(state, now)
-    return sends + planner_dispatch.dispatch(state, now)
+    return sends + planner_dispatch.refuse_hopeless(state, now)
 
 
 def _change_role(state, make_token, started_at, now):
@@ -104,7 +105,14 @@
         "missing": len(state.fleet.missing),
     }
     begun = planner_notes.note("began to plan", **fields)
-    return [begun, _follow(True), *_assign(state, now)]
+    sends = [begun, _follow(True), *_assign(state, now)]
+    early, state.early = state.early, {}
+    for msg, at in early.values():
+        if now - at < EARLY_TIME:
+            age = msg.age + now - at
+            left = msg.left - (now - at)
+            sends += _plan(state, msg._replace(age=age, left=left), now)
+    return sends
 
 
 def _follow(planning):
@@ -170,7 +178,7 @@
         known.origins.add(msg.origin)
         return []
     if state.active_since is None:
-        # Handed over before this instance plans; it comes again.
+        state.early[name] = (msg, now)
         return []
     return _take_up(state, msg, now)
 
@@ -183,7 +191,7 @@
         outcome = batches.Outcome(batches.FAILED, reason)
         return planner_runs.finish(state, plan, outcome, now)
     state.plans[plan.name] = plan
-    _rebind(state, plan)
+    _rebind(state, plan, now)
     return [
         planner_notes.note(
             "batch planned",
@@ -197,9 +205,15 @@
     ]
 
 
-def _rebind(state, plan):
+def _rebind(state, plan, now):
     """Tie runs of an earlier submission of a batch to the new one."""
     for held in state.held.values():
+        for run in [one for one in held.orphans if one.batch == plan.name]:
+            task = plan.find(run.step, run.index)
+            if task is not None and task.status == "waiting":
+                del held.orphans[run]
+                plan.started = True
+                planner_runs.adopt(held, plan, task, run, now)
         for run in [one for one in held.runs if one.batch == plan.name]:
             old = held.runs[run][1]
             task = plan.find(run.step, run.index)
@@ -234,6 +248,7 @@
 
 
 def _drop(state, msg, now):
+    state.early.pop(msg.name, None)
     plan = state.plans.get(msg.name)
     if plan is None:
         return []
@@ -251,6 +266,7 @@
 
 
 _HANDLERS = {
+    messages.TimerFired: _tick,
     pool_messages.FleetChanged: _fleet,
     pool_messages.ExecutorsListed: _listed,
     pool_messages.PlanBatch: _plan,
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -144,7 +144,7 @@
         task = plan.find(run.step, run.index) if plan else None
         if task is not None and task.status == "waiting":
             held.orphans.pop(run, None)
-            planner_runs.adopt(state, held, plan, task, run, now)
+            planner_runs.adopt(held, plan, task, run, now)
             sends.append(
                 planner_notes.note(
                     "run adopted", plan.name, executor=held.spec.name
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -79,7 +79,7 @@
     return entry
 
 
-def adopt(state, held, plan, task, run, now):
+def adopt(held, plan, task, run, now):
     """Take over a run that another planner started."""
     task.attempt = max(task.attempt, run.attempt)
     task.status = "running"
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -164,6 +164,8 @@
         self.listed_at: float | None = None
         self.held: dict[str, Held] = {}
         self.plans: dict[str, Plan] = {}
+        self.early: dict[str, tuple[pool_messages.PlanBatch, float]] = {}
+        """Batches handed over before this instance plans, and when."""
         self.ended: collections.OrderedDict[str, Any] = (
             collections.OrderedDict()
         )
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -11,7 +11,6 @@
 from typing import NamedTuple
 
 import loguru
-import pykka
 
 from cardamompath_core import seniority
 from cardamompathd import pool_app
@@ -47,8 +46,8 @@
 STOP_TIME = 5.2
 """Seconds after that signal at which the process ends at the latest; it
 is killed after 6."""
-LOOK_INTERVAL = 0.1
-"""Seconds between looks whether callers still wait."""
+LAST_LINES = 0.1
+"""Seconds for the last lines of the log."""
 
 
 class _Running(NamedTuple):
@@ -185,20 +184,20 @@
     """Leave the fleet, answer who waits, and end."""
     began = clocks.boottime()
     running.app.leave()
-    while clocks.boottime() < began + STOP_TIME:
-        time.sleep(LOOK_INTERVAL)
-        if clocks.boottime() < began + DRAIN_TIME:
-            continue
-        fut = pykka.ThreadingFuture()
-        tell = running.app.tellers[pool_messages.GATEWAY]
-        tell(pool_messages.CountOpen(fut))
-        if fut.get(timeout=LOOK_INTERVAL * 10.0) == 0:
-            break
-    loguru.logger.info("instance: stopped")
     for listener in running.listeners:
-        threading.Thread(target=listener.stop, daemon=True).start()
+        listener.drain()
+    time.sleep(DRAIN_TIME)
+    ends = [
+        threading.Thread(target=listener.stop, daemon=True)
+        for listener in running.listeners
+    ]
+    for end in ends:
+        end.start()
+    for end in ends:
+        end.join(began + STOP_TIME - clocks.boottime())
+    loguru.logger.info("instance: stopped")
     for task in running.followers:
         task.stop()
-    time.sleep(LOOK_INTERVAL)
+    time.sleep(LAST_LINES)
     running.app.stop()
     decisions.close()
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -123,12 +123,6 @@
     reply: Any
 
 
-class CountOpen(NamedTuple):
-    """Ask how many batches wait here."""
-
-    reply: Any
-
-
 class FollowListings(NamedTuple):
     """How closely the registered executors have to be followed."""
 
