Refuse what would come too late; fewer store calls and wake-ups

Only the caller's own limit ends a batch: the routes' time-outs are below the length of stragglers, and answers held past them are not priced.

--- a/packages/daemon/src/cardamompathd/callers/server.py
+++ b/packages/daemon/src/cardamompathd/callers/server.py
@@ -29,6 +29,9 @@
 EXPIRY_INTERVAL = 5.0
 """Seconds between looks for connections that were idle too long."""
 
+LONGEST_REST = 0.5
+"""Seconds after which a listener looks for expired connections."""
+
 WAKE_TIMEOUT = 1.0
 """Seconds to reach the own listener when it stops."""
 
@@ -197,6 +200,17 @@
             loguru.logger.warning("listener: {} at the stop", exc)
 
 
+def _rest_longer(server):
+    """Let the thread that waits for connections wake up less often.
+
+    The library wakes it 100 times a second, which is most of what an
+    idle instance spends.  New connections and requests wake it anyway.
+    """
+    selector = server._connections._selector
+    select_shortly = selector.select
+    selector.select = lambda timeout=None: select_shortly(LONGEST_REST)
+
+
 def start(
     name: str,
     address: tuple[str, int],
@@ -238,6 +252,7 @@
     server.expiration_interval = EXPIRY_INTERVAL
     server.gateway = _Gateway
     server.prepare()
+    _rest_longer(server)
     thread = threading.Thread(target=server.serve, name=name, daemon=True)
     thread.start()
     host, port = server.bind_addr[:2]
--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -26,6 +26,8 @@
 lease of a run, so that a successor can adopt what still runs."""
 FORGET = 20.0
 """Seconds for which a silent member may be behind a partition."""
+KNOWN_EACH = 5
+"""One in so many signs of life names the members that are known."""
 HELLOS_PER_SECOND = 150.0
 """Most signs of life that an instance sends, so that their cost stays
 the same when the fleet grows; the interval grows instead."""
@@ -58,6 +60,7 @@
         self.peers: dict[str, _Peer] = {}
         self.addresses: set[tuple[str, int]] = set()
         self.told: tuple | None = None
+        self.hellos = 0
 
 
 def make_controller(own: seniority.Member) -> messages.Controller:
@@ -98,9 +101,12 @@
 
 
 def _greet(state):
-    known = tuple(
-        peer.member.address for peer in state.peers.values() if peer.alive
-    )
+    state.hellos += 1
+    known: tuple[tuple[str, int], ...] = ()
+    if state.hellos % KNOWN_EACH == 0:
+        known = tuple(
+            one.member.address for one in state.peers.values() if one.alive
+        )
     hello = Hello(state.own, state.config_version, known)
     return [
         messages.Send(
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -91,7 +91,7 @@
         known.replies.append(msg.reply)
         return ()
     batch = batches.Batch(name, msg.spec, msg.steps, route.terms)
-    wait = min(msg.wait, route.timeout or msg.wait)
+    wait = msg.wait
     one = state.waiting[name] = _Waiting(batch, msg.reply, wait, now)
     sends = [_note_accepted(state, one)]
     sends += _hand_over(state, one, now)
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -22,6 +22,9 @@
 """Share of failed runs from which an executor gets no more of them."""
 SCORE_REST = 2.0
 """Seconds for which such an executor rests."""
+LATE_LIMIT = 3.0
+"""Multiple of the objective up to which a late answer has some worth,
+by the users' rules."""
 RETRY_AFTER = 1.0
 """Seconds after which a refused caller may try again."""
 
@@ -143,9 +146,16 @@
     for plan in list(state.plans.values()):
         if plan.started:
             continue
-        if now + expected_time(state, plan) <= plan.left_until:
+        work = expected_time(state, plan)
+        if now + work <= min(plan.left_until, _late_limit(plan, work)):
             continue
-        reason = "no room before the caller's time limit"
+        reason = "no room before the answer would be too late"
         outcome = batches.Outcome(batches.REFUSED, reason, RETRY_AFTER)
         sends += planner_runs.finish(state, plan, outcome, now)
     return sends
+
+
+def _late_limit(plan, work):
+    """Return when an answer is worth nothing any more."""
+    terms = plan.batch.terms
+    return plan.submitted + LATE_LIMIT * (terms.stretch * work + terms.slack)
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -159,7 +159,7 @@
         self._known: dict[str, executors.Executor] = {}
         self._missing: dict[str, float] = {}
         self._returned_at = -RETURN_TIME
-        self._fast = True
+        self._fast = False
         self._faults: set[str] = set()
 
     def follow_fast(self, fast: bool) -> None:
