--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -22,7 +22,7 @@
 
 REFRESH = 0.4
 """Seconds after which a planner is told again of a batch, in case that
-the message or its answer was lost.  Below `fleet.SILENCE`."""
+the message or its answer was lost; doubled each time."""
 NO_PLANNER_RETRY = 1.0
 """Seconds after which a caller may try again while no planner is
 known; a successor takes over in about that time."""
@@ -35,7 +35,13 @@
 
 class _Waiting:
     __slots__ = (
-        "batch", "handed", "planner", "replies", "round", "submitted",
+        "batch",
+        "handed",
+        "planner",
+        "refresh_at",
+        "replies",
+        "round",
+        "submitted",
         "until",
     )  # fmt: skip
 
@@ -44,9 +50,10 @@
         self.replies: list[Any] = [reply]
         self.submitted = now
         self.until = now + wait
-        self.planner = ""
+        self.planner: seniority.Member | None = None
         self.round = 0
         self.handed = False
+        self.refresh_at = now + REFRESH
 
 
 class GatewayState:
@@ -195,9 +202,10 @@
     planner = _choose(state, one)
     if planner is None:
         return []
-    if planner.name != one.planner:
+    if one.planner is None or planner.started != one.planner.started:
         one.round += one.handed
-        one.planner = planner.name
+        one.refresh_at = now + REFRESH
+    one.planner = planner
     one.handed = True
     msg = pool_messages.PlanBatch(
         one.batch,
@@ -210,14 +218,17 @@
 
 
 def _choose(state, one):
-    for planner in state.planners:
-        if planner.name == one.planner:
-            return planner
+    if one.planner in state.planners:
+        return one.planner
     if not state.planners:
         return None
     return seniority.planner_of(one.batch.name, state.planners)
 
 
+def _name(planner):
+    return planner.name if planner else ""
+
+
 def _send_to(state, planner, msg):
     if planner.name == state.own:
         return messages.Send(pool_messages.PLANNER, msg)
@@ -237,13 +248,12 @@
 
 def _drop(state, one, reason, now):
     del state.waiting[one.batch.name]
-    fields = {"reason": reason, "planner": one.planner}
+    fields = {"reason": reason, "planner": _name(one.planner)}
     fields["age_ms"] = round((now - one.submitted) * 1000.0)
     sends = [_note("withdrawn", one.batch.name, fields)]
-    for planner in state.planners:
-        if planner.name == one.planner:
-            drop = pool_messages.DropBatch(one.batch.name, state.own)
-            sends.append(_send_to(state, planner, drop))
+    if one.planner in state.planners:
+        drop = pool_messages.DropBatch(one.batch.name, state.own)
+        sends.append(_send_to(state, one.planner, drop))
     return sends
 
 
@@ -265,7 +275,7 @@
     fields = {
         "state": outcome.state,
         "reason": outcome.reason,
-        "planner": one.planner,
+        "planner": _name(one.planner),
         "route": one.batch.terms.route,
         "age_ms": round((now - one.submitted) * 1000.0),
     }
@@ -278,10 +288,9 @@
 
 def _fleet(state, msg, now):
     state.planners = seniority.choose_planners(msg.alive)
-    names = {one.name for one in state.planners}
     sends = []
     for one in state.waiting.values():
-        if one.planner not in names:
+        if one.planner not in state.planners:
             sends += _hand_over(state, one, now)
     return sends
 
@@ -291,7 +300,9 @@
         return _reach_limit(state, state.waiting.get(msg.key), now)
     sends = []
     for one in state.waiting.values():
-        sends += _hand_over(state, one, now)
+        if now >= one.refresh_at:
+            one.refresh_at = now + REFRESH + (now - one.submitted)
+            sends += _hand_over(state, one, now)
     state.ticking = bool(state.waiting)
     if state.ticking:
         sends.append(_timer(now + REFRESH, None))
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -78,6 +78,7 @@
     if state.active_since is None:
         return sends
     sends += planner_holds.expire(state, now)
+    planner_dispatch.survey(state, now)
     return sends + planner_dispatch.refuse_hopeless(state, now)
 
 
@@ -124,6 +125,9 @@
     state.active_since = None
     state.held.clear()
     dropped = len(state.plans)
+    for plan in state.plans.values():
+        if plan.started:
+            state.remember_dropped(plan.name)
     state.plans.clear()
     ended = planner_notes.note("ended to plan", batches=dropped)
     return [ended, _follow(False)]
@@ -190,6 +194,10 @@
     if reason:
         outcome = batches.Outcome(batches.FAILED, reason)
         return planner_runs.finish(state, plan, outcome, now)
+    plan.started |= plan.name in state.dropped
+    planner_dispatch.estimate(state, plan)
+    if not plan.started and planner_dispatch.comes_too_late(state, plan, now):
+        return planner_dispatch.refuse(state, plan, now)
     state.plans[plan.name] = plan
     _rebind(state, plan, now)
     return [
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import operator
 
 from cardamompath_core import batches
@@ -10,9 +11,12 @@
 from cardamompathd.controllers import planner_runs
 
 __all__ = [
+    "comes_too_late",
     "dispatch",
-    "expected_time",
+    "estimate",
+    "refuse",
     "refuse_hopeless",
+    "survey",
 ]
 
 TAKE_OVER = planner_runs.LEASE * 1.02 + planner_runs.LEASE_MARGIN
@@ -29,17 +33,64 @@
 """Seconds after which a refused caller may try again."""
 
 
+def survey(state, now):
+    """Count the executors in use, and estimate the batches anew."""
+    state.pool.clear()
+    for held in state.held.values():
+        if _usable(held, now):
+            spec = held.spec
+            state.pool[spec.service, spec.kind, spec.capacity] += 1
+    for plan in state.plans.values():
+        estimate(state, plan)
+
+
+def estimate(state, plan):
+    """Estimate the work of a batch, and what it takes of the pool."""
+    terms = plan.batch.terms
+    step = plan.batch.steps[0]
+    rate = 0.0
+    best = math.inf
+    for (service, kind, capacity), count in state.pool.items():
+        if service != terms.service:
+            continue
+        took = state.times.expected(terms.route, kind, step.estimate)
+        best = min(best, took)
+        rate += count * executors.times_fitting(step.room, capacity) / took
+    if best is math.inf:
+        best = state.times.expected(terms.route, "", step.estimate)
+    plan.work = best
+    plan.drain = 1.0 / rate if rate > 0.0 else 0.0
+
+
+def comes_too_late(state, plan, now):
+    """Return whether a new batch would be answered too late to count.
+
+    What has to start sooner, and can still be in time, goes first.
+    """
+    latest = _latest_start(plan)
+    ahead = len(plan.waiting) * plan.drain
+    for other in state.plans.values():
+        if other.waiting and now <= _latest_start(other) <= latest:
+            ahead += len(other.waiting) * other.drain
+    end = now + ahead + plan.work
+    return end > min(plan.left_until, _late_limit(plan))
+
+
 def dispatch(state, now):
     """Start the tasks that can start now; return the messages."""
-    usable = [one for one in state.held.values() if _usable(one, now)]
-    usable = [one for one in usable if one.free.cpu > 0]
-    if not usable:
-        return []
     waiting = [one for one in state.plans.values() if one.waiting]
     if not waiting:
         return []
+    least = min(one.least for one in waiting)
+    usable = [
+        one
+        for one in state.held.values()
+        if one.free.cpu >= least and _usable(one, now)
+    ]
+    if not usable:
+        return []
     ranked = [
-        (_rank(state, plan, now), plan)
+        (_rank(plan, now), plan)
         for plan in waiting
         if _may_start(state, plan, now)
     ]
@@ -48,7 +99,7 @@
     for _, plan in ranked:
         if not usable:
             break
-        sends += _start_tasks(state, plan, usable, now)
+        sends += _start_tasks(state, plan, usable, least, now)
     return sends
 
 
@@ -68,30 +119,28 @@
     return not rests or now - held.troubled_at > SCORE_REST
 
 
-def _rank(state, plan, now):
+def _rank(plan, now):
     """Return the sort key of a batch: least time to spare first."""
-    spare = _objective_at(state, plan) - expected_time(state, plan) - now
-    return (spare < 0.0, spare, plan.arrived)
+    latest = _latest_start(plan)
+    return (latest < now, latest, plan.arrived)
+
 
+def _latest_start(plan):
+    """Return when a batch has to start to be answered in time."""
+    return plan.submitted + _objective(plan) - plan.work
 
-def _objective_at(state, plan):
+
+def _objective(plan):
     terms = plan.batch.terms
-    work = expected_time(state, plan)
-    return plan.submitted + terms.stretch * work + terms.slack
+    return terms.stretch * plan.work + terms.slack
 
 
-def expected_time(state, plan):
-    """Return the seconds of a task of a batch where it is fastest."""
-    step = plan.batch.steps[0]
-    route = plan.batch.terms.route
-    kinds = {one.spec.kind for one in state.held.values()}
-    return min(
-        (state.times.expected(route, kind, step.estimate) for kind in kinds),
-        default=step.estimate,
-    )
+def _late_limit(plan):
+    """Return when an answer is worth nothing any more."""
+    return plan.submitted + LATE_LIMIT * _objective(plan)
 
 
-def _start_tasks(state, plan, usable, now):
+def _start_tasks(state, plan, usable, least, now):
     sends = []
     while plan.waiting:
         task = plan.waiting[0]
@@ -100,7 +149,7 @@
             return sends
         plan.waiting.popleft()
         sends += planner_runs.send_start(state, held, plan, task, now)
-        if held.free.cpu <= 0:
+        if held.free.cpu < least:
             usable.remove(held)
     return sends
 
@@ -144,18 +193,14 @@
     """Refuse batches of which nothing started and that come too late."""
     sends = []
     for plan in list(state.plans.values()):
-        if plan.started:
-            continue
-        work = expected_time(state, plan)
-        if now + work <= min(plan.left_until, _late_limit(plan, work)):
-            continue
-        reason = "no room before the answer would be too late"
-        outcome = batches.Outcome(batches.REFUSED, reason, RETRY_AFTER)
-        sends += planner_runs.finish(state, plan, outcome, now)
+        late = now + plan.work > min(plan.left_until, _late_limit(plan))
+        if late and not plan.started:
+            sends += refuse(state, plan, now)
     return sends
 
 
-def _late_limit(plan, work):
-    """Return when an answer is worth nothing any more."""
-    terms = plan.batch.terms
-    return plan.submitted + LATE_LIMIT * (terms.stretch * work + terms.slack)
+def refuse(state, plan, now):
+    """Refuse a batch of which nothing started."""
+    reason = "no room before the answer would be too late"
+    outcome = batches.Outcome(batches.REFUSED, reason, RETRY_AFTER)
+    return planner_runs.finish(state, plan, outcome, now)
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -25,9 +25,9 @@
 FENCE_RETRY = 0.2
 """Seconds until a fenced planner claims again, doubled each time."""
 MOST_FENCE_RETRY = 5.0
-TOKEN_STEP = 60_000_000
-"""Step of a token after a fence: more than clocks differ, see
-`make_token`."""
+TOKEN_STEP = 10_000_000
+"""Step of a token after a fence, 10 s of the clock that makes tokens:
+more than the clocks of instances differ."""
 ORPHAN_GRACE = 0.5
 """Seconds for which a run of an unknown batch may go on.  Instances
 hand their batches to a new planner within that time."""
@@ -45,7 +45,9 @@
     held.holding = True
     held.asked_at = now
     expires = None
-    if held.claimed and (held.runs or held.orphans):
+    # One that does not answer keeps its leases as they are: otherwise
+    # they would never surely lapse.
+    if held.claimed and not held.suspect and (held.runs or held.orphans):
         expires = held.executor_clock(now) + planner_runs.LEASE
         lapse = planner_runs.LEASE * (1.0 + planner_runs.CLOCK_ERROR)
         lapse += planner_runs.LEASE_MARGIN
@@ -233,9 +235,7 @@
 
 def all_claimed(state):
     """Return whether every executor answers under the present token."""
-    return all(
-        one.claimed and not one.suspect for one in state.held.values()
-    )
+    return all(one.claimed and not one.suspect for one in state.held.values())
 
 
 def update_listing(state, mine, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -256,6 +256,8 @@
 def drop_plan(state, plan):
     """Forget a batch and stop what still runs of it."""
     state.plans.pop(plan.name, None)
+    if plan.started:
+        state.remember_dropped(plan.name)
     sends = []
     for task in plan.tasks:
         held = state.held.get(task.executor)
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -56,8 +56,21 @@
     """One batch and its tasks."""
 
     __slots__ = (
-        "arrived", "batch", "done", "left_until", "origins", "ready_at",
-        "round", "started", "step_left", "submitted", "tasks", "waiting",
+        "arrived",
+        "batch",
+        "done",
+        "drain",
+        "least",
+        "left_until",
+        "origins",
+        "ready_at",
+        "round",
+        "started",
+        "step_left",
+        "submitted",
+        "tasks",
+        "waiting",
+        "work",
     )  # fmt: skip
 
     def __init__(self, msg: pool_messages.PlanBatch, first: int, now: float):
@@ -79,6 +92,12 @@
         self.step_left = [one.count for one in msg.batch.steps]
         """Tasks of each step that are not done."""
         self.done = 0
+        self.work = 0.0
+        """Seconds that a task is expected to run where it is fastest."""
+        self.drain = 0.0
+        """Seconds of the whole pool that a task takes."""
+        self.least = min(one.room.cpu for one in msg.batch.steps)
+        """Least processor room of a task."""
         for step, one in enumerate(msg.batch.steps):
             if not one.after:
                 self.release_step(step)
@@ -169,11 +188,21 @@
         self.ended: collections.OrderedDict[str, Any] = (
             collections.OrderedDict()
         )
+        self.dropped: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        """Batches that were dropped after they had started."""
         self.times = runtimes.RunTimes()
+        self.pool: collections.Counter = collections.Counter()
+        """Executors in use by service, kind and capacity."""
         self.fenced_until = 0.0
         self.fences = 0
-        self.reached: dict[str, bool] = {}
-        self.services: dict[str, str] = {}
+
+    def remember_dropped(self, name: str) -> None:
+        """Keep that a batch has started, should it come again."""
+        self.dropped[name] = None
+        while len(self.dropped) > MOST_ENDED:
+            self.dropped.popitem(last=False)
 
     def remember(self, name: str, outcome: batches.Outcome) -> None:
         """Keep an outcome for instances that missed it."""
