--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -22,6 +22,9 @@
 TAKE_OVER = planner_runs.LEASE * 1.02 + planner_runs.LEASE_MARGIN
 """Seconds after which no run of an earlier planner is left, unless
 somebody still holds its executor."""
+LISTING_TIME = 0.3
+"""Seconds for a listing of the executors; after that the store counts
+as down and the last one known is used."""
 SCORE_LIMIT = 0.6
 """Share of failed runs from which an executor gets no more of them."""
 SCORE_REST = 2.0
@@ -79,7 +82,7 @@
 def dispatch(state, now):
     """Start the tasks that can start now; return the messages."""
     waiting = [one for one in state.plans.values() if one.waiting]
-    if not waiting:
+    if not waiting or not _knows_leaving(state, now):
         return []
     least = min(one.least for one in waiting)
     usable = [
@@ -103,6 +106,15 @@
     return sends
 
 
+def _knows_leaving(state, now):
+    """Return whether the executors were listed since this planner began.
+
+    Before that, some may have said that they leave.
+    """
+    listed = state.listed_at is not None and state.listed_at >= state.began
+    return listed or now > state.began + LISTING_TIME
+
+
 def _may_start(state, plan, now):
     """Return whether no other planner can have runs of a batch left."""
     if plan.round == 0 or planner_holds.all_claimed(state):
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -28,9 +28,11 @@
 TOKEN_STEP = 10_000_000
 """Step of a token after a fence, 10 s of the clock that makes tokens:
 more than the clocks of instances differ."""
-ORPHAN_GRACE = 0.5
+ORPHAN_GRACE = 0.3
 """Seconds for which a run of an unknown batch may go on.  Instances
-hand their batches to a new planner within that time."""
+hand their batches to a new planner within that time; with
+`fleet.SILENCE` before it, such a run ends before an earlier planner
+behind a partition counts its lease as lapsed."""
 VANISHED = 1.0
 """Seconds after its start at which a run has to be listed."""
 
@@ -47,7 +49,7 @@
     expires = None
     # One that does not answer keeps its leases as they are: otherwise
     # they would never surely lapse.
-    if held.claimed and not held.suspect and (held.runs or held.orphans):
+    if held.claimed and not held.suspect and held.runs:
         expires = held.executor_clock(now) + planner_runs.LEASE
         lapse = planner_runs.LEASE * (1.0 + planner_runs.CLOCK_ERROR)
         lapse += planner_runs.LEASE_MARGIN
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -161,6 +161,7 @@
         self._returned_at = -RETURN_TIME
         self._fast = False
         self._faults: set[str] = set()
+        self._asked = False
 
     def follow_fast(self, fast: bool) -> None:
         """Read often, as a planner needs, or seldom."""
@@ -168,6 +169,7 @@
 
     def _take(self, msg):
         self._fast = msg
+        self._asked = msg
 
     def _on_return(self):
         self._returned_at = self._clock()
@@ -190,7 +192,8 @@
         for record in records:
             self._take_record(record)
         self._forget()
-        if before != self._known:
+        if before != self._known or self._asked:
+            self._asked = False
             listed = tuple(self._known.values())
             self._tell(pool_messages.ExecutorsListed(listed))
         return FAST if self._fast else SLOW
