--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -66,6 +66,7 @@
         self.offered: dict[tuple[str, int], float] = {}
         self.waiting: dict[str, _Waiting] = {}
         self.by_reply: dict[Any, str] = {}
+        self.alive: tuple[seniority.Member, ...] = ()
         self.planners: tuple[seniority.Member, ...] = ()
         self.leaving = False
         self.ticking = False
@@ -202,7 +203,9 @@
     planner = _choose(state, one)
     if planner is None:
         return []
+    sends = []
     if one.planner is None or planner.started != one.planner.started:
+        sends += _take_back(state, one)
         one.round += one.handed
         one.refresh_at = now + REFRESH
     one.planner = planner
@@ -214,7 +217,15 @@
         one.until - now,
         one.round,
     )
-    return [_send_to(state, planner, msg)]
+    return [*sends, _send_to(state, planner, msg)]
+
+
+def _take_back(state, one):
+    """Tell a planner that is alive but no longer plans to stop a batch."""
+    if one.planner is None or one.planner not in state.alive:
+        return []
+    drop = pool_messages.DropBatch(one.batch.name, state.own)
+    return [_send_to(state, one.planner, drop)]
 
 
 def _choose(state, one):
@@ -287,6 +298,7 @@
 
 
 def _fleet(state, msg, now):
+    state.alive = msg.alive
     state.planners = seniority.choose_planners(msg.alive)
     sends = []
     for one in state.waiting.values():
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -18,6 +18,7 @@
 from cardamompathd.controllers import planner_dispatch
 from cardamompathd.controllers import planner_holds
 from cardamompathd.controllers import planner_notes
+from cardamompathd.controllers import planner_roles
 from cardamompathd.controllers import planner_runs
 from cardamompathd.controllers import planner_state
 
@@ -27,17 +28,9 @@
 
 TICK = 0.05
 """Seconds between looks at leases, hopeless batches and silent ones."""
-SETTLE = 0.8
-"""Seconds after its start in which an instance looks for others before
-it plans; above `fleet.SILENCE`."""
-CAUTION = 4.0
-"""Seconds for which an instance that lost sight of most others does not
-claim executors that the others may still hold."""
 EARLY_TIME = 2.0
 """Seconds for which a batch waits that was handed over by an instance
 which knew earlier than this one that it is to plan."""
-PROBE_TIME = 0.5
-"""Seconds for probes of executors to be answered."""
 
 
 def make_controller(
@@ -56,7 +49,7 @@
     started_at : float
         Start of the instance, in seconds of its clock.
     """
-    state = planner_state.PlannerState(own, 0)
+    state = planner_state.PlannerState(own, make_token)
 
     def receive(msg, now):
         handler = _HANDLERS.get(type(msg))
@@ -64,7 +57,8 @@
             return ()
         sends = [*handler(state, msg, now)]
         if type(msg) in (messages.TimerFired, pool_messages.FleetChanged):
-            sends += _change_role(state, make_token, started_at, now)
+            sends += planner_roles.change(state, started_at, now)
+            sends += _take_early(state, now)
         if state.active_since is not None:
             sends += planner_dispatch.dispatch(state, now)
         return sends
@@ -82,72 +76,6 @@
     return sends + planner_dispatch.refuse_hopeless(state, now)
 
 
-def _change_role(state, make_token, started_at, now):
-    if state.fleet is None:
-        return []
-    names = {one.name for one in state.planners}
-    wanted = state.own in names and now >= started_at + SETTLE
-    if wanted and state.active_since is None:
-        return _begin(state, make_token, now)
-    if not wanted and state.active_since is not None:
-        return _end(state, now)
-    return []
-
-
-def _begin(state, make_token, now):
-    state.active_since = now
-    state.began = now
-    state.token = max(make_token(), state.token + 1)
-    state.fences = 0
-    fields = {
-        "token": state.token,
-        "listed": len(state.listed),
-        "alive": len(state.fleet.alive),
-        "missing": len(state.fleet.missing),
-    }
-    begun = planner_notes.note("began to plan", **fields)
-    sends = [begun, _follow(True), *_assign(state, now)]
-    early, state.early = state.early, {}
-    for msg, at in early.values():
-        if now - at < EARLY_TIME:
-            age = msg.age + now - at
-            left = msg.left - (now - at)
-            sends += _plan(state, msg._replace(age=age, left=left), now)
-    return sends
-
-
-def _follow(planning):
-    msg = pool_messages.FollowListings(planning)
-    return messages.Send(pool_messages.LISTINGS, msg)
-
-
-def _end(state, now):
-    state.active_since = None
-    state.held.clear()
-    dropped = len(state.plans)
-    for plan in state.plans.values():
-        if plan.started:
-            state.remember_dropped(plan.name)
-    state.plans.clear()
-    ended = planner_notes.note("ended to plan", batches=dropped)
-    return [ended, _follow(False)]
-
-
-def _assign(state, now):
-    """Hold the executors that are this planner's."""
-    mine = {
-        name: spec
-        for name, spec in state.listed.items()
-        if _is_mine(state, name)
-    }
-    return planner_holds.update_listing(state, mine, now)
-
-
-def _is_mine(state, name):
-    planner = seniority.planner_of(name, state.planners)
-    return planner is not None and planner.name == state.own
-
-
 def _fleet(state, msg, now):
     state.fleet = msg
     state.planners = seniority.choose_planners(msg.alive)
@@ -160,15 +88,19 @@
         if not plan.origins:
             note = planner_notes.note("origin is gone", plan.name)
             sends += [note, *planner_runs.drop_plan(state, plan)]
-    return sends + _assign(state, now)
+    return sends + planner_roles.assign(state, now)
 
 
 def _listed(state, msg, now):
+    before = state.listed
     state.listed = {one.name: one for one in msg.executors}
+    for name, spec in before.items():
+        if name not in state.listed and spec.state == executors.READY:
+            state.unlisted[name] = now
     state.listed_at = now
     if state.active_since is None:
         return []
-    return _assign(state, now)
+    return planner_roles.assign(state, now)
 
 
 def _plan(state, msg, now):
@@ -181,10 +113,32 @@
     if known is not None:
         known.origins.add(msg.origin)
         return []
-    if state.active_since is None:
-        state.early[name] = (msg, now)
+    if state.active_since is not None:
+        return _take_up(state, msg, now)
+    if planner_roles.is_passive(state, now) and msg.round == 0:
+        outcome = batches.Outcome(
+            batches.REFUSED,
+            "this instance is cut off from the others",
+            planner_roles.CAUTION,
+        )
+        refused = pool_messages.BatchEnded(name, msg.origin, outcome)
+        return [planner_runs.to_member(state, msg.origin, refused)]
+    state.early[name] = (msg, now)
+    return []
+
+
+def _take_early(state, now):
+    """Take up what was handed over before this instance planned."""
+    if state.active_since is None or not state.early:
         return []
-    return _take_up(state, msg, now)
+    sends = []
+    early, state.early = state.early, {}
+    for msg, at in early.values():
+        waited = now - at
+        if waited < EARLY_TIME:
+            later = msg._replace(age=msg.age + waited, left=msg.left - waited)
+            sends += _plan(state, later, now)
+    return sends
 
 
 def _take_up(state, msg, now):
@@ -283,4 +237,5 @@
     pool_messages.StopAnswered: planner_runs.stop_answered,
     pool_messages.HoldAnswered: planner_holds.hold_answered,
     pool_messages.HoldFailed: planner_holds.hold_failed,
+    pool_messages.ProbeAnswered: planner_roles.probed,
 }
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -117,7 +117,7 @@
 
 def _may_start(state, plan, now):
     """Return whether no other planner can have runs of a batch left."""
-    if plan.round == 0 or planner_holds.all_claimed(state):
+    if plan.round == 0 or planner_holds.all_claimed(state, now):
         return True
     return now >= max(state.began, plan.arrived) + TAKE_OVER
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -22,17 +22,23 @@
 leaves time for another try within a lease."""
 RETRY = 0.1
 """Seconds between tries to hold an executor that does not answer."""
-FENCE_RETRY = 0.2
-"""Seconds until a fenced planner claims again, doubled each time."""
-MOST_FENCE_RETRY = 5.0
-TOKEN_STEP = 10_000_000
-"""Step of a token after a fence, 10 s of the clock that makes tokens:
-more than the clocks of instances differ."""
+FENCE_RETRY = 0.1
+"""Seconds by which the pause grows after each further fence."""
+MOST_FENCE_RETRY = 2.0
+FENCED_REST = 5.0
+"""Seconds for which a planner that was fenced while cut off from most
+members claims nothing."""
+TOKEN_STEP = 1_000_000
+"""Least step of a token after a fence, a second of the clock that makes
+tokens; doubled each time, as the clocks of instances may differ."""
 ORPHAN_GRACE = 0.3
 """Seconds for which a run of an unknown batch may go on.  Instances
 hand their batches to a new planner within that time; with
 `fleet.SILENCE` before it, such a run ends before an earlier planner
 behind a partition counts its lease as lapsed."""
+UNLISTED_TIME = 20.0
+"""Seconds for which an executor that is no longer registered may be
+behind a partition; longer than partitions that the users plan for."""
 VANISHED = 1.0
 """Seconds after its start at which a run has to be listed."""
 
@@ -55,7 +61,7 @@
         lapse += planner_runs.LEASE_MARGIN
         held.lease_until = max(held.lease_until, now + lapse)
     order = pool_messages.HoldRuns(
-        held.spec, state.token, held.seen, expires, wait
+        held.spec, held.token, held.seen, expires, wait
     )
     return [messages.Send(pool_messages.EXECUTORS, order)]
 
@@ -63,7 +69,7 @@
 def hold_answered(state, msg, now):
     """Take in what runs on an executor and what ended there."""
     held = state.held.get(msg.executor)
-    if held is None or msg.token != state.token:
+    if held is None or msg.token != held.token:
         return []
     sends = []
     held.holding = False
@@ -74,12 +80,13 @@
             planner_notes.note(
                 "executor held",
                 executor=msg.executor,
-                token=state.token,
+                token=held.token,
                 running=len(msg.running),
                 ended=len(msg.ended),
             )
         )
     held.claimed = True
+    held.fences = 0
     held.heard_at = now
     held.clock = msg.clock
     held.clock_at = now
@@ -165,14 +172,14 @@
                     age_ms=round((now - first) * 1000.0),
                 )
             )
-            sends += planner_runs.send_stop(state, held, run)
+            sends += planner_runs.send_stop(held, run)
     return sends
 
 
 def hold_failed(state, msg, now):
     """Deal with an executor that could not be held."""
     held = state.held.get(msg.executor)
-    if held is None or msg.token != state.token:
+    if held is None or msg.token != held.token:
         return []
     held.holding = False
     if msg.fenced:
@@ -193,31 +200,27 @@
             )
         )
     held.suspect = True
-    held.failed_at = now
     held.try_at = now + RETRY
     return sends
 
 
 def _fenced(state, held, now):
-    sends = [
-        planner_notes.note(
-            "fenced",
-            executor=held.spec.name,
-            token=state.token,
-            fences=state.fences,
-        )
-    ]
-    if now < state.fenced_until:
-        return sends
-    pause = min(FENCE_RETRY * 2.0**state.fences, MOST_FENCE_RETRY)
-    state.fences += 1
-    state.fenced_until = now + pause
-    state.token += TOKEN_STEP
-    for one in state.held.values():
-        one.claimed = False
-        one.holding = False
-        one.try_at = now + pause
-    return sends
+    note = planner_notes.note(
+        "fenced",
+        executor=held.spec.name,
+        token=held.token,
+        fences=held.fences,
+    )
+    held.claimed = False
+    if state.minority_since is not None:
+        # The others are alive behind the cut and hold the executor.
+        state.passive_until = now + FENCED_REST
+        return [note]
+    step = TOKEN_STEP * 2**held.fences
+    held.token = max(state.make_token(), held.token + step)
+    held.try_at = now + min(FENCE_RETRY * held.fences, MOST_FENCE_RETRY)
+    held.fences += 1
+    return [note]
 
 
 def expire(state, now):
@@ -235,9 +238,18 @@
     return sends
 
 
-def all_claimed(state):
-    """Return whether every executor answers under the present token."""
-    return all(one.claimed and not one.suspect for one in state.held.values())
+def all_claimed(state, now):
+    """Return whether every executor answers under the present token.
+
+    One that is no longer registered counts for a while: it may be behind
+    a partition, held by another planner.
+    """
+    for name, seen_at in list(state.unlisted.items()):
+        if now - seen_at > UNLISTED_TIME or name in state.listed:
+            del state.unlisted[name]
+    return not state.unlisted and all(
+        one.claimed and not one.suspect for one in state.held.values()
+    )
 
 
 def update_listing(state, mine, now):
@@ -246,7 +258,9 @@
     for name, spec in mine.items():
         held = state.held.get(name)
         if held is None:
-            state.held[name] = held = planner_state.Held(spec, now)
+            state.held[name] = held = planner_state.Held(
+                spec, state.make_token(), now
+            )
             sends += claim(state, held, now)
             continue
         held.gone = False
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -0,0 +1,155 @@
+"""When an instance plans, and for which executors.
+
+The most senior members of the fleet plan.  An instance that sees no
+more than half of the members it knew may be cut off itself.  It then
+claims the executors of its own failure domains, if those of the others
+cannot be reached either; otherwise it leaves them alone for a while, as
+another planner probably holds them.
+"""
+
+from __future__ import annotations
+
+from cardamompath_core import seniority
+from cardamompathd import messages
+from cardamompathd import pool_messages
+from cardamompathd.controllers import planner_holds
+from cardamompathd.controllers import planner_notes
+
+__all__ = [
+    "CAUTION",
+    "assign",
+    "change",
+    "is_passive",
+    "probed",
+]
+
+SETTLE = 0.8
+"""Seconds after its start in which an instance looks for others before
+it plans; above `fleet.SILENCE`."""
+CAUTION = 4.0
+"""Seconds for which an instance that is cut off leaves executors alone
+that others may hold; twice what it takes others to be replaced."""
+PROBE_TIME = 0.3
+"""Seconds for probes of executors to be answered; they time out after
+a quarter of a second."""
+PROBES = 3
+"""Executors of other failure domains that are probed."""
+
+
+def change(state, started_at, now):
+    """Begin or end to plan, as the fleet asks."""
+    if state.fleet is None or now < started_at + SETTLE:
+        return []
+    wanted = state.own in {one.name for one in state.planners}
+    sends = []
+    if wanted and _is_minority(state):
+        if state.minority_since is None:
+            sends += _begin_caution(state, now)
+        wanted = _may_act(state, now)
+    else:
+        state.minority_since = None
+        state.passive_until = 0.0
+    if wanted and state.active_since is None:
+        return sends + _begin(state, now)
+    if not wanted and state.active_since is not None:
+        return sends + _end(state, now)
+    return sends
+
+
+def is_passive(state, now):
+    """Return whether this instance leaves all executors alone."""
+    return state.active_since is None and now < state.passive_until
+
+
+def _is_minority(state):
+    return len(state.fleet.missing) >= len(state.fleet.alive)
+
+
+def _begin_caution(state, now):
+    state.minority_since = now
+    near = _own_domains(state)
+    far = [one for one in state.listed.values() if one.domain not in near]
+    fields = {
+        "alive": len(state.fleet.alive),
+        "missing": len(state.fleet.missing),
+        "probes": len(far[:PROBES]),
+    }
+    sends = [planner_notes.note("most members are missing", **fields)]
+    for spec in far[:PROBES]:
+        probe = pool_messages.ProbeExecutor(spec)
+        sends.append(messages.Send(pool_messages.EXECUTORS, probe))
+    return sends
+
+
+def _may_act(state, now):
+    if now < state.passive_until:
+        return False
+    # Who planned before goes on; others first wait for the probes.
+    waited = now >= state.minority_since + PROBE_TIME
+    return state.active_since is not None or waited
+
+
+def probed(state, msg, now):
+    """Take in whether an executor of another domain can be reached."""
+    if not msg.reached or state.minority_since is None:
+        return []
+    if state.active_since is not None or now < state.passive_until:
+        return []
+    state.passive_until = now + CAUTION
+    return [
+        planner_notes.note(
+            "cut off from the others", executor=msg.executor, wait_s=CAUTION
+        )
+    ]
+
+
+def _own_domains(state):
+    return {one.domain for one in state.fleet.alive}
+
+
+def _begin(state, now):
+    state.active_since = now
+    state.began = now
+    fields = {
+        "listed": len(state.listed),
+        "alive": len(state.fleet.alive),
+        "missing": len(state.fleet.missing),
+    }
+    begun = planner_notes.note("began to plan", **fields)
+    return [begun, _follow(True), *assign(state, now)]
+
+
+def _follow(planning):
+    msg = pool_messages.FollowListings(planning)
+    return messages.Send(pool_messages.LISTINGS, msg)
+
+
+def _end(state, now):
+    state.active_since = None
+    state.held.clear()
+    dropped = len(state.plans)
+    for plan in state.plans.values():
+        if plan.started:
+            state.remember_dropped(plan.name)
+    state.plans.clear()
+    ended = planner_notes.note("ended to plan", batches=dropped)
+    return [ended, _follow(False)]
+
+
+def assign(state, now):
+    """Hold the executors that are this planner's."""
+    domains = None
+    if state.minority_since is not None:
+        domains = _own_domains(state)
+    mine = {
+        name: spec
+        for name, spec in state.listed.items()
+        if _is_mine(state, name)
+        and (domains is None or spec.domain in domains)
+    }
+    return planner_holds.update_listing(state, mine, now)
+
+
+def _is_mine(state, name):
+    planner = seniority.planner_of(name, state.planners)
+    return planner is not None and planner.name == state.own
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -52,7 +52,7 @@
     held.lease_until = max(held.lease_until, task.expires)
     order = pool_messages.StartRun(
         held.spec,
-        state.token,
+        held.token,
         task.run,
         plan.batch.spec,
         held.executor_clock(now) + LEASE,
@@ -65,9 +65,9 @@
     return plan.batch.steps[task.step].room
 
 
-def send_stop(state, held, run):
+def send_stop(held, run):
     """Order an executor to stop a run."""
-    order = pool_messages.StopRun(held.spec, state.token, run)
+    order = pool_messages.StopRun(held.spec, held.token, run)
     return [messages.Send(pool_messages.EXECUTORS, order)]
 
 
@@ -123,7 +123,7 @@
             task.status = "unknown"
             task.stopping = True
             held.suspect = True
-            sends += send_stop(state, held, msg.run)
+            sends += send_stop(held, msg.run)
         return sends
     if msg.result in ("unhealthy", "unsent"):
         held.suspect = True
@@ -264,7 +264,7 @@
         if held is None or task.run not in held.runs:
             continue
         task.stopping = True
-        sends += send_stop(state, held, task.run)
+        sends += send_stop(held, task.run)
     return sends
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 from typing import Any
 from typing import Literal
 
@@ -132,14 +133,32 @@
     """One life of an executor that this planner orders about."""
 
     __slots__ = (
-        "asked_at", "claimed", "clock", "clock_at", "failed_at", "free",
-        "gone", "heard_at", "holding", "lease_until", "listed_missing",
-        "orphans", "runs", "score", "seen", "spec", "suspect", "troubled_at",
+        "asked_at",
+        "claimed",
+        "clock",
+        "clock_at",
+        "fences",
+        "free",
+        "gone",
+        "heard_at",
+        "holding",
+        "lease_until",
+        "orphans",
+        "runs",
+        "score",
+        "seen",
+        "spec",
+        "suspect",
+        "token",
+        "troubled_at",
         "try_at",
     )  # fmt: skip
 
-    def __init__(self, spec: executors.Executor, now: float):
+    def __init__(self, spec: executors.Executor, token: int, now: float):
         self.spec = spec
+        self.token = token
+        self.fences = 0
+        """Times that a higher token was met since the last answer."""
         self.claimed = False
         self.clock = 0.0
         """Seconds on the executor's clock at `clock_at`."""
@@ -154,7 +173,6 @@
         self.heard_at = now
         self.lease_until = 0.0
         """When every lease given here has surely lapsed."""
-        self.failed_at = 0.0
         self.try_at = now
         self.suspect = False
         self.gone = False
@@ -162,7 +180,6 @@
         self.score = 0.0
         """Recent share of runs that failed here without cause."""
         self.troubled_at = 0.0
-        self.listed_missing = 0
 
     def executor_clock(self, now: float) -> float:
         """Return a lower estimate of the executor's clock, in seconds."""
@@ -172,15 +189,19 @@
 class PlannerState:
     """All that a planner knows."""
 
-    def __init__(self, own: str, first_token: int):
+    def __init__(self, own: str, make_token: Callable[[], int]):
         self.own = own
-        self.token = first_token
+        self.make_token = make_token
+        """Draws a token above those of earlier planners."""
         self.fleet: pool_messages.FleetChanged | None = None
         self.planners: tuple[seniority.Member, ...] = ()
         self.active_since: float | None = None
         self.began = 0.0
         self.listed: dict[str, executors.Executor] = {}
         self.listed_at: float | None = None
+        self.unlisted: dict[str, float] = {}
+        """Executors that are no longer listed, and since when; not those
+        that said before that they leave."""
         self.held: dict[str, Held] = {}
         self.plans: dict[str, Plan] = {}
         self.early: dict[str, tuple[pool_messages.PlanBatch, float]] = {}
@@ -195,8 +216,9 @@
         self.times = runtimes.RunTimes()
         self.pool: collections.Counter = collections.Counter()
         """Executors in use by service, kind and capacity."""
-        self.fenced_until = 0.0
-        self.fences = 0
+        self.minority_since: float | None = None
+        """Since when no more than half of the members are seen."""
+        self.passive_until = 0.0
 
     def remember_dropped(self, name: str) -> None:
         """Keep that a batch has started, should it come again."""
