--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -115,7 +115,8 @@
         return []
     if state.active_since is not None:
         return _take_up(state, msg, now)
-    if planner_roles.is_passive(state, now) and msg.round == 0:
+    started = msg.round > 0 or name in state.dropped
+    if planner_roles.is_passive(state, now) and not started:
         outcome = batches.Outcome(
             batches.REFUSED,
             "this instance is cut off from the others",
