--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -204,7 +204,7 @@
     if planner is None:
         return []
     sends = []
-    if one.planner is None or planner.started != one.planner.started:
+    if not _is_same(planner, one.planner):
         sends += _take_back(state, one)
         one.round += one.handed
         one.refresh_at = now + REFRESH
@@ -220,17 +220,25 @@
     return [*sends, _send_to(state, planner, msg)]
 
 
+def _is_same(member, other):
+    """Return whether two members are the same life of one instance."""
+    if member is None or other is None:
+        return False
+    return (member.name, member.started) == (other.name, other.started)
+
+
 def _take_back(state, one):
     """Tell a planner that is alive but no longer plans to stop a batch."""
-    if one.planner is None or one.planner not in state.alive:
+    if not any(_is_same(member, one.planner) for member in state.alive):
         return []
     drop = pool_messages.DropBatch(one.batch.name, state.own)
     return [_send_to(state, one.planner, drop)]
 
 
 def _choose(state, one):
-    if one.planner in state.planners:
-        return one.planner
+    for planner in state.planners:
+        if _is_same(planner, one.planner):
+            return planner
     if not state.planners:
         return None
     return seniority.planner_of(one.batch.name, state.planners)
@@ -262,7 +270,7 @@
     fields = {"reason": reason, "planner": _name(one.planner)}
     fields["age_ms"] = round((now - one.submitted) * 1000.0)
     sends = [_note("withdrawn", one.batch.name, fields)]
-    if one.planner in state.planners:
+    if any(_is_same(planner, one.planner) for planner in state.planners):
         drop = pool_messages.DropBatch(one.batch.name, state.own)
         sends.append(_send_to(state, one.planner, drop))
     return sends
@@ -302,7 +310,7 @@
     state.planners = seniority.choose_planners(msg.alive)
     sends = []
     for one in state.waiting.values():
-        if one.planner not in state.planners:
+        if not any(_is_same(it, one.planner) for it in state.planners):
             sends += _hand_over(state, one, now)
     return sends
 
