--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -143,13 +143,14 @@
 
 
 def _take_up(state, msg, now):
+    # Runs of an earlier time here count like those of another planner.
+    msg = msg._replace(round=msg.round + state.dropped.get(msg.batch.name, 0))
     first = msg.round * planner_runs.OLD_STEP
     plan = planner_state.Plan(msg, first, now)
     reason = _why_unfit(state, plan)
     if reason:
         outcome = batches.Outcome(batches.FAILED, reason)
         return planner_runs.finish(state, plan, outcome, now)
-    plan.started |= plan.name in state.dropped
     planner_dispatch.estimate(state, plan)
     if not plan.started and planner_dispatch.comes_too_late(state, plan, now):
         return planner_dispatch.refuse(state, plan, now)
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -209,10 +209,10 @@
         self.ended: collections.OrderedDict[str, Any] = (
             collections.OrderedDict()
         )
-        self.dropped: collections.OrderedDict[str, None] = (
+        self.dropped: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        """Batches that were dropped after they had started."""
+        """Batches that were dropped after they had started, how often."""
         self.times = runtimes.RunTimes()
         self.pool: collections.Counter = collections.Counter()
         """Executors in use by service, kind and capacity."""
@@ -222,7 +222,7 @@
 
     def remember_dropped(self, name: str) -> None:
         """Keep that a batch has started, should it come again."""
-        self.dropped[name] = None
+        self.dropped[name] = self.dropped.get(name, 0) + 1
         while len(self.dropped) > MOST_ENDED:
             self.dropped.popitem(last=False)
 
