--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -16,6 +16,7 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import planner_dispatch
+from cardamompathd.controllers import planner_health
 from cardamompathd.controllers import planner_holds
 from cardamompathd.controllers import planner_notes
 from cardamompathd.controllers import planner_roles
@@ -72,6 +73,7 @@
     if state.active_since is None:
         return sends
     sends += planner_holds.expire(state, now)
+    sends += planner_health.look(state, now)
     planner_dispatch.survey(state, now)
     return sends + planner_dispatch.refuse_hopeless(state, now)
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -7,6 +7,7 @@
 
 from cardamompath_core import batches
 from cardamompath_core import executors
+from cardamompathd.controllers import planner_health
 from cardamompathd.controllers import planner_holds
 from cardamompathd.controllers import planner_runs
 
@@ -25,10 +26,6 @@
 LISTING_TIME = 0.3
 """Seconds for a listing of the executors; after that the store counts
 as down and the last one known is used."""
-SCORE_LIMIT = 0.6
-"""Share of failed runs from which an executor gets no more of them."""
-SCORE_REST = 2.0
-"""Seconds for which such an executor rests."""
 LATE_LIMIT = 3.0
 """Multiple of the objective up to which a late answer has some worth,
 by the users' rules."""
@@ -127,8 +124,7 @@
         return False
     if held.spec.state != executors.READY:
         return False
-    rests = held.score > SCORE_LIMIT
-    return not rests or now - held.troubled_at > SCORE_REST
+    return not planner_health.is_resting(held, now)
 
 
 def _rank(plan, now):
@@ -156,7 +152,7 @@
     sends = []
     while plan.waiting:
         task = plan.waiting[0]
-        held = _choose(state, plan, task, usable)
+        held = _choose(state, plan, task, usable, now)
         if held is None:
             return sends
         plan.waiting.popleft()
@@ -166,13 +162,15 @@
     return sends
 
 
-def _choose(state, plan, task, usable):
+def _choose(state, plan, task, usable, now):
     step = plan.batch.steps[task.step]
     route = plan.batch.terms.route
     service = plan.batch.terms.service
     best = None
     best_key = None
     times = {}
+    # What runs already goes on wherever it can.
+    limit = math.inf if plan.started else _late_limit(plan)
     for held in usable:
         spec = held.spec
         if spec.service != service or not executors.fits(step.room, held.free):
@@ -187,7 +185,10 @@
         if took is None:
             took = state.times.expected(route, spec.kind, step.estimate)
             times[spec.kind] = took
-        key = (took * (1.0 + held.score), held.free.cpu - step.room.cpu)
+        took *= planner_health.pace(held) * (1.0 + held.score)
+        if now + took > limit:
+            continue
+        key = (took, held.free.cpu - step.room.cpu)
         if best is None or key < best_key:
             best, best_key = held, key
     return best
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/planner_health.py
@@ -0,0 +1,99 @@
+"""How executors do, by the results of their runs.
+
+An executor's own reports are not used: one that fails or stalls all that
+it starts has free room, and would get ever more.
+"""
+
+from __future__ import annotations
+
+import math
+
+from cardamompathd.controllers import planner_notes
+from cardamompathd.controllers import planner_runs
+
+__all__ = [
+    "is_resting",
+    "look",
+    "pace",
+]
+
+SCORE_LIMIT = 0.6
+"""Share of failed runs from which an executor rests."""
+REST = 2.0
+"""Seconds of the first rest; each further one is longer by as much."""
+MOST_REST = 10.0
+OVERDUE = 2.5
+"""Multiple of its expected time after which a run is overdue.  One task
+in thirty takes longer, so that two at once are no accident."""
+LEAST_OVERDUE = 2
+"""Runs that are overdue at once on an executor that stalls."""
+PACE_DECAY = 0.99
+"""Share of a learned slowness that is left after each look; half of it
+is forgotten in 3.5 s, so that a slow executor is tried again."""
+
+
+def pace(held):
+    """Return how many times longer runs take than on its kind."""
+    return math.exp(held.log_pace)
+
+
+def is_resting(held, now):
+    """Return whether an executor gets no work because of its results."""
+    return now < held.rest_until
+
+
+def look(state, now):
+    """Let executors rest that fail or stall; return the messages."""
+    sends = []
+    for held in state.held.values():
+        held.log_pace *= PACE_DECAY
+        if is_resting(held, now):
+            continue
+        if held.score > SCORE_LIMIT:
+            sends += _rest(held, "runs fail", now)
+            continue
+        overdue = _overdue(state, held, now)
+        if len(overdue) >= max(LEAST_OVERDUE, len(held.runs)):
+            sends += _rest(held, "runs stall", now)
+            sends += _move(held, overdue)
+    return sends
+
+
+def _overdue(state, held, now):
+    found = []
+    for run, (plan, task) in held.runs.items():
+        step = plan.batch.steps[task.step]
+        expected = state.times.expected(
+            plan.batch.terms.route, held.spec.kind, step.estimate
+        )
+        late = now - task.since > OVERDUE * expected * pace(held)
+        if late and held.ended_at < task.since and not task.adopted:
+            found.append(run)
+    return found
+
+
+def _rest(held, reason, now):
+    held.rests += 1
+    rest = min(REST * held.rests, MOST_REST)
+    held.rest_until = now + rest
+    held.score = 0.0
+    return [
+        planner_notes.note(
+            "executor rests",
+            executor=held.spec.name,
+            reason=reason,
+            rest_s=rest,
+            runs=len(held.runs),
+        )
+    ]
+
+
+def _move(held, runs):
+    """Stop runs, so that their tasks start elsewhere."""
+    sends = []
+    for run in runs:
+        task = held.runs[run][1]
+        if not task.stopping:
+            task.stopping = True
+            sends += planner_runs.send_stop(held, run)
+    return sends
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -23,9 +23,9 @@
     "probed",
 ]
 
-SETTLE = 0.8
+SETTLE = 0.5
 """Seconds after its start in which an instance looks for others before
-it plans; above `fleet.SILENCE`."""
+it plans; two tries to open a link, and signs of life on it."""
 CAUTION = 4.0
 """Seconds for which an instance that is cut off leaves executors alone
 that others may hold; twice what it takes others to be replaced."""
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from cardamompath_core import batches
 from cardamompath_core import executors
 from cardamompathd import messages
@@ -30,6 +32,16 @@
 """Seconds for the way of an order, beyond the lease."""
 OLD_STEP = 8
 """Attempts skipped when an executor knows a later one of the task."""
+PACE_GAIN = 0.3
+"""Weight of one more run in the pace of an executor."""
+PACE_STEP = 1.0
+"""Largest surprise that counts, in logarithmic units: one task in thirty
+takes seven times as long by itself."""
+SLOW = 0.7
+"""Logarithmic pace from which an executor teaches nothing about its
+kind; about twice as slow."""
+LEAST_TIME = 1e-3
+"""Shortest run time that is learned from, in seconds."""
 SCORE_GAIN = 0.25
 """Weight of one more run in the share of an executor's failures."""
 
@@ -127,7 +139,6 @@
         return sends
     if msg.result in ("unhealthy", "unsent"):
         held.suspect = True
-        held.troubled_at = now
     if msg.result == "old":
         task.attempt += OLD_STEP
     if msg.result == "invalid":
@@ -179,12 +190,10 @@
     if task.run != ended.run or state.plans.get(plan.name) is not plan:
         return []
     elapsed = now - task.since
+    held.ended_at = now
     if ended.how == "done":
         if not task.adopted and not task.stopping:
-            held.score -= SCORE_GAIN * held.score
-            state.times.observe(
-                plan.batch.terms.route, held.spec.kind, elapsed
-            )
+            _learn(state, held, plan, task, elapsed)
         return _complete_task(state, plan, task, now)
     sends = [
         planner_notes.note(
@@ -199,7 +208,6 @@
     ]
     if ended.how == "failed":
         held.score += SCORE_GAIN * (1.0 - held.score)
-        held.troubled_at = now
         task.failures += 1
         if task.failures >= plan.batch.terms.max_attempts:
             reason = f"task failed {task.failures} times"
@@ -209,6 +217,19 @@
     return sends
 
 
+def _learn(state, held, plan, task, elapsed):
+    """Learn from a run that ended well."""
+    held.score -= SCORE_GAIN * held.score
+    route = plan.batch.terms.route
+    estimate = plan.batch.steps[task.step].estimate
+    usual = state.times.expected(route, held.spec.kind, estimate)
+    surprise = math.log(max(elapsed, LEAST_TIME) / usual) - held.log_pace
+    surprise = max(-PACE_STEP, min(PACE_STEP, surprise))
+    held.log_pace += PACE_GAIN * surprise
+    if held.log_pace < SLOW:
+        state.times.observe(route, held.spec.kind, elapsed)
+
+
 def _end_unbooked(state, ended, now):
     plan = state.plans.get(ended.run.batch)
     if plan is None or ended.how != "done":
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -137,20 +137,23 @@
         "claimed",
         "clock",
         "clock_at",
+        "ended_at",
         "fences",
         "free",
         "gone",
         "heard_at",
         "holding",
         "lease_until",
+        "log_pace",
         "orphans",
+        "rest_until",
+        "rests",
         "runs",
         "score",
         "seen",
         "spec",
         "suspect",
         "token",
-        "troubled_at",
         "try_at",
     )  # fmt: skip
 
@@ -179,7 +182,12 @@
         """No longer registered; takes no new run."""
         self.score = 0.0
         """Recent share of runs that failed here without cause."""
-        self.troubled_at = 0.0
+        self.log_pace = 0.0
+        """Logarithm of how many times longer runs take than usual."""
+        self.ended_at = now
+        """When a run ended here last."""
+        self.rests = 0
+        self.rest_until = 0.0
 
     def executor_clock(self, now: float) -> float:
         """Return a lower estimate of the executor's clock, in seconds."""
