--- a/packages/daemon/src/cardamompathd/controllers/planner_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_health.py
@@ -22,9 +22,15 @@
 REST = 2.0
 """Seconds of the first rest; each further one is longer by as much."""
 MOST_REST = 10.0
-OVERDUE = 2.5
+OVERDUE = 4.0
 """Multiple of its expected time after which a run is overdue.  One task
-in thirty takes longer, so that two at once are no accident."""
+in thirty takes longer, so that two at once are hardly an accident."""
+SHORTEST_OVERDUE = 0.3
+"""Seconds that an overdue run has taken at least; moving a shorter one
+gains nothing."""
+NOISE = 1.0
+"""Logarithmic pace below which an executor counts as usual: the times of
+a few runs of one route differ by as much, and slow executors by more."""
 LEAST_OVERDUE = 2
 """Runs that are overdue at once on an executor that stalls."""
 PACE_DECAY = 0.99
@@ -34,7 +40,7 @@
 
 def pace(held):
     """Return how many times longer runs take than on its kind."""
-    return math.exp(held.log_pace)
+    return math.exp(held.log_pace) if held.log_pace > NOISE else 1.0
 
 
 def is_resting(held, now):
@@ -66,7 +72,8 @@
         expected = state.times.expected(
             plan.batch.terms.route, held.spec.kind, step.estimate
         )
-        late = now - task.since > OVERDUE * expected * pace(held)
+        usual = max(OVERDUE * expected * pace(held), SHORTEST_OVERDUE)
+        late = now - task.since > usual
         if late and held.ended_at < task.since and not task.adopted:
             found.append(run)
     return found
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -22,8 +22,10 @@
 leaves time for another try within a lease."""
 RETRY = 0.1
 """Seconds between tries to hold an executor that does not answer."""
-FENCE_RETRY = 0.1
-"""Seconds by which the pause grows after each further fence."""
+FENCE_RETRY = 0.3
+"""Seconds until a fenced planner claims again, longer by as much after
+each further fence.  After a partition its view of the fleet becomes
+whole within that time, and it learns whether it still plans."""
 MOST_FENCE_RETRY = 2.0
 FENCED_REST = 5.0
 """Seconds for which a planner that was fenced while cut off from most
@@ -218,8 +220,8 @@
         return [note]
     step = TOKEN_STEP * 2**held.fences
     held.token = max(state.make_token(), held.token + step)
-    held.try_at = now + min(FENCE_RETRY * held.fences, MOST_FENCE_RETRY)
     held.fences += 1
+    held.try_at = now + min(FENCE_RETRY * held.fences, MOST_FENCE_RETRY)
     return [note]
 
 
