Learn paces within batches; tests of failures, codec, rooms, seniority

Tasks of one batch are of like size (all of a straggling batch are slow), so a run says something of its executor only next to others of its batch.

--- a/packages/core/src/cardamompath_core/seniority.py
+++ b/packages/core/src/cardamompath_core/seniority.py
@@ -51,4 +51,4 @@
 
 
 def _score(executor, planner):
-    return xxhash.xxh64_intdigest(f"{planner}/{executor}")
+    return xxhash.xxh64_intdigest(f"{planner}/{executor}".encode())
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -152,7 +152,7 @@
     sends = []
     while plan.waiting:
         task = plan.waiting[0]
-        held = _choose(state, plan, task, usable, now)
+        held = _choose(state, plan, task, usable)
         if held is None:
             return sends
         plan.waiting.popleft()
@@ -162,15 +162,13 @@
     return sends
 
 
-def _choose(state, plan, task, usable, now):
+def _choose(state, plan, task, usable):
     step = plan.batch.steps[task.step]
     route = plan.batch.terms.route
     service = plan.batch.terms.service
     best = None
     best_key = None
     times = {}
-    # What runs already goes on wherever it can.
-    limit = math.inf if plan.started else _late_limit(plan)
     for held in usable:
         spec = held.spec
         if spec.service != service or not executors.fits(step.room, held.free):
@@ -186,8 +184,6 @@
             took = state.times.expected(route, spec.kind, step.estimate)
             times[spec.kind] = took
         took *= planner_health.pace(held) * (1.0 + held.score)
-        if now + took > limit:
-            continue
         key = (took, held.free.cpu - step.room.cpu)
         if best is None or key < best_key:
             best, best_key = held, key
--- a/packages/daemon/src/cardamompathd/controllers/planner_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_health.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 
 from cardamompathd.controllers import planner_notes
 from cardamompathd.controllers import planner_runs
@@ -23,24 +24,25 @@
 """Seconds of the first rest; each further one is longer by as much."""
 MOST_REST = 10.0
 OVERDUE = 4.0
-"""Multiple of its expected time after which a run is overdue.  One task
-in thirty takes longer, so that two at once are hardly an accident."""
+"""Multiple of its expected time after which a run is overdue.  All tasks
+of one batch in thirty take longer, so that overdue runs of two batches
+are hardly an accident."""
 SHORTEST_OVERDUE = 0.3
 """Seconds that an overdue run has taken at least; moving a shorter one
 gains nothing."""
-NOISE = 1.0
-"""Logarithmic pace below which an executor counts as usual: the times of
-a few runs of one route differ by as much, and slow executors by more."""
 LEAST_OVERDUE = 2
-"""Runs that are overdue at once on an executor that stalls."""
+"""Batches with overdue runs on an executor that stalls."""
+SLOW = 0.8
+"""Logarithmic pace of an executor that is slower than others that were
+bought with it; the users' differ by up to 2.4 times."""
 PACE_DECAY = 0.99
-"""Share of a learned slowness that is left after each look; half of it
-is forgotten in 3.5 s, so that a slow executor is tried again."""
+"""Share of such a pace that is left after each look; half of it is
+forgotten in 3.5 s, so that a slow executor is tried again."""
 
 
 def pace(held):
     """Return how many times longer runs take than on its kind."""
-    return math.exp(held.log_pace) if held.log_pace > NOISE else 1.0
+    return math.exp(held.log_pace)
 
 
 def is_resting(held, now):
@@ -51,20 +53,32 @@
 def look(state, now):
     """Let executors rest that fail or stall; return the messages."""
     sends = []
+    _center(state)
     for held in state.held.values():
-        held.log_pace *= PACE_DECAY
+        if held.log_pace > SLOW:
+            held.log_pace *= PACE_DECAY
         if is_resting(held, now):
             continue
         if held.score > SCORE_LIMIT:
             sends += _rest(held, "runs fail", now)
             continue
         overdue = _overdue(state, held, now)
-        if len(overdue) >= max(LEAST_OVERDUE, len(held.runs)):
+        several = len({run.batch for run in overdue}) >= LEAST_OVERDUE
+        if several and len(overdue) == len(held.runs):
             sends += _rest(held, "runs stall", now)
             sends += _move(held, overdue)
     return sends
 
 
+def _center(state):
+    """Keep paces relative to the median; batches compare, no more."""
+    paces = [one.log_pace for one in state.held.values()]
+    if paces:
+        middle = statistics.median(paces)
+        for held in state.held.values():
+            held.log_pace -= middle
+
+
 def _overdue(state, held, now):
     found = []
     for run, (plan, task) in held.runs.items():
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -35,11 +35,7 @@
 PACE_GAIN = 0.3
 """Weight of one more run in the pace of an executor."""
 PACE_STEP = 1.0
-"""Largest surprise that counts, in logarithmic units: one task in thirty
-takes seven times as long by itself."""
-SLOW = 0.7
-"""Logarithmic pace from which an executor teaches nothing about its
-kind; about twice as slow."""
+"""Largest surprise that counts, in logarithmic units."""
 LEAST_TIME = 1e-3
 """Shortest run time that is learned from, in seconds."""
 SCORE_GAIN = 0.25
@@ -218,16 +214,24 @@
 
 
 def _learn(state, held, plan, task, elapsed):
-    """Learn from a run that ended well."""
+    """Learn from a run that ended well.
+
+    Tasks of one batch are of like size.  The pace of an executor is
+    learned from how its run compares with others of the batch, so that
+    a large batch does not make it look slow.
+    """
     held.score -= SCORE_GAIN * held.score
     route = plan.batch.terms.route
     estimate = plan.batch.steps[task.step].estimate
     usual = state.times.expected(route, held.spec.kind, estimate)
-    surprise = math.log(max(elapsed, LEAST_TIME) / usual) - held.log_pace
-    surprise = max(-PACE_STEP, min(PACE_STEP, surprise))
-    held.log_pace += PACE_GAIN * surprise
-    if held.log_pace < SLOW:
-        state.times.observe(route, held.spec.kind, elapsed)
+    size = math.log(max(elapsed, LEAST_TIME) / usual) - held.log_pace
+    if plan.sized:
+        surprise = max(-PACE_STEP, min(PACE_STEP, size - plan.log_size))
+        held.log_pace += PACE_GAIN * surprise
+    plan.sized += 1
+    plan.log_size += (size - plan.log_size) / plan.sized
+    typical = elapsed / math.exp(held.log_pace)
+    state.times.observe(route, held.spec.kind, typical)
 
 
 def _end_unbooked(state, ended, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -63,9 +63,11 @@
         "drain",
         "least",
         "left_until",
+        "log_size",
         "origins",
         "ready_at",
         "round",
+        "sized",
         "started",
         "step_left",
         "submitted",
@@ -97,6 +99,10 @@
         """Seconds that a task is expected to run where it is fastest."""
         self.drain = 0.0
         """Seconds of the whole pool that a task takes."""
+        self.sized = 0
+        """Runs that `log_size` was learned from."""
+        self.log_size = 0.0
+        """Logarithm of how much longer its tasks take than usual."""
         self.least = min(one.room.cpu for one in msg.batch.steps)
         """Least processor room of a task."""
         for step, one in enumerate(msg.batch.steps):
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
@@ -0,0 +1,231 @@
+"""Documents, orders and answers of the platform's adapter."""
+
+import json
+import unittest
+
+from cardamompath_core import batches
+from cardamompath_core import executors
+from cardamompath_core import types
+from cardamompathd import pool_messages
+from cardamompathd.platform import documents
+from cardamompathd.platform import errors
+from cardamompathd.platform import executors as protocol
+from cardamompathd.platform import settings
+
+ENTRY = {
+    "service": "desk",
+    "addr": "10.1.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 1700000000000,
+    "seq_no": 4,
+}
+RUN = pool_messages.Run("5c0e", 0, 17, 2)
+SPEC = executors.Executor(
+    "i-1", "desk", "a", ("10.1.0.9", 8080), 1, "ready", executors.Room(1)
+)
+
+
+def read(**changes):
+    doc = {**ENTRY, **changes}
+    return documents.read_executor("i-1", json.dumps(doc).encode())
+
+
+class ExecutorEntryTest(unittest.TestCase):
+    def test_entry_is_read_whole(self):
+        spec = read()
+        self.assertEqual(spec.address, ("10.1.0.9", 8080))
+        self.assertEqual(spec.capacity, executors.Room(16000, 32768, 0))
+        self.assertEqual(spec.incarnation, 1700000000000)
+        self.assertEqual(spec.kind, "a")
+
+    def test_entry_of_another_form_names_no_executor(self):
+        faults = (
+            {"state": "asleep"},
+            {"state": None},
+            {"addr": "nowhere"},
+            {"addr": 7},
+            {"capacity": {"cpu": "many"}},
+            {"capacity": {"cpu": -1}},
+            {"capacity": []},
+            {"labels": [1]},
+            {"born": 1.5},
+            {"service": None},
+        )
+        for fault in faults:
+            with (
+                self.subTest(fault=fault),
+                self.assertRaises(errors.BadDocument),
+            ):
+                read(**fault)
+
+    def test_bytes_that_are_no_document_name_no_executor(self):
+        for raw in (b"", b"\xff\x00", b"[]", b"7", b"{"):
+            with (
+                self.subTest(raw=raw),
+                self.assertRaises(errors.BadDocument),
+            ):
+                documents.read_executor("i-1", raw)
+
+
+class JobTest(unittest.TestCase):
+    def steps(self, **changes):
+        step = {"count": 2, "cpu": 500, "mem_mb": 64, **changes}
+        return documents.read_steps({"spec": "x", "phases": [step]})[1]
+
+    def test_step_is_read_whole(self):
+        step = self.steps(est_runtime_ms=900, required_label="a")[0]
+        room = executors.Room(500, 64)
+        self.assertEqual(step, batches.Step(2, room, 0.9, (), "a"))
+
+    def test_bad_jobs_get_a_clear_error(self):
+        faults = (
+            {},
+            {"phases": []},
+            {"phases": {}},
+            {"phases": [7]},
+            {"phases": [{}]},
+            {"phases": [{"count": 0}]},
+            {"phases": [{"count": True}]},
+            {"phases": [{"count": 841}]},
+            {"phases": [{"count": 1, "cpu": -1}]},
+            {"phases": [{"count": 1, "cpu": "1"}]},
+            {"phases": [{"count": 1, "depends_on": [0]}]},
+            {"phases": [{"count": 1, "est_runtime_ms": "long"}]},
+            {"spec": 7, "phases": [{"count": 1}]},
+            {"spec": "x" * 4001, "phases": [{"count": 1}]},
+        )
+        for body in faults:
+            with (
+                self.subTest(body=str(body)[:60]),
+                self.assertRaises(errors.BadDocument),
+            ):
+                documents.read_steps(body)
+
+    def test_kinds_that_are_not_served_are_named(self):
+        step = {"count": 1}
+        served = {"best_effort": True, "phases": [step]}
+        self.assertEqual(documents.unserved(served), "")
+        self.assertTrue(documents.unserved({"phases": [step]}))
+        for field in ("gang", "rack_local", "long_running", "fills"):
+            body = {"best_effort": True, "phases": [{**step, field: True}]}
+            with self.subTest(field=field):
+                self.assertTrue(documents.unserved(body))
+        timed = {**served, "repeat_count": 3}
+        self.assertTrue(documents.unserved(timed))
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_routes_are_read(self):
+        route = {
+            "name": "r-1",
+            "host": "a.example",
+            "path_prefix": "/x/",
+            "service": "desk",
+            "timeout_ms": 1500,
+            "target_duration_ms": 60,
+            "stretch": 1.6,
+            "max_attempts": 2,
+        }
+        doc = {"version": 7, "routes": [route], "services": []}
+        table = documents.read_configuration(json.dumps(doc).encode())
+        found = table.find("a.example", "/x/1")
+        self.assertEqual(table.version, 7)
+        self.assertEqual(
+            found.terms, batches.Terms("r-1", "desk", 0, 2, 1.6, 0.06)
+        )
+
+    def test_nonsense_is_refused(self):
+        for raw in (b"", b"[]", b"{}", b'{"version":"x","routes":[]}'):
+            with (
+                self.subTest(raw=raw),
+                self.assertRaises(errors.BadDocument),
+            ):
+                documents.read_configuration(raw)
+
+
+class OrderTest(unittest.TestCase):
+    def conclude(self, order, answer):
+        call = protocol.encode(order, 10.0)
+        return protocol.conclude(call, answer).msg
+
+    def start(self):
+        return pool_messages.StartRun(SPEC, 7, RUN, "text", 486.0)
+
+    def test_start_is_encoded(self):
+        call = protocol.encode(self.start(), 10.0)
+        self.assertEqual(call.path, "/v1/run-start")
+        body = json.loads(call.body)
+        self.assertEqual(body["task"], "5c0e.0.0.17")
+        self.assertEqual(body["attempt"], 2)
+        self.assertEqual(body["expires_ms"], 486000)
+        self.assertEqual(body["fencing_token"], 7)
+
+    def test_answers_to_a_start(self):
+        cases = (
+            (types.BackendAnswer("connect"), "unsent"),
+            (types.BackendAnswer("send"), "unknown"),
+            (types.BackendAnswer("answer"), "unknown"),
+            (types.BackendAnswer("done", 200, b"{}"), "started"),
+            (types.BackendAnswer("done", 409, b'{"reason":"room"}'), "room"),
+            (types.BackendAnswer("done", 409, b'{"reason":"late"}'), "late"),
+            (types.BackendAnswer("done", 409, b'{"reason":"old"}'), "old"),
+            (
+                types.BackendAnswer("done", 409, b'{"reason":"fence"}'),
+                "fenced",
+            ),
+            (types.BackendAnswer("done", 421, b""), "reborn"),
+            (types.BackendAnswer("done", 429, b""), "unhealthy"),
+            (types.BackendAnswer("done", 503, b"nonsense"), "unhealthy"),
+            (types.BackendAnswer("done", 400, b"{}"), "invalid"),
+            (types.BackendAnswer("done", 500, b"{}"), "unknown"),
+        )
+        for answer, result in cases:
+            with self.subTest(answer=answer):
+                msg = self.conclude(self.start(), answer)
+                self.assertEqual(msg.result, result)
+
+    def test_listing_is_decoded(self):
+        order = pool_messages.HoldRuns(SPEC, 7, 57, 486.0, 1.0)
+        body = {
+            "clock_ms": 482113,
+            "born": 12,
+            "running": [["5c0e.0.0.17", 2, "", 41]],
+            "ended_runs": [[58, "5c0e.0.1.9", 1, "done", ""]],
+        }
+        answer = types.BackendAnswer("done", 200, json.dumps(body).encode())
+        msg = self.conclude(order, answer)
+        self.assertEqual(msg.running, (RUN,))
+        ended = pool_messages.Run("5c0e", 1, 9, 1)
+        self.assertEqual(
+            msg.ended, (pool_messages.EndedRun(58, ended, "done"),)
+        )
+        self.assertEqual(msg.clock, 482.113)
+        self.assertEqual(msg.incarnation, 12)
+
+    def test_listing_that_cannot_be_read_is_no_listing(self):
+        order = pool_messages.HoldRuns(SPEC, 7, 57, None, 0.0)
+        for raw in (b"", b"{}", b"[]", b'{"clock_ms":1,"running":[[7]]}'):
+            answer = types.BackendAnswer("done", 200, raw)
+            with self.subTest(raw=raw):
+                msg = self.conclude(order, answer)
+                self.assertIsInstance(msg, pool_messages.HoldFailed)
+                self.assertFalse(msg.fenced)
+
+    def test_fenced_hold_says_so(self):
+        order = pool_messages.HoldRuns(SPEC, 7, 57, None, 0.0)
+        answer = types.BackendAnswer("done", 409, b'{"reason":"fence"}')
+        self.assertTrue(self.conclude(order, answer).fenced)
+
+
+class AddressTest(unittest.TestCase):
+    def test_address_without_a_port_is_an_error(self):
+        self.assertEqual(settings.parse_address("1.2.3.4:5"), ("1.2.3.4", 5))
+        for text in ("", "1.2.3.4", "1.2.3.4:x"):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                settings.parse_address(text)
