A minority takes batches over only after the leases lapsed; metrics page

Ruled out: the order of fleet news and claims (tested). Bodies with a key given twice or a number beyond range, and two different lengths, are refused.

--- a/packages/daemon/src/cardamompathd/callers/connections.py
+++ b/packages/daemon/src/cardamompathd/callers/connections.py
@@ -43,6 +43,8 @@
 }
 """Code and reason for each status of cheroot; its own text for None."""
 
+LENGTH = b"Content-Length"
+
 STATUSES = {"413": "431 Request Header Fields Too Large"}
 """Statuses that cheroot names less exactly."""
 
@@ -77,9 +79,22 @@
         self._source.deadline = time.monotonic() + seconds
 
 
+class _Headers(dict):
+    """Headers in which a second, different length does not get lost."""
+
+    def __setitem__(self, name, value):
+        if name == LENGTH and self.get(name, value) != value:
+            value = self[name] + b", " + value
+        super().__setitem__(name, value)
+
+
 class BoundedRequest(server.HTTPRequest):
     """A request with a deadline and errors in JSON."""
 
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.inheaders = _Headers()
+
     def parse_request(self) -> None:
         """Read the header within the connection's timeout."""
         self.conn.rfile.expire_in(self.server.header_timeout)
@@ -90,11 +105,11 @@
         """Refuse a length that is no plain number."""
         if not super().read_request_headers():
             return False
-        length = self.inheaders.get(b"Content-Length", b"0").strip()
+        length = self.inheaders.get(LENGTH, b"0").strip()
         if not length.isdigit():
             self.simple_response("400 -", f"Content-Length is {length!r}")
             return False
-        if self.chunked_read and b"Content-Length" in self.inheaders:
+        if self.chunked_read and LENGTH in self.inheaders:
             reason = "both Content-Length and Transfer-Encoding are given"
             self.simple_response("400 -", reason)
             return False
--- a/packages/daemon/src/cardamompathd/controllers/planner_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_health.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import statistics
 
@@ -71,11 +72,17 @@
 
 
 def _center(state):
-    """Keep paces relative to the median; batches compare, no more."""
-    paces = [one.log_pace for one in state.held.values()]
-    if paces:
-        middle = statistics.median(paces)
-        for held in state.held.values():
+    """Keep paces relative to the median of their kind.
+
+    Batches compare executors, no more; how long runs take on a kind is
+    learned apart from that.
+    """
+    kinds = collections.defaultdict(list)
+    for held in state.held.values():
+        kinds[held.spec.kind].append(held)
+    for some in kinds.values():
+        middle = statistics.median(one.log_pace for one in some)
+        for held in some:
             held.log_pace -= middle
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -244,8 +244,11 @@
     """Return whether every executor answers under the present token.
 
     One that is no longer registered counts for a while: it may be behind
-    a partition, held by another planner.
+    a partition, held by another planner.  A planner that claims its own
+    failure domains only never has all of them.
     """
+    if state.minority_since is not None:
+        return False
     for name, seen_at in list(state.unlisted.items()):
         if now - seen_at > UNLISTED_TIME or name in state.listed:
             del state.unlisted[name]
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -41,6 +41,7 @@
     if state.fleet is None or now < started_at + SETTLE:
         return []
     wanted = state.own in {one.name for one in state.planners}
+    careful = state.minority_since is not None
     sends = []
     if wanted and _is_minority(state):
         if state.minority_since is None:
@@ -53,6 +54,8 @@
         return sends + _begin(state, now)
     if not wanted and state.active_since is not None:
         return sends + _end(state, now)
+    if wanted and careful != (state.minority_since is not None):
+        sends += assign(state, now)
     return sends
 
 
--- a/packages/daemon/src/cardamompathd/filters/bodies.py
+++ b/packages/daemon/src/cardamompathd/filters/bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 from returns import pipeline
@@ -51,7 +52,7 @@
 
 def _decode(raw):
     try:
-        body = json.loads(raw, parse_constant=_refuse_constant) if raw else {}
+        body = _load(raw) if raw else {}
     except (ValueError, RecursionError) as exc:
         reason = f"body is not JSON: {exc}"
         return result.Failure(chain.fault(400, "bad_json", reason))
@@ -61,5 +62,30 @@
     return result.Success(body)
 
 
+def _load(raw):
+    return json.loads(
+        raw,
+        parse_constant=_refuse_constant,
+        parse_float=_read_float,
+        object_pairs_hook=_read_object,
+    )
+
+
 def _refuse_constant(name):
     raise ValueError(f"{name} is not JSON")
+
+
+def _read_float(text):
+    value = float(text)
+    if math.isinf(value):
+        raise ValueError(f"{text} is out of range")
+    return value
+
+
+def _read_object(pairs):
+    fields = dict(pairs)
+    if len(fields) != len(pairs):
+        names = [name for name, _ in pairs]
+        twice = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"{twice!r} is given twice")
+    return fields
--- a/packages/daemon/src/cardamompathd/platform/frontend.py
+++ b/packages/daemon/src/cardamompathd/platform/frontend.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "make_chain",
+    "make_metrics",
     "make_readiness",
 ]
 
@@ -169,3 +170,12 @@
         return chain.Response(200, {"ready": True})
 
     return handle
+
+
+def make_metrics(scrape: Callable[[], str]) -> chain.Handler:
+    """Make the handler that serves the page of metrics."""
+
+    def handle(_: chain.Request) -> chain.Response:
+        return chain.Response(200, scrape())
+
+    return handle
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -37,7 +37,9 @@
 IDLE_TIME = 20.0
 """Seconds for which an idle connection is kept; the desired state asks
 for 15."""
-READY_THREADS = 2
+FEW_THREADS = 2
+METRICS_PORT = 9464
+"""As `metrics` in deploy/system.toml; the usual port of such pages."""
 RELOAD_INTERVAL = 2.0
 """Seconds between looks at the settings file."""
 DRAIN_TIME = 3.0
@@ -132,7 +134,9 @@
     tell_fleet(pool_messages.AddressesFound(cfg.seeds, "settings"))
     for task in tasks:
         task.start()
-    return _Running(app, _start_listeners(cfg, tell_gateway), tasks)
+    return _Running(
+        app, _start_listeners(cfg, tell_gateway, app.scrape), tasks
+    )
 
 
 def _make_protocol():
@@ -162,11 +166,11 @@
     return read
 
 
-def _start_listeners(cfg, tell):
+def _start_listeners(cfg, tell, scrape):
     limits = server.ListenerLimits(
         threads=CALLER_THREADS, connections=CONNECTIONS, timeout=IDLE_TIME
     )
-    ready_limits = server.ListenerLimits(threads=READY_THREADS)
+    few = server.ListenerLimits(threads=FEW_THREADS)
     return (
         server.start(
             "callers", cfg.callers, frontend.make_chain(tell), limits
@@ -175,7 +179,13 @@
             "ready",
             cfg.readiness,
             frontend.make_readiness(tell),
-            ready_limits,
+            few,
+        ),
+        server.start(
+            "metrics",
+            (cfg.readiness[0], METRICS_PORT),
+            frontend.make_metrics(scrape),
+            few,
         ),
     )
 
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -21,6 +21,7 @@
 from cardamompathd.peers import links
 from cardamompathd.runtime import actors
 from cardamompathd.telemetry import decisions
+from cardamompathd.telemetry import pool_metrics
 
 __all__ = [
     "Instance",
@@ -51,6 +52,8 @@
     tellers: dict[str, Callable[[Any], None]]
     leave: Callable[[], None]
     stop: Callable[[], None]
+    scrape: Callable[[], str]
+    """Returns the page of metrics."""
 
 
 class _PoolActor(actors.ControllerActor):
@@ -106,9 +109,10 @@
     OSError
         If the address for peers cannot be bound.
     """
+    counts = pool_metrics.Counts()
     table: dict[str, Callable[[Any], None]] = {
         messages.CALLERS: _answer,
-        pool_messages.JOURNAL: decisions.write_note,
+        pool_messages.JOURNAL: _make_journal(counts),
     }
     deliver = actors.make_router(table)
     ref = _PoolActor.start(
@@ -143,7 +147,16 @@
         ref.stop(block=False)
         link_ref.stop(block=False)
 
-    return Instance(table, tellers, leave, stop)
+    scrape = pool_metrics.make_scrape(counts)
+    return Instance(table, tellers, leave, stop, scrape)
+
+
+def _make_journal(counts):
+    def write(note):
+        counts.take(note)
+        decisions.write_note(note)
+
+    return write
 
 
 def _answer(msg):
--- a/packages/daemon/src/cardamompathd/telemetry/metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/metrics.py
@@ -10,6 +10,7 @@
 import resource
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Any
 from typing import Literal
 from typing import NamedTuple
@@ -22,8 +23,11 @@
 
 __all__ = [
     "Exporter",
+    "Instrument",
+    "PROCESS_INSTRUMENTS",
     "ReadStatus",
     "start",
+    "start_scrape",
 ]
 
 METER = "cardamompathd"
@@ -70,13 +74,20 @@
         reader = export.PeriodicExportingMetricReader(
             export.ConsoleMetricExporter(), CONSOLE_INTERVAL
         )
-        provider = _make_provider(reader, read_status)
+        provider = _make_provider(reader, read_status, _INSTRUMENTS)
         return Exporter(lambda: "", _make_stop(provider))
+    return start_scrape(_INSTRUMENTS, read_status)
+
+
+def start_scrape(
+    instruments: Sequence[Instrument], read_status: ReadStatus = dict
+) -> Exporter:
+    """Start exporting instruments on a page for a scrape."""
     registry = prometheus_client.CollectorRegistry()
     reader = prometheus.PrometheusMetricReader(
         disable_target_info=True, scope_info_enabled=False, registry=registry
     )
-    provider = _make_provider(reader, read_status)
+    provider = _make_provider(reader, read_status, instruments)
 
     def scrape() -> str:
         return prometheus_client.generate_latest(registry).decode()
@@ -94,14 +105,14 @@
     return stop
 
 
-def _make_provider(reader, read_status):
+def _make_provider(reader, read_status, instruments):
     provider = sdk.MeterProvider([reader], shutdown_on_exit=False)
     meter = provider.get_meter(METER)
     creators = {
         "counter": meter.create_observable_counter,
         "gauge": meter.create_observable_gauge,
     }
-    for one in _INSTRUMENTS:
+    for one in instruments:
         creators[one.kind](
             one.name,
             [_make_callback(one.observe, read_status)],
@@ -154,6 +165,23 @@
     return used.ru_utime + used.ru_stime
 
 
+PROCESS_INSTRUMENTS = (
+    Instrument(
+        "gauge",
+        "cardamompath.resident_memory",
+        "By",
+        "Resident memory of the process.",
+        lambda _: [(_resident_bytes(), {})],
+    ),
+    Instrument(
+        "counter",
+        "cardamompath.processor",
+        "s",
+        "Processor time of the process.",
+        lambda _: [(_processor_seconds(), {})],
+    ),
+)
+
 _INSTRUMENTS = (
     Instrument(
         "counter",
@@ -204,18 +232,5 @@
         "Bytes of calls between instances, by direction.",
         _peer_bytes,
     ),
-    Instrument(
-        "gauge",
-        "cardamompath.resident_memory",
-        "By",
-        "Resident memory of the process.",
-        lambda status: [(_resident_bytes(), {})],
-    ),
-    Instrument(
-        "counter",
-        "cardamompath.processor",
-        "s",
-        "Processor time of the process.",
-        lambda status: [(_processor_seconds(), {})],
-    ),
+    *PROCESS_INSTRUMENTS,
 )
--- a/packages/daemon/src/cardamompathd/tests/pool_world.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_world.py
@@ -15,6 +15,8 @@
 
 LATENCY = 0.002
 LEASE = 1.0
+STOP_TIME = 0.04
+LISTING_INTERVAL = 0.4
 HOST = "desk.example"
 TERMS = batches.Terms("r-1", "desk", 0, 2, 1.6, 0.06)
 TABLE = routes.make_table(
@@ -177,8 +179,15 @@
         self.nodes = {}
         for index, domain in enumerate(domains):
             self.add_node(f"n-{domain}", domain, 1000 + index)
+        self.relist()
         self.run(1.5)
 
+    def relist(self):
+        """Let every instance follow the listing."""
+        for node in list(self.nodes.values()):
+            self.list_to(node)
+        self.at(LISTING_INTERVAL, self.relist)
+
     def add_node(self, name, domain, started):
         node = self.nodes[name] = Node(self, name, domain, started)
         found = tuple((one, 1) for one in self.nodes)
@@ -358,7 +367,9 @@
             key = order.run[:3]
             known = target.highest.get(key, 0)
             target.highest[key] = max(known, order.run.attempt)
-            target.end(order.run, "stopped")
+            target.world.at(
+                STOP_TIME, lambda: target.end(order.run, "stopped")
+            )
         return pool_messages.StopAnswered(name, order.run, stopped, "")
     return pool_messages.ProbeAnswered(name, True)
 
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -0,0 +1,136 @@
+"""Links between instances over real sockets."""
+
+import queue
+import socket
+import unittest
+
+from cardamompath_core import batches
+from cardamompath_core import executors
+from cardamompath_core import seniority
+from cardamompathd import messages
+from cardamompathd import pool_messages
+from cardamompathd.controllers import fleet
+from cardamompathd.peers import errors
+from cardamompathd.peers import links
+from cardamompathd.peers import pool_codec
+from cardamompathd.runtime import clocks
+
+WAIT = 10.0
+
+
+def free_address():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()
+
+
+def make_plan():
+    step = batches.Step(
+        8, executors.Room(27000, 64, 1), 0.051, (), "a", "r1-2", 3
+    )
+    after = step._replace(after=(0,))
+    terms = batches.Terms("r-1", "desk", 2, 3, 1.6, 0.06)
+    batch = batches.Batch("5c0e", "text", (step, after), terms)
+    return pool_messages.PlanBatch(batch, "n-1", 0.25, 1.5, 2)
+
+
+class CodecTest(unittest.TestCase):
+    def assert_same(self, msg, to):
+        send = pool_codec.decode(pool_codec.encode(msg))
+        self.assertEqual(send, messages.Send(to, msg))
+
+    def test_messages_survive_the_way(self):
+        self.assert_same(make_plan(), pool_messages.PLANNER)
+        self.assert_same(
+            pool_messages.DropBatch("5c0e", "n-1"), pool_messages.PLANNER
+        )
+        outcome = batches.Outcome(batches.REFUSED, "full", 1.0)
+        self.assert_same(
+            pool_messages.BatchEnded("5c0e", "n-1", outcome),
+            pool_messages.GATEWAY,
+        )
+        self.assert_same(
+            pool_messages.ConfigurationOffered(7, b"{}"),
+            pool_messages.CONFIGURED,
+        )
+
+    def test_sign_of_life_becomes_news_of_a_member(self):
+        member = seniority.Member("n-1", "a", ("10.1.0.1", 7), 1700, True)
+        hello = fleet.Hello(member, 3, (("10.1.0.2", 7),))
+        send = pool_codec.decode(pool_codec.encode(hello))
+        self.assertEqual(send.msg, pool_messages.MemberHeard(*hello))
+
+    def test_garbage_is_refused(self):
+        raw = pool_codec.encode(make_plan())
+        for bad in (b"", b"\x00" * 40, raw[:20], raw[3:]):
+            with self.subTest(bad=bad), self.assertRaises(errors.BadMessage):
+                pool_codec.decode(bad)
+
+
+class LinksTest(unittest.TestCase):
+    def start(self):
+        address = free_address()
+        heard = queue.SimpleQueue()
+        ref = links.LinksActor.start(address, heard.put, clocks.boottime)
+        self.addCleanup(ref.stop)
+        return address, heard, ref
+
+    def tell(self, ref, msg):
+        ref.tell(messages.Send(pool_messages.LINKS, msg))
+
+    def until(self, heard, kind):
+        while True:
+            send = heard.get(timeout=WAIT)
+            if isinstance(send.msg, kind):
+                return send
+
+    def test_messages_arrive_in_order(self):
+        address, heard, _ = self.start()
+        ref = self.start()[2]
+        self.tell(ref, pool_messages.LinkTo(address, True))
+        for number in range(50):
+            drop = pool_messages.DropBatch(f"b{number}", "n-1")
+            self.tell(ref, pool_messages.SendToMember(address, drop))
+        names = []
+        while len(names) < 10:
+            names.append(self.until(heard, pool_messages.DropBatch).msg.name)
+        self.assertEqual(names, sorted(names, key=lambda one: int(one[1:])))
+
+    def test_refused_address_is_told(self):
+        _, heard, ref = self.start()
+        address = free_address()
+        self.tell(ref, pool_messages.LinkTo(address, True))
+        failed = self.until(heard, pool_messages.AddressFailed).msg
+        self.assertEqual(failed.address, address)
+        self.assertTrue(failed.refused)
+
+    def test_link_that_broke_is_opened_again(self):
+        address, _, first = self.start()
+        _, heard, ref = self.start()
+        self.tell(ref, pool_messages.LinkTo(address, True))
+        drop = pool_messages.DropBatch("b", "n-1")
+        self.tell(ref, pool_messages.SendToMember(address, drop))
+        first.stop()
+        self.until(heard, pool_messages.AddressFailed)
+        again = queue.SimpleQueue()
+        other = links.LinksActor.start(address, again.put, clocks.boottime)
+        self.addCleanup(other.stop)
+        got = None
+        while got is None:
+            self.tell(ref, pool_messages.SendToMember(address, drop))
+            try:
+                got = again.get(timeout=0.1)
+            except queue.Empty:
+                continue
+        self.assertEqual(got.msg, drop)
+
+    def test_garbage_closes_only_its_own_link(self):
+        address, heard, _ = self.start()
+        with socket.create_connection(address) as sock:
+            sock.sendall(b"\xff" * 64)
+            sock.settimeout(WAIT)
+            self.assertEqual(sock.recv(1), b"")
+        ref = self.start()[2]
+        self.tell(ref, pool_messages.LinkTo(address, True))
+        drop = pool_messages.DropBatch("b", "n-1")
+        self.tell(ref, pool_messages.SendToMember(address, drop))
+        self.assertEqual(self.until(heard, type(drop)).msg, drop)
--- a/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
+++ b/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
@@ -119,6 +119,21 @@
         self.assert_state(rest, batches.COMPLETE)
         self.assertEqual(len(self.planning()), 1)
 
+    def test_whole_fleet_is_claimed_before_a_batch_is_taken_over(self):
+        for other in ("b", "c"):
+            self.world.cut("a", other)
+        self.world.run(2.0)
+        self.world.work = 0.8
+        reply = self.world.submit(self.entry, "j1", 8)
+        self.world.run(0.1)
+        self.world.heal()
+        self.world.run(0.005)
+        self.world.cut("a", "c")
+        self.world.run(0.3)
+        self.world.heal()
+        self.world.run(4.0)
+        self.assert_state(reply, batches.COMPLETE)
+
     def test_junior_planner_yields_after_the_cut_of_its_domain(self):
         for other in ("a", "b"):
             self.world.cut("c", other)
