--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -48,8 +48,6 @@
 STOP_TIME = 5.2
 """Seconds after that signal at which the process ends at the latest; it
 is killed after 6."""
-LAST_LINES = 0.1
-"""Seconds for the last lines of the log."""
 
 
 class _Running(NamedTuple):
@@ -68,10 +66,10 @@
     """
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     signal.pthread_sigmask(signal.SIG_BLOCK, signals)
-    decisions.configure()
+    log = decisions.configure()
     try:
         cfg = settings.load()
-        running = _start(cfg)
+        running = _start(cfg, log)
     except (errors.BadSettings, OSError) as exc:
         loguru.logger.error("instance: cannot start: {}", exc)
         return EXIT_SETTINGS
@@ -79,6 +77,7 @@
     tell = running.app.tellers[pool_messages.FLEET]
     _follow_settings(cfg, tell, signals)
     _stop(running)
+    log.close()
     return 0
 
 
@@ -106,12 +105,14 @@
     return changed
 
 
-def _start(cfg):
+def _start(cfg, log):
     clock = clocks.boottime
     own = seniority.Member(
         cfg.name, cfg.domain, cfg.peers, int(time.time() * 1000.0)
     )
-    app = pool_app.start(own, _make_protocol(), _make_token(cfg.name), clock)
+    app = pool_app.start(
+        own, _make_protocol(), _make_token(cfg.name), clock, log.note
+    )
     tell_planner = app.tellers[pool_messages.PLANNER]
     tell_fleet = app.tellers[pool_messages.FLEET]
     tell_gateway = app.tellers[pool_messages.GATEWAY]
@@ -208,6 +209,4 @@
     loguru.logger.info("instance: stopped")
     for task in running.followers:
         task.stop()
-    time.sleep(LAST_LINES)
     running.app.stop()
-    decisions.close()
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -20,7 +20,6 @@
 from cardamompathd.controllers import planner
 from cardamompathd.peers import links
 from cardamompathd.runtime import actors
-from cardamompathd.telemetry import decisions
 from cardamompathd.telemetry import pool_metrics
 
 __all__ = [
@@ -90,6 +89,7 @@
     protocol: Protocol,
     make_token: Callable[[], int],
     clock: Callable[[], float],
+    note: Callable[[pool_messages.Note], None],
 ) -> Instance:
     """Start the tasks of an instance.
 
@@ -103,6 +103,8 @@
         Draws fencing tokens.
     clock : callable
         Returns the present time in seconds.
+    note : callable
+        Takes each decision for the log.
 
     Raises
     ------
@@ -112,7 +114,7 @@
     counts = pool_metrics.Counts()
     table: dict[str, Callable[[Any], None]] = {
         messages.CALLERS: _answer,
-        pool_messages.JOURNAL: _make_journal(counts),
+        pool_messages.JOURNAL: _make_journal(counts, note),
     }
     deliver = actors.make_router(table)
     ref = _PoolActor.start(
@@ -151,12 +153,12 @@
     return Instance(table, tellers, leave, stop, scrape)
 
 
-def _make_journal(counts):
-    def write(note):
-        counts.take(note)
-        decisions.write_note(note)
+def _make_journal(counts, note):
+    def take(decision):
+        counts.take(decision)
+        note(decision)
 
-    return write
+    return take
 
 
 def _answer(msg):
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_decisions.py
@@ -0,0 +1,85 @@
+"""The log of decisions is bounded and never waits."""
+
+import json
+import unittest
+
+from cardamompathd import pool_messages
+from cardamompathd.telemetry import decisions
+from cardamompathd.telemetry import pool_metrics
+
+
+class DecisionLogTest(unittest.TestCase):
+    def setUp(self):
+        self.lines = []
+
+    def make(self, length=10, rate=10):
+        return decisions.DecisionLog(self.lines.append, length, rate)
+
+    def drain(self, log):
+        while not log.is_empty():
+            log.write_next()
+        return [json.loads(line) for line in self.lines]
+
+    def test_line_carries_the_decision(self):
+        log = self.make()
+        fields = {"state": "complete", "age_ms": 12}
+        log.note(pool_messages.Note("gateway", "answered", "5c0e", fields))
+        line = self.drain(log)[0]
+        self.assertEqual(line["request"], "5c0e")
+        self.assertEqual(line["part"], "gateway")
+        self.assertEqual(line["age_ms"], 12)
+
+    def test_full_queue_leaves_lines_out_and_counts_them(self):
+        log = self.make(length=3)
+        for number in range(8):
+            log.put(1.0, {"number": number})
+        lines = self.drain(log)
+        self.assertEqual(len(lines), 3)
+        self.assertEqual(lines[0]["left_out_before"], 5)
+
+    def test_lines_of_one_second_are_bounded(self):
+        log = self.make(length=100, rate=4)
+        for _ in range(20):
+            log.put(1.5, {})
+        self.assertEqual(len(self.drain(log)), 4)
+        log.put(2.5, {})
+        self.assertEqual(self.drain(log)[-1]["left_out_before"], 16)
+
+    def test_writer_that_blocks_holds_nobody_up(self):
+        log = self.make(length=2)
+        # Nothing writes: putting returns all the same.
+        for _ in range(1000):
+            log.note(pool_messages.Note("planner", "fenced", "", {}))
+        self.assertEqual(len(self.drain(log)), 2)
+
+    def test_value_that_json_lacks_is_written_all_the_same(self):
+        log = self.make()
+        log.put(1.0, {"room": {1, 2}})
+        self.assertEqual(self.drain(log)[0]["room"], "{1, 2}")
+
+
+class CountsTest(unittest.TestCase):
+    def answer(self, counts, state, age):
+        fields = {"state": state, "age_ms": age}
+        counts.take(pool_messages.Note("gateway", "answered", "x", fields))
+
+    def test_page_shows_decisions_and_response_times(self):
+        counts = pool_metrics.Counts()
+        for age in (4, 40, 400):
+            self.answer(counts, "complete", age)
+        page = pool_metrics.make_scrape(counts)()
+        self.assertIn(
+            'cardamompath_decisions_total{event="answered",part="gateway"} 3',
+            page,
+        )
+        self.assertIn(
+            'bucket_total{le="0.05",state="complete"} 2',
+            page,
+        )
+        self.assertIn('le="+Inf",state="complete"} 3', page)
+
+    def test_series_are_bounded(self):
+        counts = pool_metrics.Counts()
+        for number in range(2 * pool_metrics.MOST_SERIES):
+            counts.take(pool_messages.Note("x", str(number), "", {}))
+        self.assertEqual(len(counts.events()), pool_metrics.MOST_SERIES)
--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -134,9 +134,7 @@
         self.assertEqual(len(self.started(self.tick(0.2))), 1)
 
     def started(self, sent):
-        return [
-            msg for msg in sent if isinstance(msg, pool_messages.StartRun)
-        ]
+        return [msg for msg in sent if isinstance(msg, pool_messages.StartRun)]
 
     def test_fenced_minority_lets_go(self):
         self.list_all()
