--- a/packages/core/src/cardamompath_core/seniority.py
+++ b/packages/core/src/cardamompath_core/seniority.py
@@ -36,9 +36,13 @@
 
 
 def choose_planners(alive: Sequence[Member]) -> tuple[Member, ...]:
-    """Return the members that plan, the most senior first."""
+    """Return the members that plan, the most senior first.
+
+    Members that leave plan only where no other is left, as in a failure
+    domain that is cut off while all its instances are restarted.
+    """
     staying = [one for one in alive if not one.leaving]
-    ranked = sorted(staying, key=lambda one: (one.started, one.name))
+    ranked = sorted(staying or alive, key=lambda one: (one.started, one.name))
     count = -(-len(ranked) // MEMBERS_PER_PLANNER)
     return tuple(ranked[:count])
 
--- a/packages/core/src/cardamompath_core/tests/test_seniority.py
+++ b/packages/core/src/cardamompath_core/tests/test_seniority.py
@@ -24,6 +24,10 @@
         chosen = seniority.choose_planners(members)
         self.assertEqual(chosen, (members[1],))
 
+    def test_leaving_members_plan_where_no_other_is_left(self):
+        members = [one._replace(leaving=True) for one in make_members(2)]
+        self.assertEqual(seniority.choose_planners(members), (members[0],))
+
     def test_number_of_planners_grows_with_the_fleet(self):
         sizes = {
             count: len(seniority.choose_planners(make_members(count)))
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -23,6 +23,9 @@
 REFRESH = 0.4
 """Seconds after which a planner is told again of a batch, in case that
 the message or its answer was lost; doubled each time."""
+NO_PLANNER_WAIT = 1.5
+"""Seconds for which a batch waits for a planner to be known; a successor
+is, within `fleet.SILENCE` and its first signs of life."""
 NO_PLANNER_RETRY = 1.0
 """Seconds after which a caller may try again while no planner is
 known; a successor takes over in about that time."""
@@ -319,8 +322,10 @@
     if msg.key is not None:
         return _reach_limit(state, state.waiting.get(msg.key), now)
     sends = []
-    for one in state.waiting.values():
-        if now >= one.refresh_at:
+    for one in list(state.waiting.values()):
+        if not one.handed and now >= one.submitted + NO_PLANNER_WAIT:
+            sends += _refuse_unhanded(state, one, now)
+        elif now >= one.refresh_at:
             one.refresh_at = now + REFRESH + (now - one.submitted)
             sends += _hand_over(state, one, now)
     state.ticking = bool(state.waiting)
@@ -332,12 +337,18 @@
 def _reach_limit(state, one, now):
     if one is None or now < one.until:
         return ()
+    if not one.handed:
+        return _refuse_unhanded(state, one, now)
     sends = _drop(state, one, "time limit", now)
     outcome = batches.Outcome(batches.GIVEN_UP, "time limit reached")
-    if not one.handed:
-        outcome = batches.Outcome(
-            batches.REFUSED, "no planner is known", NO_PLANNER_RETRY
-        )
+    return sends + _answer(state, one, outcome, now)
+
+
+def _refuse_unhanded(state, one, now):
+    sends = _drop(state, one, "no planner", now)
+    outcome = batches.Outcome(
+        batches.REFUSED, "no planner is known", NO_PLANNER_RETRY
+    )
     return sends + _answer(state, one, outcome, now)
 
 
--- a/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
+++ b/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
@@ -158,6 +158,15 @@
         self.assertGreater(self.world.answers[reply].retry_after, 0.0)
         self.assertEqual(self.planning(), ["n-a"])
 
+    def test_batch_without_a_planner_is_refused_before_its_limit(self):
+        world = pool_world.World(())
+        node = world.add_node("n-a", "a", 1000)
+        blind = pool_messages.FleetChanged(node.own, (), ())
+        node.tell(pool_messages.GATEWAY, blind)
+        reply = world.submit(node, "j1", wait=30.0)
+        world.run(2.0)
+        self.assertEqual(world.answers[reply].state, batches.REFUSED)
+
     def test_batch_that_may_have_started_is_never_called_not_run(self):
         self.world.work = 3.0
         reply = self.world.submit(self.entry, "j1", 2, 4.0)
