--- a/packages/daemon/src/cardamompathd/backends/pool.py
+++ b/packages/daemon/src/cardamompathd/backends/pool.py
@@ -37,6 +37,12 @@
             actor = self._actors[key] = self._open()
         actor.tell(msg)
 
+    def forget(self, name: str, host: str, port: int) -> None:
+        """Stop the actor of a backend server that is gone, if any."""
+        actor = self._actors.pop((name, host, port), None)
+        if actor is not None:
+            actor.stop(block=False)
+
     def close(self) -> None:
         """Stop the actors and with them their connections."""
         for actor in self._actors.values():
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -9,6 +9,7 @@
 from cardamompath_core import executors
 from cardamompathd.controllers import planner_health
 from cardamompathd.controllers import planner_holds
+from cardamompathd.controllers import planner_notes
 from cardamompathd.controllers import planner_runs
 
 __all__ = [
@@ -150,18 +151,39 @@
 
 def _start_tasks(state, plan, usable, least, now):
     sends = []
+    places = []
     while plan.waiting:
         task = plan.waiting[0]
         held = _choose(state, plan, task, usable)
         if held is None:
-            return sends
+            break
         plan.waiting.popleft()
+        places.append([held.spec.name, f"{task.step}.{task.index}"])
         sends += planner_runs.send_start(state, held, plan, task, now)
         if held.free.cpu < least:
             usable.remove(held)
+    if places:
+        sends.append(_note_started(state, plan, places, now))
     return sends
 
 
+def _note_started(state, plan, places, now):
+    """Return the line of where tasks of a batch were sent, and why now."""
+    return planner_notes.note(
+        "tasks sent",
+        plan.name,
+        executors=places,
+        waiting=len(plan.waiting),
+        spare_ms=round((_latest_start(plan) - now) * 1000.0),
+        expected_ms=round(plan.work * 1000.0),
+        listing_age_ms=_age_ms(state.listed_at, now),
+    )
+
+
+def _age_ms(since, now):
+    return None if since is None else round((now - since) * 1000.0)
+
+
 def _choose(state, plan, task, usable):
     step = plan.batch.steps[task.step]
     route = plan.batch.terms.route
@@ -211,5 +233,14 @@
 def refuse(state, plan, now):
     """Refuse a batch of which nothing started."""
     reason = "no room before the answer would be too late"
+    note = planner_notes.note(
+        "refusal",
+        plan.name,
+        waiting_batches=len(state.plans),
+        work_ms=round(plan.work * 1000.0),
+        waited_ms=round((now - plan.arrived) * 1000.0),
+        left_ms=round((plan.left_until - now) * 1000.0),
+        executors=sum(state.pool.values()),
+    )
     outcome = batches.Outcome(batches.REFUSED, reason, RETRY_AFTER)
-    return planner_runs.finish(state, plan, outcome, now)
+    return [note, *planner_runs.finish(state, plan, outcome, now)]
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -12,6 +12,7 @@
     "all_claimed",
     "claim",
     "expire",
+    "forget",
     "hold_answered",
     "hold_failed",
     "update_listing",
@@ -233,6 +234,7 @@
             sends += planner_runs.lose(state, held, "its leases lapsed", now)
         if held.gone and not held.runs and not held.holding:
             del state.held[name]
+            sends.append(forget(held))
             continue
         if not held.holding and now >= held.try_at:
             wait = HOLD_WAIT if held.claimed else 0.0
@@ -240,6 +242,12 @@
     return sends
 
 
+def forget(held):
+    """Let the connections to an executor be closed."""
+    msg = pool_messages.ForgetExecutor(held.spec)
+    return messages.Send(pool_messages.EXECUTORS, msg)
+
+
 def all_claimed(state, now):
     """Return whether every executor answers under the present token.
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -129,6 +129,7 @@
 
 def _end(state, now):
     state.active_since = None
+    sends = [planner_holds.forget(held) for held in state.held.values()]
     state.held.clear()
     dropped = len(state.plans)
     for plan in state.plans.values():
@@ -136,7 +137,7 @@
             state.remember_dropped(plan.name)
     state.plans.clear()
     ended = planner_notes.note("ended to plan", batches=dropped)
-    return [ended, _follow(False)]
+    return [*sends, ended, _follow(False)]
 
 
 def assign(state, now):
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -77,6 +77,10 @@
         self.actor_ref.tell(self._protocol.conclude(call, answer))
 
     def _deliver_or_call(self, send):
+        if isinstance(send.msg, pool_messages.ForgetExecutor):
+            spec = send.msg.executor
+            self._executors.forget(spec.name, *spec.address)
+            return
         if send.to == pool_messages.EXECUTORS:
             call = self._protocol.encode(send.msg, self._clock())
             self._executors.start(call)
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -25,6 +25,7 @@
     "FLEET",
     "FleetChanged",
     "FollowListings",
+    "ForgetExecutor",
     "GATEWAY",
     "HoldAnswered",
     "HoldFailed",
@@ -341,6 +342,12 @@
     detail: str
 
 
+class ForgetExecutor(NamedTuple):
+    """Close the connections to an executor that is no longer held."""
+
+    executor: executors.Executor
+
+
 class ProbeExecutor(NamedTuple):
     """Find out whether an executor can be reached, without a claim."""
 
