--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -176,7 +176,7 @@
         waiting=len(plan.waiting),
         spare_ms=round((_latest_start(plan) - now) * 1000.0),
         expected_ms=round(plan.work * 1000.0),
-        listing_age_ms=_age_ms(state.listed_at, now),
+        listing_changed_ms=_age_ms(state.listed_at, now),
     )
 
 
