--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -19,9 +19,9 @@
     "make_controller",
 ]
 
-HELLO_INTERVAL = 0.15
+HELLO_INTERVAL = 0.1
 """Seconds between signs of life; four may be lost before `SILENCE`."""
-SILENCE = 0.65
+SILENCE = 0.45
 """Seconds without a sign after which a member is not alive.  Below the
 lease of a run, so that a successor can adopt what still runs."""
 FORGET = 20.0
