--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -115,39 +115,44 @@
         if task.status == "sent":
             task.status = "running"
         return []
-    sends = [
-        planner_notes.note(
-            "start not confirmed",
-            plan.name,
-            run=_label(msg.run),
-            executor=msg.executor,
-            result=msg.result,
-            detail=msg.detail,
-            age_ms=round((now - task.since) * 1000.0),
-        )
-    ]
+    note = planner_notes.note(
+        "start not confirmed",
+        plan.name,
+        run=_label(msg.run),
+        executor=msg.executor,
+        result=msg.result,
+        detail=msg.detail,
+        age_ms=round((now - task.since) * 1000.0),
+    )
     if msg.result == "unknown":
-        if task.status == "sent":
-            task.status = "unknown"
-            task.stopping = True
-            held.suspect = True
-            sends += send_stop(held, msg.run)
-        return sends
-    if msg.result in ("unhealthy", "unsent"):
-        held.suspect = True
-    if msg.result == "old":
-        task.attempt += OLD_STEP
+        return [note, *_doubt(held, task, msg.run)]
+    release(held, msg.run)
     if msg.result == "invalid":
-        release(held, msg.run)
         reason = f"executor {msg.executor} rejects the task: {msg.detail}"
         outcome = batches.Outcome(batches.FAILED, reason)
-        return sends + finish(state, plan, outcome, now)
-    release(held, msg.run)
-    if msg.result == "room":
-        # What runs there is not known here; the next answer tells it.
-        held.suspect = True
+        return [note, *finish(state, plan, outcome, now)]
+    _take_refusal(held, task, msg.result)
     requeue(plan, task)
-    return sends
+    return [note]
+
+
+def _doubt(held, task, run):
+    """Keep a run on the books that may have started, and stop it."""
+    if task.status != "sent":
+        return []
+    task.status = "unknown"
+    task.stopping = True
+    held.suspect = True
+    return send_stop(held, run)
+
+
+def _take_refusal(held, task, result):
+    """Take in why an executor did not start a run."""
+    if result in ("unhealthy", "unsent", "room"):
+        # What it holds, or whether it answers, the next listing tells.
+        held.suspect = True
+    elif result == "old":
+        task.attempt += OLD_STEP
 
 
 def stop_answered(state, msg, now):
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -121,16 +121,7 @@
         pool_messages.JOURNAL: _make_journal(counts, note),
     }
     deliver = actors.make_router(table)
-    ref = _PoolActor.start(
-        [
-            fleet.make_controller(own),
-            gateway.make_controller(own.name),
-            planner.make_controller(own.name, make_token, clock()),
-        ],
-        deliver,
-        clock,
-        protocol,
-    )
+    ref = _start_controllers(own, protocol, make_token, deliver, clock)
     names = (
         pool_messages.FLEET,
         pool_messages.GATEWAY,
@@ -157,6 +148,19 @@
     return Instance(table, tellers, leave, stop, scrape)
 
 
+def _start_controllers(own, protocol, make_token, deliver, clock):
+    return _PoolActor.start(
+        [
+            fleet.make_controller(own),
+            gateway.make_controller(own.name),
+            planner.make_controller(own.name, make_token, clock()),
+        ],
+        deliver,
+        clock,
+        protocol,
+    )
+
+
 def _make_journal(counts, note):
     def take(decision):
         counts.take(decision)
--- a/packages/daemon/src/cardamompathd/tests/test_callers_http.py
+++ b/packages/daemon/src/cardamompathd/tests/test_callers_http.py
@@ -31,6 +31,22 @@
         for body in ("{", deep, '{"tasks": NaN}', "[1]", "\xff"):
             self.check(self.put(body), 400, "bad_json")
 
+    def test_numbers_beyond_range_and_keys_given_twice(self):
+        for body in (
+            '{"timeout": 1e400}',
+            '{"tasks": [{"payload": -1e999}]}',
+            '{"tasks": [], "tasks": [1]}',
+        ):
+            self.check(self.put(body), 400, "bad_json")
+
+    def test_two_different_lengths(self):
+        raw = (
+            b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\n"
+            b"Content-Length: 0\r\nContent-Length: 5\r\n\r\nabcde"
+        )
+        status, body = send_raw(self.port, raw)
+        self.assertEqual((400, "bad_http"), (status, body["code"]))
+
     def test_fields_that_are_wrong(self):
         for body in (
             {},
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_frontend.py
@@ -0,0 +1,112 @@
+"""The callers' interface of the platform, without sockets."""
+
+import json
+import unittest
+
+from cardamompath_core import batches
+from cardamompathd import pool_messages
+from cardamompathd.filters import chain
+from cardamompathd.platform import frontend
+
+JOB = {
+    "spec": "x",
+    "best_effort": True,
+    "phases": [{"count": 2, "cpu": 500, "mem_mb": 64}],
+}
+
+
+class FrontendTest(unittest.TestCase):
+    def setUp(self):
+        self.told = []
+        self.answers = {}
+        self.chain = frontend.make_chain(self.tell)
+
+    def tell(self, msg):
+        self.told.append(msg)
+        answer = self.answers.get(type(msg), self.answers)
+        if answer is not self.answers:
+            msg.reply.set(answer)
+
+    def call(self, method, path, body=None, gone=bool, **headers):
+        raw = json.dumps(body).encode() if body is not None else b""
+        req = chain.Request(
+            method,
+            path,
+            {},
+            {"host": "a.example:80", **headers},
+            lambda: raw,
+            len(raw),
+            gone=gone,
+        )
+        return self.chain(req)
+
+    def submit(self, outcome, **headers):
+        self.answers[pool_messages.SubmitBatch] = outcome
+        return self.call("POST", "/x/5c0e", JOB, **headers)
+
+    def test_outcomes_have_their_statuses(self):
+        cases = (
+            (batches.Outcome(batches.COMPLETE, ""), 200),
+            (batches.Outcome(batches.FAILED, ""), 200),
+            (batches.Outcome(batches.REFUSED, "full", 1.5), 503),
+            (batches.Outcome(batches.GIVEN_UP, "late"), 504),
+            (batches.Outcome(batches.UNKNOWN, "no route"), 404),
+        )
+        for outcome, status in cases:
+            with self.subTest(state=outcome.state):
+                self.assertEqual(self.submit(outcome).status, status)
+
+    def test_refusal_says_when_to_come_back(self):
+        outcome = batches.Outcome(batches.REFUSED, "full", 1.5)
+        response = self.submit(outcome)
+        self.assertEqual(response.body["retry_after_ms"], 1500)
+        self.assertEqual(dict(response.headers)["Retry-After"], "2")
+
+    def test_time_limit_and_address_are_passed_on(self):
+        header = {frontend.DEADLINE: "1500"}
+        self.submit(batches.Outcome(batches.COMPLETE, ""), **header)
+        msg = self.told[0]
+        self.assertEqual(msg.wait, 1.5)
+        self.assertEqual((msg.host, msg.path), ("a.example", "/x/5c0e"))
+
+    def test_bad_time_limits_are_refused(self):
+        for text in ("soon", "0", "-5", "nan", "1e12"):
+            with self.subTest(text=text):
+                header = {frontend.DEADLINE: text}
+                response = self.call("POST", "/x/5c0e", JOB, **header)
+                self.assertEqual(response.status, 400)
+        self.assertEqual(self.told, [])
+
+    def test_kinds_that_are_not_served_never_reach_a_planner(self):
+        body = {**JOB, "best_effort": False}
+        response = self.call("POST", "/x/5c0e", body)
+        self.assertEqual(response.status, 503)
+        self.assertIn("kept", response.body["reason"])
+        self.assertEqual(self.told, [])
+
+    def test_caller_that_leaves_withdraws_its_batch(self):
+        response = self.call("POST", "/x/5c0e", JOB, gone=lambda: True)
+        self.assertEqual(response.status, 504)
+        kinds = [type(msg) for msg in self.told]
+        expected = [pool_messages.SubmitBatch, pool_messages.WithdrawBatch]
+        self.assertEqual(kinds, expected)
+        self.assertIs(self.told[0].reply, self.told[1].reply)
+
+    def test_counts_states_and_cancels(self):
+        self.answers[pool_messages.CountWaiting] = 0
+        self.answers[pool_messages.CancelBatch] = True
+        response = self.call("GET", "/x/")
+        self.assertEqual(response.body, {"pending": 0})
+        self.assertEqual(self.call("GET", "/x/5c0e").status, 410)
+        self.assertEqual(self.call("DELETE", "/x/5c0e").status, 200)
+        self.answers[pool_messages.CancelBatch] = False
+        self.assertEqual(self.call("DELETE", "/x/5c0e").status, 410)
+        self.answers[pool_messages.CountWaiting] = None
+        self.assertEqual(self.call("GET", "/y/").status, 404)
+
+    def test_readiness(self):
+        ready = frontend.make_readiness(self.tell)
+        for reason, status in (("", 200), ("shutting down", 503)):
+            self.answers[pool_messages.GetReadiness] = reason
+            with self.subTest(reason=reason):
+                self.assertEqual(ready(None).status, status)
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -0,0 +1,172 @@
+"""The client of the platform's store and the tasks that follow it."""
+
+import base64
+import json
+import struct
+import unittest
+from typing import NamedTuple
+
+import urllib3
+
+from cardamompathd import pool_messages
+from cardamompathd.platform import errors
+from cardamompathd.platform import followers
+from cardamompathd.platform import store
+from cardamompathd.tests.test_platform_codec import ENTRY
+
+
+class Response(NamedTuple):
+    status: int
+    data: bytes = b""
+
+
+class FakePool:
+    """Answers calls in turn with what a test has put in."""
+
+    def __init__(self):
+        self.responses = []
+        self.calls = []
+
+    def request(self, method, url, **_):
+        self.calls.append((method, url))
+        response = self.responses.pop(0)
+        if isinstance(response, Exception):
+            raise response
+        return response
+
+    def close(self):
+        """Close nothing."""
+
+
+def newest(*pairs, more=False):
+    items = [
+        {"key": key, "value": base64.b64encode(value).decode(), "offset": 1}
+        for key, value in pairs
+    ]
+    doc = {"items": items, "has_more": more, "end_offset": 9}
+    return Response(200, json.dumps(doc).encode())
+
+
+def records(*pairs):
+    raw = struct.pack("!QQ", 9, 0)
+    for key, value in pairs:
+        name = key.encode()
+        body = bytes([len(name)]) + name + value
+        raw += struct.pack("!I", len(body)) + body
+    return Response(200, raw)
+
+
+def make_client():
+    client = store.make_client(("127.0.0.1", 1))
+    client._pool = FakePool()
+    return client, client._pool
+
+
+class StoreClientTest(unittest.TestCase):
+    def setUp(self):
+        self.client, self.pool = make_client()
+
+    def test_pages_are_read_to_the_end(self):
+        self.pool.responses = [
+            newest(("a", b"1"), more=True),
+            newest(("b", b"2")),
+        ]
+        found, end = self.client.newest("keyed.op")
+        self.assertEqual([one.key for one in found], ["a", "b"])
+        self.assertEqual(end, 9)
+        self.assertIn("depends_on=a", self.pool.calls[1][1])
+
+    def test_records_are_read_with_the_next_offset(self):
+        self.pool.responses = [records(("a", b"1"), ("b", b""))]
+        found, end = self.client.read("keyed.op", 4, 0.0)
+        self.assertEqual(found[0], store.Record("a", b"1"))
+        self.assertEqual(found[1], store.Record("b", b""))
+        self.assertEqual(end, 6)
+
+    def test_deleted_records_are_told_apart(self):
+        self.pool.responses = [Response(410)]
+        with self.assertRaises(errors.Trimmed):
+            self.client.read("keyed.op", 4, 0.0)
+
+    def test_nonsense_counts_as_no_answer(self):
+        faults = (
+            Response(503),
+            Response(429),
+            Response(200, b"nonsense"),
+            Response(200, b'{"items": 7, "end_offset": 1}'),
+            Response(200, b'{"items": [{"key": "a"}], "end_offset": 1}'),
+            urllib3.exceptions.ReadTimeoutError(None, "", "silent"),
+        )
+        for fault in faults:
+            self.pool.responses = [fault]
+            with (
+                self.subTest(fault=fault),
+                self.assertRaises(errors.StoreUnavailable),
+            ):
+                self.client.newest("keyed.op")
+
+    def test_records_that_are_cut_short_count_as_no_answer(self):
+        whole = records(("a", b"123")).data
+        for size in (len(whole) - 1, len(whole) - 5, 18):
+            self.pool.responses = [Response(200, whole[:size])]
+            with (
+                self.subTest(size=size),
+                self.assertRaises(errors.StoreUnavailable),
+            ):
+                self.client.read("keyed.op", 0, 0.0)
+
+
+class ExecutorFollowerTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 10.0
+        self.told = []
+        self.client, self.pool = make_client()
+        self.task = followers.ExecutorFollower(
+            self.client, self.told.append, lambda: self.now
+        )
+        self.entry = json.dumps(ENTRY).encode()
+
+    def step(self, response, later=0.4):
+        self.now += later
+        self.pool.responses = [response]
+        self.task._step()
+
+    def names(self):
+        return [one.name for one in self.told[-1].executors]
+
+    def test_executors_are_told_when_they_change(self):
+        self.step(newest(("i-1", self.entry)))
+        self.assertEqual(self.names(), ["i-1"])
+        self.step(newest(("i-1", self.entry)))
+        self.assertEqual(len(self.told), 1)
+
+    def test_entry_that_cannot_be_read_names_nobody(self):
+        self.step(newest(("i-1", self.entry), ("i-2", b"\xff")))
+        self.assertEqual(self.names(), ["i-1"])
+
+    def test_planner_gets_a_listing_when_it_asks(self):
+        self.step(newest(("i-1", self.entry)))
+        self.task._take(True)
+        self.step(records())
+        self.assertEqual(len(self.told), 2)
+        self.assertIsInstance(self.told[1], pool_messages.ExecutorsListed)
+
+    def test_missing_entry_counts_for_a_while_after_an_outage(self):
+        self.step(newest(("i-1", self.entry)))
+        self.task._on_return()
+        self.step(newest(), 0.1)
+        self.assertEqual(self.names(), ["i-1"])
+        self.step(newest(), followers.RETURN_TIME)
+        self.assertEqual(self.names(), [])
+
+    def test_entry_that_is_dropped_at_other_times_is_gone(self):
+        self.step(newest(("i-1", self.entry)))
+        self.step(newest())
+        self.assertEqual(self.names(), [])
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_nonsense_is_not_told(self):
+        told = []
+        followers.tell_configuration(b"nonsense", "store", told.append)
+        self.assertEqual(told, [])
