After a cut, start nothing that another planner may have begun for a lease

Cause: at the end of a cut a planner counted an executor as claimed until its hold returned, though the other planner had claimed it with a higher token and started a task there 5 ms before. Ruled out: equal starts of instances, a lost drop.

--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -79,6 +79,10 @@
 
 
 def _fleet(state, msg, now):
+    if state.fleet is not None:
+        missing = {one.name for one in state.fleet.missing}
+        if any(one.name in missing for one in msg.alive):
+            state.healed_at = now
     state.fleet = msg
     state.planners = seniority.choose_planners(msg.alive)
     if state.active_since is None:
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -24,6 +24,9 @@
 TAKE_OVER = planner_runs.LEASE * 1.02 + planner_runs.LEASE_MARGIN
 """Seconds after which no run of an earlier planner is left, unless
 somebody still holds its executor."""
+HEAL_TIME = 1.5
+"""Seconds after the end of a cut in which a claim proves nothing: a
+lease, and the silence after which an instance counts as missing."""
 LISTING_TIME = 0.3
 """Seconds for a listing of the executors; after that the store counts
 as down and the last one known is used."""
@@ -115,7 +118,13 @@
 
 def _may_start(state, plan, now):
     """Return whether no other planner can have runs of a batch left."""
-    if plan.round == 0 or planner_holds.all_claimed(state, now):
+    if plan.round == 0:
+        return True
+    # After a cut two planners may claim in turn until both see the fleet.
+    healing = state.healed_at is not None and (
+        now < state.healed_at + HEAL_TIME
+    )
+    if not healing and planner_holds.all_claimed(state, now):
         return True
     return now >= max(state.began, plan.arrived) + TAKE_OVER
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -233,6 +233,8 @@
         self.minority_since: float | None = None
         """Since when no more than half of the members are seen."""
         self.passive_until = 0.0
+        self.healed_at: float | None = None
+        """When a member that was missing was last seen again."""
 
     def remember_dropped(self, name: str) -> None:
         """Keep that a batch has started, should it come again."""
--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -133,6 +133,21 @@
             self.assertEqual(self.started(sent), [])
         self.assertEqual(len(self.started(self.tick(0.2))), 1)
 
+    def test_end_of_a_cut_delays_what_another_planner_may_have_begun(self):
+        self.list_all()
+        self.answer_holds(self.see("abd", "c"))
+        self.tick(0.5)
+        self.see("abcd")
+        step = batches.Step(1, executors.Room(1000, 1), 0.2)
+        batch = batches.Batch("j", "", (step,), batches.Terms("r", "desk"))
+        sent = self.tell(pool_messages.PlanBatch(batch, "n-b", 0.1, 9.0, 1))
+        self.assertEqual(self.started(sent), [])
+        for _ in range(10):
+            sent = self.tick(0.1)
+            self.answer_holds(sent)
+            self.assertEqual(self.started(sent), [])
+        self.assertEqual(len(self.started(self.tick(0.2))), 1)
+
     def started(self, sent):
         return [msg for msg in sent if isinstance(msg, pool_messages.StartRun)]
 
