Soak of the real programs on stand-ins of the store and the executors

Random faults from a seed on separate processes: kills, freezes, signals to end and to reload, executors that fail, stall, drain or lose answers, a proxy that cuts, silences one way or both, delays or lets open connections die, a store that is down, paused or loses answers. Checked from what clients and executors saw: single runs, answers, refusals, limits, shutdown, routes in force.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP = $(VENV)/.installed
 
 .PHONY: setup test lint format demo drill idle bench bench-daemon slopes bench-small \
-	scenarios model model-wide
+	scenarios model model-wide soak soak-many soak-short
 
 setup: $(STAMP)
 
@@ -68,3 +68,19 @@
 
 model-wide: $(STAMP)
 	$(BIN)/python -m cardamompath_proof.model --wide
+
+# Random faults on separate processes; SIZE may be small, usual or large.
+SEED ?= 1
+SIZE ?= usual
+
+soak: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.soak --seed $(SEED) --size $(SIZE)
+
+soak-many: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.soak --seed $(SEED) --many 50 \
+		--size $(SIZE)
+
+# For CI.
+soak-short: $(STAMP)
+	$(BIN)/python -m cardamompath_proof.soak --seed $(SEED) --size small \
+		--length 10 --faults 8
--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -49,6 +49,14 @@
 """Seconds for which a silent member may be behind a partition."""
 KNOWN_EACH = 5
 """One in so many signs of life names the members that are known."""
+SETTLE = 0.3
+"""Seconds after its start in which an instance looks for others before
+it says who they are: one try to open a link, and a sign of life."""
+QUIET = 0.4
+"""Seconds without a new member that this has to last; members tell one
+another of others in half a second."""
+MOST_SETTLE = 2.0
+"""Seconds after which it says so in any case."""
 DUE_EARLY = 0.02
 """Seconds by which a sign of life may be early; timers are a little
 late, and it must not wait for the next look."""
@@ -88,6 +96,9 @@
         self.peers: dict[str, _Peer] = {}
         self.addresses: dict[tuple[str, int], float] = {}
         """When the last sign of life went to each address."""
+        self.began: float | None = None
+        self.found_at = 0.0
+        """When the last new member was heard."""
         self.told: tuple | None = None
         self.hellos = 0
         self.planning = seniority.Planning()
@@ -117,6 +128,8 @@
 def _tick(state, _, now):
     due = messages.SetTimer(now + HELLO_INTERVAL, pool_messages.FLEET, "hello")
     sends = [messages.Send(messages.TIMERS, due)]
+    if state.began is None:
+        state.began = now
     changed = state.told is None
     for name, peer in list(state.peers.items()):
         silence = max(SILENCE, SILENCE_FACTOR * peer.interval)
@@ -135,7 +148,7 @@
             del state.engaged[name]
             state.intervals.clear()
     sends += _greet_due(state, now)
-    return sends + (_tell_change(state) if changed else [])
+    return sends + (_tell_change(state, now) if changed else [])
 
 
 def _greet_due(state, now):
@@ -198,6 +211,8 @@
     member = msg.member
     peer = state.peers.get(member.name)
     if peer is None or peer.member.started < member.started:
+        if peer is None:
+            state.found_at = now
         peer = state.peers[member.name] = _Peer(member, now)
         peer.alive = False
     elif peer.member.started > member.started:
@@ -221,10 +236,10 @@
     if msg.config_version < state.config_version:
         offer = pool_messages.OfferConfiguration(member.address)
         sends.append(messages.Send(pool_messages.GATEWAY, offer))
-    return sends + (_tell_change(state) if changed else [])
+    return sends + (_tell_change(state, now) if changed else [])
 
 
-def _failed(state, msg, _):
+def _failed(state, msg, now):
     if not msg.refused:
         return ()
     changed = False
@@ -233,13 +248,13 @@
             changed = True
             peer.alive = False
             peer.gone = True
-    return _tell_change(state) if changed else ()
+    return _tell_change(state, now) if changed else ()
 
 
 def _leave(state, _, now):
     state.own = state.own._replace(leaving=True)
     hello = _greet(state, tuple(state.addresses), TO_PLANNER_INTERVAL)
-    return [hello, *_tell_change(state)]
+    return [hello, *_tell_change(state, now)]
 
 
 def _configured(state, msg, _):
@@ -260,7 +275,19 @@
     return ()
 
 
-def _tell_change(state):
+def _is_settled(state, now):
+    """Return whether the members found so far are likely to be all."""
+    if state.told is not None:
+        return True
+    if state.began is None or now < state.began + SETTLE:
+        return False
+    quiet = now >= state.found_at + QUIET
+    return quiet or now >= state.began + MOST_SETTLE
+
+
+def _tell_change(state, now):
+    if not _is_settled(state, now):
+        return []
     alive = [one.member for one in state.peers.values() if one.alive]
     missing = [
         one.member
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -109,6 +109,33 @@
         self.assertGreaterEqual(one.hellos()["b-0", 1], 18)
 
 
+class SettleTest(unittest.TestCase):
+    def test_nobody_is_told_of_the_fleet_while_members_are_found(self):
+        members = make_large(3)
+        one = Fleet(members[0], [])
+        one.tell(messages.TimerFired("hello"))
+        for member in members[1:6]:
+            one.others.append(member)
+            one.run(0.3)
+            self.assertEqual(one.views(), [])
+        one.run(0.5)
+        self.assertEqual(len(one.views()), 1)
+        self.assertEqual(len(one.views()[0].alive), 6)
+
+    def test_lone_instance_says_so_soon(self):
+        one = Fleet(make_member("a", 0), [])
+        one.run(0.5)
+        self.assertEqual(len(one.views()), 1)
+
+    def test_fleet_that_never_rests_is_told_in_time(self):
+        members = make_large()
+        one = Fleet(members[0], [])
+        for member in members[1:]:
+            one.others.append(member)
+            one.run(0.1)
+        self.assertGreater(len(one.views()), 1)
+
+
 class SilenceTest(unittest.TestCase):
     def test_planner_that_falls_silent_is_missing_within_half_a_second(self):
         members = [make_member("a", one) for one in range(3)]
@@ -129,6 +156,7 @@
     def test_member_that_is_gone_still_counts_in_the_census(self):
         members = [make_member("a", one) for one in range(3)]
         one = Fleet(members[0], members[1:])
+        one.run(1.0)
         one.tell(pool_messages.AddressFailed(members[1].address, True))
         view = one.views()[-1]
         self.assertNotIn(members[1], view.alive)
--- a/packages/proof/src/cardamompath_proof/drill/__init__.py
+++ b/packages/proof/src/cardamompath_proof/drill/__init__.py
@@ -1,7 +1,7 @@
 """A drill with separate processes on loopback: ``make drill``."""
 
+from cardamompath_proof import proxy
 from cardamompath_proof.drill import checks
-from cardamompath_proof.drill import proxy
 from cardamompath_proof.drill import rig
 from cardamompath_proof.drill import steps
 
--- a/packages/proof/src/cardamompath_proof/drill/rig.py
+++ b/packages/proof/src/cardamompath_proof/drill/rig.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from cardamompath_proof import processes
-from cardamompath_proof.drill import proxy
+from cardamompath_proof import proxy
 from cardamompathd.recordlog import log_client
 
 __all__ = [
--- a/packages/proof/src/cardamompath_proof/processes.py
+++ b/packages/proof/src/cardamompath_proof/processes.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -77,7 +78,13 @@
         return port
 
 
-def start(name: str, module: str, args: Sequence[str], log=None) -> Running:
+def start(
+    name: str,
+    module: str,
+    args: Sequence[str],
+    log=None,
+    env: Mapping[str, str] | None = None,
+) -> Running:
     """Start a Python module as a process.
 
     Parameters
@@ -90,10 +97,15 @@
         Its arguments.
     log : file, optional
         Takes its output; discarded without one.
+    env : mapping, optional
+        Variables beside those of this process.
     """
     output = subprocess.DEVNULL if log is None else log
     process = subprocess.Popen(
-        [sys.executable, "-m", module, *args], stdout=output, stderr=output
+        [sys.executable, "-m", module, *args],
+        stdout=output,
+        stderr=output,
+        env={**os.environ, **(env or {})},
     )
     return Running(name, process)
 
--- a/packages/proof/src/cardamompath_proof/drill/proxy.py
+++ b/packages/proof/src/cardamompath_proof/proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy that counts bytes and can be cut and restored.
+"""A TCP proxy that counts bytes and disturbs what it passes on.
 
 All connections of a proxy are owned by one event loop on a thread of
 its own; other threads reach it by calls that the loop runs.
@@ -18,6 +18,9 @@
 CHUNK = 1 << 16
 """Bytes that are passed on at a time."""
 
+SLOW = 0.3
+"""Seconds by which a slow proxy delays each chunk."""
+
 CALL_TIMEOUT = 5.0
 """Seconds that the loop may take for a call from another thread."""
 
@@ -39,6 +42,9 @@
         """Bytes passed on so far, both ways together."""
         self._target = target
         self._is_cut = False
+        self._mode = ""
+        self._stale: set[asyncio.StreamWriter] = set()
+        """Writers of connections that went silent for good."""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._loop = asyncio.new_event_loop()
@@ -65,6 +71,24 @@
         """Pass new connections on again."""
         self._call(self._set_cut(False))
 
+    def disturb(self, mode: str) -> None:
+        """Disturb connections, open ones and new ones, until `calm`.
+
+        Parameters
+        ----------
+        mode : {"silent", "one way", "slow"}
+            Nothing passes, no answer passes, or all passes late.
+        """
+        self._call(self._set_mode(mode))
+
+    def calm(self) -> None:
+        """Pass all on again; what lost bytes is closed."""
+        self._call(self._set_mode(""))
+
+    def silence_open(self) -> None:
+        """Pass nothing on any more on the connections that are open."""
+        self._call(self._silence_open())
+
     def stop(self) -> None:
         """End the loop and its thread."""
         self._call(self._end())
@@ -82,6 +106,16 @@
             for writer in tuple(self._writers):
                 writer.transport.abort()
 
+    async def _set_mode(self, mode):
+        lost = self._mode in ("silent", "one way")
+        self._mode = mode
+        if lost and not mode:
+            for writer in tuple(self._writers):
+                writer.transport.abort()
+
+    async def _silence_open(self):
+        self._stale |= self._writers
+
     async def _end(self):
         if self._server is not None:
             self._server.close()
@@ -102,17 +136,24 @@
                 await self._set_cut(True)
             try:
                 await asyncio.gather(
-                    self._pass_on(reader, far[1]),
-                    self._pass_on(far[0], writer),
+                    self._pass_on(reader, far[1], True),
+                    self._pass_on(far[0], writer, False),
                 )
             finally:
                 self._writers -= both
+                self._stale -= both
                 for one in both:
                     one.transport.abort()
 
-    async def _pass_on(self, reader, writer):
+    async def _pass_on(self, reader, writer, is_call):
         while raw := await reader.read(CHUNK):
             self.bytes += len(raw)
+            if self._mode == "silent" or writer in self._stale:
+                continue
+            if self._mode == "one way" and not is_call:
+                continue
+            if self._mode == "slow":
+                await asyncio.sleep(SLOW)
             writer.write(raw)
             await writer.drain()
         writer.close()
--- a/packages/proof/src/cardamompath_proof/tests/test_drill.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_drill.py
@@ -8,9 +8,9 @@
 from unittest import mock
 
 from cardamompath_proof import processes
+from cardamompath_proof import proxy
 from cardamompath_proof.drill import __main__ as command
 from cardamompath_proof.drill import checks
-from cardamompath_proof.drill import proxy
 
 WAIT = 5.0
 
