Planners keep their places; a successor takes a whole one over

Batches in flight then waited for leases.

Change: a planner says its place in its signs of life and keeps it; a free place goes to the largest member. A batch follows the place, so that its runs are adopted without waiting for a lease; a planner without executors says so as its backlog.

Ruled out: one planner for each domain of 10, at 1 ms a task too much for the crest of one core.

--- a/packages/core/src/cardamompath_core/seniority.py
+++ b/packages/core/src/cardamompath_core/seniority.py
@@ -1,11 +1,12 @@
 """Which instance plans, and for which executors.
 
 Every instance computes the answer from the members that it knows to be
-alive.  The longest-running members of the largest size plan, so that a
-restart does not take a planner's work back from its successor.  A fleet
-with a planner or more for each failure domain plans by domain, so that a
-domain that is cut off loses nothing; a smaller one plans for the whole
-pool, as a few executors are packed badly.
+alive.  Who plans goes on; a place that is free goes to the member of the
+largest size that runs longest, so that a restart never takes a planner's
+work back from its successor.  A fleet with a planner or more for each
+failure domain plans by domain, so that a domain that is cut off loses
+nothing; a smaller one plans for the whole pool, as a few executors are
+packed badly.
 """
 
 from __future__ import annotations
@@ -19,10 +20,13 @@
 
 __all__ = [
     "Member",
+    "Place",
     "Planning",
     "arrange",
     "choose_planners",
     "order_planners",
+    "place_of",
+    "planner_at",
     "planner_of",
     "planner_of_executor",
     "rank",
@@ -48,6 +52,18 @@
     leaving: bool = False
     power: int = 0
     """Thousandths of a core that one thread of it gets; 0: unknown."""
+    slot: int = -1
+    """Number of its place among the planners; -1: it does not plan."""
+
+
+class Place(NamedTuple):
+    """A place of a planner, and with it a share of the executors."""
+
+    domain: str
+    """Empty when it is one for the whole pool."""
+    slot: int
+    count: int
+    """Places that share the same executors."""
 
 
 class Planning(NamedTuple):
@@ -81,8 +97,8 @@
         return Planning(choose_planners(alive))
     planners: list[Member] = []
     for domain, count in sorted(domains.items()):
-        ranked = rank([one for one in alive if one.domain == domain])
-        planners += ranked[: _planners_for(count)]
+        near = [one for one in alive if one.domain == domain]
+        planners += _fill_places(near, _planners_for(count))
     silent = frozenset(one.domain for one in missing)
     return Planning(tuple(planners), True, silent)
 
@@ -103,13 +119,54 @@
     return sorted(staying or alive, key=_precedence)
 
 
+def _fill_places(members, count):
+    """Return a planner for each place, in the order of the places."""
+    ranked = rank(members)
+    places: list[Member | None] = [None] * count
+    for one in ranked:
+        if 0 <= one.slot < count and places[one.slot] is None:
+            places[one.slot] = one
+    free = iter([one for one in ranked if one not in places])
+    filled = [next(free, None) if one is None else one for one in places]
+    return [one for one in filled if one is not None]
+
+
+def place_of(name: str, planning: Planning) -> Place | None:
+    """Return the place of a planner.
+
+    None when it has none, or when several share the whole pool: a loss
+    then moves executors between the others.
+    """
+    if not planning.by_domain:
+        planners = planning.planners
+        sole = len(planners) == 1 and planners[0].name == name
+        return Place("", 0, 1) if sole else None
+    for one in planning.planners:
+        if one.name == name:
+            near = _planners_in(one.domain, planning)
+            return Place(one.domain, near.index(one), len(near))
+    return None
+
+
+def planner_at(place: Place, planning: Planning) -> Member | None:
+    """Return who has a place now, if that place is still there."""
+    for one in planning.planners:
+        if place_of(one.name, planning) == place:
+            return one
+    return None
+
+
+def _planners_in(domain, planning):
+    return [one for one in planning.planners if one.domain == domain]
+
+
 def _planners_for(members):
     return -(-members // MEMBERS_PER_PLANNER)
 
 
 def _precedence(member):
     size = math.floor(math.log(max(member.power, 1), SIZE_STEP))
-    return (-size, member.started, member.name)
+    return (member.slot < 0, -size, member.started, member.name)
 
 
 def planner_of_executor(
@@ -122,10 +179,12 @@
     """
     if not planning.by_domain:
         return planner_of(executor, planning.planners)
-    near = [one for one in planning.planners if one.domain == domain]
-    if not near and domain in planning.silent:
+    near = _planners_in(domain, planning)
+    if near:
+        return near[xxhash.xxh64_intdigest(executor.encode()) % len(near)]
+    if domain in planning.silent:
         return None
-    return planner_of(executor, near or planning.planners)
+    return planner_of(executor, planning.planners)
 
 
 def planner_of(executor: str, planners: Sequence[Member]) -> Member | None:
--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -49,12 +49,14 @@
 """Seconds for which a silent member may be behind a partition."""
 KNOWN_EACH = 5
 """One in so many signs of life names the members that are known."""
-SETTLE = 0.3
+NEWS_TIME = 1.0
+"""Seconds after a new member in which each sign of life names them."""
+SETTLE = 0.2
 """Seconds after its start in which an instance looks for others before
 it says who they are: one try to open a link, and a sign of life."""
-QUIET = 0.4
-"""Seconds without a new member that this has to last; members tell one
-another of others in half a second."""
+QUIET = 0.25
+"""Seconds without a new member that this has to last; two signs of life
+to a planner, which name the members that are known."""
 MOST_SETTLE = 2.0
 """Seconds after which it says so in any case."""
 DUE_EARLY = 0.02
@@ -166,7 +168,7 @@
             groups[interval].append(address)
     state.hellos += 1
     return [
-        _greet(state, tuple(some), interval)
+        _greet(state, tuple(some), interval, now)
         for interval, some in groups.items()
     ]
 
@@ -183,9 +185,10 @@
     return max(SELDOM_INTERVAL, count / SELDOM_PER_SECOND)
 
 
-def _greet(state, addresses, interval):
+def _greet(state, addresses, interval, now):
     known: tuple[tuple[str, int], ...] = ()
-    if state.hellos % KNOWN_EACH == 0:
+    news = now < state.found_at + NEWS_TIME
+    if news or state.hellos % KNOWN_EACH == 0:
         known = tuple(
             one.member.address for one in state.peers.values() if one.alive
         )
@@ -253,7 +256,7 @@
 
 def _leave(state, _, now):
     state.own = state.own._replace(leaving=True)
-    hello = _greet(state, tuple(state.addresses), TO_PLANNER_INTERVAL)
+    hello = _greet(state, tuple(state.addresses), TO_PLANNER_INTERVAL, now)
     return [hello, *_tell_change(state, now)]
 
 
@@ -262,6 +265,14 @@
     return ()
 
 
+def _place_taken(state, msg, now):
+    if state.own.slot == msg.slot:
+        return ()
+    state.own = state.own._replace(slot=msg.slot)
+    hello = _greet(state, tuple(state.addresses), TO_PLANNER_INTERVAL, now)
+    return [hello, *_tell_change(state, now)]
+
+
 def _loaded(state, msg, _):
     state.backlog = msg.backlog
     return ()
@@ -347,4 +358,5 @@
     pool_messages.ConfigurationInForce: _configured,
     pool_messages.BacklogMeasured: _loaded,
     pool_messages.Engage: _engage,
+    pool_messages.PlaceTaken: _place_taken,
 }
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -48,6 +48,8 @@
     __slots__ = (
         "batch",
         "handed",
+        "moved",
+        "place",
         "planner",
         "refresh_at",
         "replies",
@@ -63,6 +65,9 @@
         self.submitted = now
         self.until = now + wait
         self.planner: seniority.Member | None = None
+        self.place: seniority.Place | None = None
+        self.moved = False
+        """Whether its planners had different places."""
         self.tried: set[str] = set()
         """Planners that refused it."""
         self.round = 0
@@ -229,7 +234,11 @@
     sends = []
     if not _is_same(planner, one.planner):
         sends += _take_back(state, one)
-        one.round += one.handed
+        place = seniority.place_of(planner.name, state.planning)
+        if one.handed:
+            one.round += 1
+            one.moved |= place is None or place != one.place
+        one.place = place
         one.refresh_at = now + REFRESH
     one.planner = planner
     one.handed = True
@@ -240,6 +249,7 @@
         now - one.submitted,
         one.until - now,
         one.round,
+        one.moved,
     )
     return [*sends, _send_to(state, planner, msg)]
 
@@ -268,10 +278,14 @@
 
 
 def _choose(state, one):
-    """Return the planner for a batch: the one that it has, if any."""
+    """Return the planner for a batch: its own one, or who took its place."""
     for planner in state.planning.planners:
         if _is_same(planner, one.planner):
             return planner
+    if one.place is not None:
+        successor = seniority.planner_at(one.place, state.planning)
+        if successor is not None:
+            return successor
     ordered = seniority.order_planners(
         one.batch.name, state.domain, state.planning
     )
@@ -356,6 +370,7 @@
     fields["age_ms"] = round((now - one.submitted) * 1000.0)
     one.tried.add(one.planner.name)
     one.planner = None
+    one.place = None
     one.handed = False
     note = _note("asks another planner", one.batch.name, fields)
     return [note, *_hand_over(state, one, now)]
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -108,7 +108,7 @@
     state.listed = {one.name: one for one in msg.executors}
     for name, spec in before.items():
         if name not in state.listed and spec.state == executors.READY:
-            state.unlisted[name] = now
+            state.unlisted[name] = (now, spec)
     state.listed_at = now
     if state.active_since is None:
         return []
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import operator
 
@@ -12,6 +13,7 @@
 from cardamompathd.controllers import planner_health
 from cardamompathd.controllers import planner_holds
 from cardamompathd.controllers import planner_notes
+from cardamompathd.controllers import planner_roles
 from cardamompathd.controllers import planner_runs
 
 __all__ = [
@@ -39,6 +41,9 @@
 BACKLOG_STEP = 0.02
 """Seconds to which a backlog is rounded; a finer one would be told anew
 with each sign of life."""
+NO_POOL = 10.0
+"""Seconds that count as the backlog of a planner that has no executor in
+use; longer than callers wait for short tasks."""
 RETRY_AFTER = 1.0
 """Seconds after which a refused caller may try again."""
 
@@ -57,6 +62,8 @@
 def tell_backlog(state):
     """Tell how long the waiting work takes, when that has changed."""
     seconds = sum(len(one.waiting) * one.drain for one in state.plans.values())
+    if not state.pool:
+        seconds = NO_POOL
     backlog = math.ceil(seconds / BACKLOG_STEP) * BACKLOG_STEP
     if backlog == state.backlog:
         return []
@@ -141,8 +148,8 @@
 def _may_start(state, plan, now):
     """Return whether no other planner can have runs of a batch left.
 
-    One among several planners does not hold every executor on which
-    they may be.
+    This one holds every executor on which they may be, if the earlier
+    planners had the same place.
     """
     if plan.round == 0:
         return True
@@ -150,9 +157,10 @@
     healing = state.healed_at is not None and (
         now < state.healed_at + HEAL_TIME
     )
-    sole = len(state.planning.planners) == 1
-    if sole and not healing and planner_holds.all_claimed(state, now):
-        return True
+    if not plan.moved and not healing:
+        mine = functools.partial(planner_roles.is_mine, state)
+        if planner_holds.all_claimed(state, mine, now):
+            return True
     return now >= max(state.began, plan.arrived) + TAKE_OVER
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -248,21 +248,22 @@
     return messages.Send(pool_messages.EXECUTORS, msg)
 
 
-def all_claimed(state, now):
+def all_claimed(state, is_mine, now):
     """Return whether every executor answers under the present token.
 
     One that is no longer registered counts for a while: it may be behind
     a partition, held by another planner.  A planner that claims its own
-    failure domains only never has all of them.
+    failure domains only never has all of them.  `is_mine` tells which
+    executors are this planner's.
     """
     if state.minority_since is not None:
         return False
-    for name, seen_at in list(state.unlisted.items()):
+    for name, (seen_at, _) in list(state.unlisted.items()):
         if now - seen_at > UNLISTED_TIME or name in state.listed:
             del state.unlisted[name]
-    return not state.unlisted and all(
-        one.claimed and not one.suspect for one in state.held.values()
-    )
+    if any(is_mine(spec) for _, spec in state.unlisted.values()):
+        return False
+    return all(one.claimed and not one.suspect for one in state.held.values())
 
 
 def update_listing(state, mine, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -19,6 +19,7 @@
     "CAUTION",
     "assign",
     "change",
+    "is_mine",
     "is_passive",
     "probed",
 ]
@@ -51,14 +52,29 @@
         state.minority_since = None
         state.passive_until = 0.0
     if wanted and state.active_since is None:
-        return sends + _begin(state, now)
+        return [*sends, *_begin(state, now), *_take_place(state)]
     if not wanted and state.active_since is not None:
-        return sends + _end(state, now)
+        return [*sends, *_end(state, now), *_take_place(state)]
+    if wanted:
+        sends += _take_place(state)
     if wanted and careful != (state.minority_since is not None):
         sends += assign(state, now)
     return sends
 
 
+def _take_place(state):
+    """Tell the fleet the place at which this instance plans."""
+    slot = -1
+    if state.active_since is not None:
+        place = seniority.place_of(state.own, state.planning)
+        slot = place.slot if place else 0
+    if slot == state.slot:
+        return []
+    state.slot = slot
+    taken = pool_messages.PlaceTaken(slot)
+    return [messages.Send(pool_messages.FLEET, taken)]
+
+
 def is_passive(state, now):
     """Return whether this instance leaves all executors alone."""
     return state.active_since is None and now < state.passive_until
@@ -148,13 +164,13 @@
     mine = {
         name: spec
         for name, spec in state.listed.items()
-        if _is_mine(state, spec)
-        and (domains is None or spec.domain in domains)
+        if is_mine(state, spec) and (domains is None or spec.domain in domains)
     }
     return planner_holds.update_listing(state, mine, now)
 
 
-def _is_mine(state, spec):
+def is_mine(state, spec):
+    """Return whether this planner is to hold an executor."""
     planner = seniority.planner_of_executor(
         spec.name, spec.domain, state.planning
     )
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -64,6 +64,7 @@
         "least",
         "left_until",
         "log_size",
+        "moved",
         "origins",
         "ready_at",
         "round",
@@ -84,6 +85,7 @@
         self.left_until = now + msg.left
         self.ready_at = now
         self.round = msg.round
+        self.moved = msg.moved
         self.started = msg.round > 0
         """Whether an order to start any of it may have been carried out."""
         self.tasks = [
@@ -209,13 +211,15 @@
         """Draws a token above those of earlier planners."""
         self.fleet: pool_messages.FleetChanged | None = None
         self.planning = seniority.Planning()
+        self.slot = -1
+        """The place that the fleet was told of."""
         self.backlog = 0.0
         """The last one that was told, in seconds."""
         self.active_since: float | None = None
         self.began = 0.0
         self.listed: dict[str, executors.Executor] = {}
         self.listed_at: float | None = None
-        self.unlisted: dict[str, float] = {}
+        self.unlisted: dict[str, tuple[float, executors.Executor]] = {}
         """Executors that are no longer listed, and since when; not those
         that said before that they leave."""
         self.held: dict[str, Held] = {}
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -42,6 +42,7 @@
     power: int = 0
     interval_ms: int = 100
     backlog_ms: int = 0
+    slot: int = -1
 
 
 class StepFields(NamedTuple):
@@ -74,6 +75,7 @@
     age_us: int
     left_us: int
     round: int
+    moved: int = 1
 
 
 class DropFields(NamedTuple):
@@ -115,6 +117,7 @@
     wire.I32,
     wire.I32,
     wire.I32,
+    wire.I32,
 )
 wire.declare(
     StepFields,
@@ -144,6 +147,7 @@
     wire.I64,
     wire.I64,
     wire.I32,
+    wire.I32,
 )
 wire.declare(DropFields, wire.TEXT, wire.TEXT)
 wire.declare(EndedFields, wire.TEXT, wire.TEXT, wire.TEXT, wire.TEXT, wire.I64)
@@ -223,6 +227,7 @@
         member.power,
         round(msg.interval * 1000.0),
         round(msg.backlog * 1000.0),
+        member.slot,
     )
 
 
@@ -236,6 +241,7 @@
             fields.started,
             bool(fields.leaving),
             fields.power,
+            fields.slot,
         ),
         fields.config_version,
         tuple((host, int(port)) for host, _, port in known),
@@ -261,6 +267,7 @@
         _micros(msg.age),
         _micros(msg.left),
         msg.round,
+        int(msg.moved),
     )
 
 
@@ -303,6 +310,7 @@
         fields.age_us / 1e6,
         fields.left_us / 1e6,
         fields.round,
+        bool(fields.moved),
     )
 
 
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -36,7 +36,7 @@
 FAST = 0.4
 """Seconds between reads of the executors while planning: a leaving
 executor may get work for 2 s after it said so."""
-SLOW = 6.0
+SLOW = 4.0
 """Seconds between reads while others plan."""
 RETURN_TIME = 2.5
 """Seconds after an outage of the store for which executors that are not
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -42,6 +42,7 @@
     "Note",
     "OfferConfiguration",
     "PLANNER",
+    "PlaceTaken",
     "PlanBatch",
     "ProbeAnswered",
     "ProbeExecutor",
@@ -155,6 +156,8 @@
     """Seconds that the caller still waits."""
     round: int
     """How many planners were asked before."""
+    moved: bool = True
+    """Whether these held executors that the one asked now does not."""
 
 
 class DropBatch(NamedTuple):
@@ -230,6 +233,12 @@
     """Seconds."""
 
 
+class PlaceTaken(NamedTuple):
+    """Tell at which place this instance plans; -1: at none."""
+
+    slot: int
+
+
 class Engage(NamedTuple):
     """A planner of another failure domain has a batch of ours.
 
--- a/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
@@ -7,6 +7,7 @@
 from cardamompathd.tests import pool_world
 
 EACH = 9
+EXECUTORS = 8
 
 
 def make_world():
@@ -15,6 +16,11 @@
     for domain in ("a", "b"):
         for index in range(1, EACH):
             world.add_node(f"n-{domain}{index}", domain, 2000 + index)
+        for index in range(2, EXECUTORS):
+            name = f"x-{domain}{index}"
+            world.executors[name] = pool_world.FakeExecutor(
+                world, name, domain
+            )
     world.run(3.0)
     return world
 
@@ -76,6 +82,38 @@
         self.world.run(1.0)
         self.assert_state(reply, batches.COMPLETE)
 
+    def test_successor_takes_the_place_and_what_runs_there(self):
+        self.world.work = 0.9
+        replies = [
+            self.world.submit(self.world.nodes["n-a5"], f"j{one}")
+            for one in range(4)
+        ]
+        self.world.run(0.1)
+        self.world.nodes["n-a"].alive = False
+        self.world.run(1.2)
+        for reply in replies:
+            self.assert_state(reply, batches.COMPLETE)
+        self.assertIn("n-a2", self.planning())
+        ended = self.world.nodes["n-a1"].events("ended to plan")
+        self.assertEqual(ended, [])
+        unregistered = self.world.nodes["n-a1"].events("executor unregistered")
+        self.assertEqual(unregistered, [])
+
+    def test_restarted_planner_leaves_its_place_to_its_successor(self):
+        self.world.nodes["n-a"].alive = False
+        self.world.run(2.0)
+        self.world.add_node("n-a", "a", 9000)
+        self.world.run(3.0)
+        self.assertEqual(self.planning(), {"n-a1", "n-a2", "n-b", "n-b1"})
+
+    def test_planner_without_executors_gets_no_batches(self):
+        for name, one in self.world.executors.items():
+            one.dark = name.startswith("x-a")
+        self.world.run(25.0)
+        reply = self.world.submit(self.world.nodes["n-a5"], "j1")
+        self.world.run(1.0)
+        self.assert_state(reply, batches.COMPLETE)
+
     def test_batch_handed_on_waits_for_what_other_planners_hold(self):
         # Its tasks may run on executors that a third planner takes over.
         self.world.work = 0.9
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -54,8 +54,10 @@
         )
 
     def test_sign_of_life_becomes_news_of_a_member(self):
-        member = seniority.Member("n-1", "a", ("10.1.0.1", 7), 1700, True)
-        hello = fleet.Hello(member, 3, (("10.1.0.2", 7),))
+        member = seniority.Member(
+            "n-1", "a", ("10.1.0.1", 7), 1700, True, 645, 1
+        )
+        hello = fleet.Hello(member, 3, (("10.1.0.2", 7),), 0.25, 0.42)
         send = pool_codec.decode(pool_codec.encode(hello))
         self.assertEqual(send.msg, pool_messages.MemberHeard(*hello))
 
