Name the known members more seldom in large fleets

Cause: a list of all members in each fifth sign of life grows with the square of the fleet. Worked out, not measured: 300 members, 26 lists a second of 6 KB each at every instance. Now one list for each eight members' signs, at least each fifth.

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -48,7 +48,11 @@
 FORGET = 20.0
 """Seconds for which a silent member may be behind a partition."""
 KNOWN_EACH = 5
-"""One in so many signs of life names the members that are known."""
+"""One in so many signs of life names the members that are known, at
+least."""
+KNOWN_MEMBERS = 8
+"""Members for each of which a sign of life more comes without the names,
+so that the bytes for them stay the same when the fleet grows."""
 NEWS_TIME = 1.0
 """Seconds after a new member in which each sign of life names them."""
 SETTLE = 0.2
@@ -188,7 +192,8 @@
 def _greet(state, addresses, interval, now):
     known: tuple[tuple[str, int], ...] = ()
     news = now < state.found_at + NEWS_TIME
-    if news or state.hellos % KNOWN_EACH == 0:
+    each = max(KNOWN_EACH, len(state.peers) // KNOWN_MEMBERS)
+    if news or state.hellos % each == 0:
         known = tuple(
             one.member.address for one in state.peers.values() if one.alive
         )
