--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -22,7 +22,7 @@
     "encode",
 ]
 
-HELLOS_KEPT = 512
+HELLOS_KEPT = 2048
 """Signs of life that are kept encoded and decoded; most are the same as
 the one before, and reading one anew costs as much as handling ten."""
 
--- a/packages/proof/src/cardamompath_proof/slopes/__main__.py
+++ b/packages/proof/src/cardamompath_proof/slopes/__main__.py
@@ -12,6 +12,7 @@
 from cardamompath_proof.slopes import fit
 from cardamompath_proof.slopes import gossip
 from cardamompath_proof.slopes import journalling
+from cardamompath_proof.slopes import pooling
 
 __all__ = [
     "main",
@@ -99,6 +100,54 @@
         155,
         lambda size: journalling.measure_reading(size).size,
     ),
+    Measure(
+        "signs of life of a planner a second, by instances",
+        "messages",
+        1.0,
+        (40, 100, 300, 610),
+        610,
+        lambda size: pooling.measure_signs(size, True).sent,
+    ),
+    Measure(
+        "bytes of them, by instances",
+        "KB",
+        1e-3,
+        (40, 100, 300, 610),
+        610,
+        lambda size: pooling.measure_signs(size, True).size,
+    ),
+    Measure(
+        "signs of life of another instance a second, by instances",
+        "messages",
+        1.0,
+        (40, 100, 300, 610),
+        610,
+        lambda size: pooling.measure_signs(size, False).sent,
+    ),
+    Measure(
+        "bytes of them, by instances",
+        "KB",
+        1e-3,
+        (40, 100, 300, 610),
+        610,
+        lambda size: pooling.measure_signs(size, False).size,
+    ),
+    Measure(
+        "work for the fleet a second, by instances",
+        "us",
+        1e6,
+        (40, 100, 300, 610),
+        610,
+        lambda size: pooling.measure_signs(size, False).cpu,
+    ),
+    Measure(
+        "a planner's decisions for a start, by its executors",
+        "us",
+        1e6,
+        (12, 24, 48, 96),
+        24,
+        pooling.measure_planner,
+    ),
 )
 
 
