--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -144,6 +144,14 @@
         self.tick(0.5)
         self.check_starts_only_after_a_lease()
 
+    def test_planner_that_sees_nobody_else_delays_what_another_began(self):
+        # Found on manta-alta-grown trouble-2: a restarted planner saw few
+        # members yet and took itself for the only one.
+        self.list_all()
+        self.answer_holds(self.see("a"))
+        self.tick(0.5)
+        self.check_starts_only_after_a_lease()
+
     def check_starts_only_after_a_lease(self):
         """Hand over a batch that another planner may have begun."""
         step = batches.Step(1, executors.Room(1000, 1), 0.2)
