An isolated successor takes no place from planners that are alive

Cause: since signs of life follow the roles, an instance hears the silence of planners before that of others. One that is cut off from the others, but not from the executors, took the planners for dead and claimed their executors; found by reading, shown by test_large_fleet (isolated_successor..., isolated_instance...: both failed before).

Change: who would take a free place needs to hear most of those that it would plan for; they speak to it often once they see the place free. In a large fleet the minority is counted within the failure domain. Signs of life to planners come as often as theirs. Changes of an instance's own role are told with the true time of the next sign; a planner that ends takes its backlog back, and a next life tells its own.

Ruled out: the same rate for all members, 1,800 more signs a second on the grown site.

--- a/packages/core/src/cardamompath_core/seniority.py
+++ b/packages/core/src/cardamompath_core/seniority.py
@@ -24,6 +24,7 @@
     "Planning",
     "arrange",
     "choose_planners",
+    "near",
     "order_planners",
     "place_of",
     "planner_at",
@@ -97,8 +98,8 @@
         return Planning(choose_planners(alive))
     planners: list[Member] = []
     for domain, count in sorted(domains.items()):
-        near = [one for one in alive if one.domain == domain]
-        planners += _fill_places(near, _planners_for(count))
+        members = [one for one in alive if one.domain == domain]
+        planners += _fill_places(members, _planners_for(count))
     silent = frozenset(one.domain for one in missing)
     return Planning(tuple(planners), True, silent)
 
@@ -143,8 +144,8 @@
         return Place("", 0, 1) if sole else None
     for one in planning.planners:
         if one.name == name:
-            near = _planners_in(one.domain, planning)
-            return Place(one.domain, near.index(one), len(near))
+            planners = near(planning.planners, one.domain, planning)
+            return Place(one.domain, planners.index(one), len(planners))
     return None
 
 
@@ -156,8 +157,13 @@
     return None
 
 
-def _planners_in(domain, planning):
-    return [one for one in planning.planners if one.domain == domain]
+def near(
+    members: Sequence[Member], domain: str, planning: Planning
+) -> list[Member]:
+    """Return the members that share planners with a failure domain."""
+    if not planning.by_domain:
+        return list(members)
+    return [one for one in members if one.domain == domain]
 
 
 def _planners_for(members):
@@ -179,9 +185,10 @@
     """
     if not planning.by_domain:
         return planner_of(executor, planning.planners)
-    near = _planners_in(domain, planning)
-    if near:
-        return near[xxhash.xxh64_intdigest(executor.encode()) % len(near)]
+    planners = near(planning.planners, domain, planning)
+    if planners:
+        number = xxhash.xxh64_intdigest(executor.encode()) % len(planners)
+        return planners[number]
     if domain in planning.silent:
         return None
     return planner_of(executor, planning.planners)
--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -24,27 +24,32 @@
 ]
 
 HELLO_INTERVAL = 0.1
-"""Seconds between signs of life of planners; four may be lost before
-`SILENCE`."""
+"""Seconds between signs of life of planners, and to them; four may be
+lost before `SILENCE`."""
 SILENCE = 0.45
 """Seconds without a sign after which a planner is not alive.  Below the
 lease of a run, so that a successor can adopt what still runs."""
 SILENCE_FACTOR = SILENCE / HELLO_INTERVAL
 """Multiple of the announced interval after which a member is overdue."""
-TO_PLANNER_INTERVAL = 0.2
-"""Seconds between signs of life to a planner that has batches of ours;
-overdue in 0.9 s, before a client whose instance is gone asks another."""
+FAR_PLANNER_INTERVAL = 0.2
+"""Seconds between signs of life to a planner elsewhere that has batches of
+ours; overdue in 0.9 s, before a client whose instance is gone asks
+another."""
 FAR_INTERVAL = 0.25
 """Seconds between signs of life of a planner to other failure domains."""
 SELDOM_INTERVAL = 0.5
 """Seconds between signs of life where nobody waits for them."""
 OFTEN_PER_SECOND = 200.0
+TO_PLANNERS_PER_SECOND = 50.0
 FAR_PER_SECOND = 128.0
 SELDOM_PER_SECOND = 20.0
 """Most signs of life of each sort that an instance sends; the intervals
 grow with the fleet instead."""
 SUCCESSORS = 1
 """Members after the planners that speak as often as these do."""
+FRESH_FACTOR = 3.5
+"""Multiple of the interval of signs of life to planners in which a member
+has to be heard for a successor to count on it."""
 FORGET = 20.0
 """Seconds for which a silent member may be behind a partition."""
 KNOWN_EACH = 5
@@ -89,7 +94,8 @@
         self.alive = True
         self.gone = False
         self.interval = HELLO_INTERVAL
-        self.backlog = 0.0
+        self.backlog: float | None = None
+        """The last one that the gateway was told."""
 
 
 class FleetState:
@@ -111,8 +117,8 @@
         self.leads: frozenset[str] = frozenset()
         """Planners that this instance hands its batches to first, and
         their successors."""
-        self.near = 1
-        """Members that these plan for."""
+        self.near: frozenset[str] = frozenset()
+        """Members that these plan for, those that fell silent included."""
         self.intervals: dict[tuple[str, int], float] = {}
         """Seconds between signs of life to each address; empty when they
         have to be worked out anew."""
@@ -153,6 +159,9 @@
         if now > until:
             del state.engaged[name]
             state.intervals.clear()
+    changed |= state.told is not None and (
+        _is_confirmed(state, now) != state.told.confirmed
+    )
     sends += _greet_due(state, now)
     return sends + (_tell_change(state, now) if changed else [])
 
@@ -166,7 +175,7 @@
         }
     groups = collections.defaultdict(list)
     for address, sent_at in state.addresses.items():
-        interval = state.intervals.get(address, TO_PLANNER_INTERVAL)
+        interval = state.intervals.get(address, HELLO_INTERVAL)
         if now >= sent_at + interval - DUE_EARLY:
             state.addresses[address] = now
             groups[interval].append(address)
@@ -180,15 +189,21 @@
 def _interval_to(state, member):
     near = not state.planning.by_domain or (member.domain == state.own.domain)
     if near and state.own.name in state.leads:
-        return max(HELLO_INTERVAL, state.near / OFTEN_PER_SECOND)
-    if (near and member.name in state.leads) or member.name in state.engaged:
-        return TO_PLANNER_INTERVAL
+        return max(HELLO_INTERVAL, len(state.near) / OFTEN_PER_SECOND)
+    if near and member.name in state.leads:
+        return _interval_to_planners(state)
+    if member.name in state.engaged:
+        return FAR_PLANNER_INTERVAL
     count = len(state.peers)
     if state.own.name in {one.name for one in state.planning.planners}:
         return max(FAR_INTERVAL, count / FAR_PER_SECOND)
     return max(SELDOM_INTERVAL, count / SELDOM_PER_SECOND)
 
 
+def _interval_to_planners(state):
+    return max(HELLO_INTERVAL, len(state.leads) / TO_PLANNERS_PER_SECOND)
+
+
 def _greet(state, addresses, interval, now):
     known: tuple[tuple[str, int], ...] = ()
     news = now < state.found_at + NEWS_TIME
@@ -260,9 +275,7 @@
 
 
 def _leave(state, _, now):
-    state.own = state.own._replace(leaving=True)
-    hello = _greet(state, tuple(state.addresses), TO_PLANNER_INTERVAL, now)
-    return [hello, *_tell_change(state, now)]
+    return _change_own(state, state.own._replace(leaving=True), now)
 
 
 def _configured(state, msg, _):
@@ -273,9 +286,15 @@
 def _place_taken(state, msg, now):
     if state.own.slot == msg.slot:
         return ()
-    state.own = state.own._replace(slot=msg.slot)
-    hello = _greet(state, tuple(state.addresses), TO_PLANNER_INTERVAL, now)
-    return [hello, *_tell_change(state, now)]
+    return _change_own(state, state.own._replace(slot=msg.slot), now)
+
+
+def _change_own(state, own, now):
+    """Tell everybody at once what changed about this instance."""
+    state.own = own
+    sends = _tell_change(state, now)
+    state.addresses = dict.fromkeys(state.addresses, 0.0)
+    return [*sends, *_greet_due(state, now)]
 
 
 def _loaded(state, msg, _):
@@ -301,6 +320,23 @@
     return quiet or now >= state.began + MOST_SETTLE
 
 
+def _is_confirmed(state, now):
+    """Return whether this instance may take a free place.
+
+    One that is cut off may hear the silence of the planners before that
+    of others; most of those that it would plan for have to be heard.
+    """
+    planners = {one.name for one in state.planning.planners}
+    if state.own.slot >= 0 or state.own.name not in planners:
+        return True
+    oldest = now - FRESH_FACTOR * _interval_to_planners(state)
+    fresh = sum(
+        name in state.near and peer.heard_at >= oldest
+        for name, peer in state.peers.items()
+    )
+    return 2 * (fresh + 1) > len(state.near)
+
+
 def _tell_change(state, now):
     if not _is_settled(state, now):
         return []
@@ -320,10 +356,11 @@
         tuple(sorted(missing, key=lambda one: one.name)),
         tuple(sorted(census.items())),
     )
+    _find_leads(state, view)
+    view = view._replace(confirmed=_is_confirmed(state, now))
     if view == state.told:
         return []
     state.told = view
-    _find_leads(state, view)
     fields = {
         "alive": [one.name for one in view.alive],
         "missing": [one.name for one in view.missing],
@@ -341,16 +378,14 @@
 def _find_leads(state, view):
     """Note who plans for this instance, and who would come next."""
     planning = seniority.arrange(view.alive, view.missing, dict(view.census))
-    near = list(view.alive)
-    planners = planning.planners
-    if planning.by_domain:
-        domain = state.own.domain
-        near = [one for one in near if one.domain == domain]
-        planners = [one for one in planners if one.domain == domain]
-    ranked = seniority.rank(near)[: len(planners) + SUCCESSORS]
+    domain = state.own.domain
+    alive = seniority.near(view.alive, domain, planning)
+    missing = seniority.near(view.missing, domain, planning)
+    planners = seniority.near(planning.planners, domain, planning)
+    ranked = seniority.rank(alive)[: len(planners) + SUCCESSORS]
     state.planning = planning
     state.leads = frozenset(one.name for one in ranked)
-    state.near = len(near)
+    state.near = frozenset(one.name for one in (*alive, *missing))
     state.intervals.clear()
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -8,8 +8,6 @@
 
 from cardamompath_core import batches
 from cardamompath_core import executors
-from cardamompathd import messages
-from cardamompathd import pool_messages
 from cardamompathd.controllers import planner_health
 from cardamompathd.controllers import planner_holds
 from cardamompathd.controllers import planner_notes
@@ -65,16 +63,7 @@
     if not state.pool:
         seconds = NO_POOL
     backlog = math.ceil(seconds / BACKLOG_STEP) * BACKLOG_STEP
-    if backlog == state.backlog:
-        return []
-    state.backlog = backlog
-    own = pool_messages.BacklogChanged(state.own, backlog)
-    return [
-        messages.Send(
-            pool_messages.FLEET, pool_messages.BacklogMeasured(backlog)
-        ),
-        messages.Send(pool_messages.GATEWAY, own),
-    ]
+    return planner_roles.tell_backlog(state, backlog)
 
 
 def estimate(state, plan):
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -22,8 +22,12 @@
     "is_mine",
     "is_passive",
     "probed",
+    "tell_backlog",
 ]
 
+CONFIRM_TIME = 0.4
+"""Seconds for most of the others to be heard before this instance takes a
+free place; they speak to it ten times a second once they see it free."""
 SETTLE = 0.5
 """Seconds after its start in which an instance looks for others before
 it plans; two tries to open a link, and signs of life on it."""
@@ -44,6 +48,10 @@
     wanted = state.own in {one.name for one in state.planning.planners}
     careful = state.minority_since is not None
     sends = []
+    if not wanted:
+        state.unconfirmed_since = None
+    elif _is_unconfirmed(state, now):
+        return []
     if wanted and _is_minority(state):
         if state.minority_since is None:
             sends += _begin_caution(state, now)
@@ -80,8 +88,24 @@
     return state.active_since is None and now < state.passive_until
 
 
+def _is_unconfirmed(state, now):
+    """Return whether to wait for signs of those to be planned for."""
+    if state.fleet.confirmed or state.active_since is not None:
+        state.unconfirmed_since = None
+        return False
+    if state.unconfirmed_since is None:
+        state.unconfirmed_since = now
+    return now < state.unconfirmed_since + CONFIRM_TIME
+
+
 def _is_minority(state):
-    return len(state.fleet.missing) >= len(state.fleet.alive)
+    """Return whether this instance may be the one that is cut off."""
+    if state.unconfirmed_since is not None:
+        return True
+    domain = state.fleet.own.domain
+    missing = seniority.near(state.fleet.missing, domain, state.planning)
+    alive = seniority.near(state.fleet.alive, domain, state.planning)
+    return len(missing) >= len(alive)
 
 
 def _begin_caution(state, now):
@@ -123,7 +147,9 @@
 
 
 def _own_domains(state):
-    return {one.domain for one in state.fleet.alive}
+    domain = state.fleet.own.domain
+    alive = seniority.near(state.fleet.alive, domain, state.planning)
+    return {one.domain for one in alive}
 
 
 def _begin(state, now):
@@ -152,10 +178,24 @@
         if plan.started:
             state.remember_dropped(plan.name)
     state.plans.clear()
+    sends += tell_backlog(state, 0.0)
     ended = planner_notes.note("ended to plan", batches=dropped)
     return [*sends, ended, _follow(False)]
 
 
+def tell_backlog(state, backlog):
+    """Tell the other instances, and the gateway of this one, a backlog."""
+    if backlog == state.backlog:
+        return []
+    state.backlog = backlog
+    measured = pool_messages.BacklogMeasured(backlog)
+    own = pool_messages.BacklogChanged(state.own, backlog)
+    return [
+        messages.Send(pool_messages.FLEET, measured),
+        messages.Send(pool_messages.GATEWAY, own),
+    ]
+
+
 def assign(state, now):
     """Hold the executors that are this planner's."""
     domains = None
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -240,6 +240,8 @@
         self.times = runtimes.RunTimes()
         self.pool: collections.Counter = collections.Counter()
         """Executors in use by service, kind and capacity."""
+        self.unconfirmed_since: float | None = None
+        """Since when it waits for signs of life before it takes a place."""
         self.minority_since: float | None = None
         """Since when no more than half of the members are seen."""
         self.passive_until = 0.0
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -220,6 +220,9 @@
     """Members that fell silent and may be behind a partition."""
     census: tuple[tuple[str, int], ...] = ()
     """Members of each failure domain that were heard lately."""
+    confirmed: bool = True
+    """Whether most of those were just heard that this instance would plan
+    for, should a place be free for it."""
 
 
 class BacklogMeasured(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -169,6 +169,30 @@
         one.hear(members[1:])
         self.assertEqual(one.sent, [])
 
+    def test_successor_counts_on_others_only_when_it_hears_them(self):
+        members = make_large()
+        own = members[3]
+        one = Fleet(own, [it for it in members if it != own], interval=2.0)
+        one.run(1.0)
+        planners = [members[0], members[1], members[2]]
+        for gone in planners:
+            one.tell(pool_messages.AddressFailed(gone.address, True))
+            one.others.remove(gone)
+        one.now += 1.0
+        one.tell(messages.TimerFired("hello"))
+        self.assertFalse(one.views()[-1].confirmed)
+        one.run(0.2)
+        self.assertTrue(one.views()[-1].confirmed)
+
+    def test_next_life_of_a_planner_tells_its_backlog_anew(self):
+        members = [make_member("a", one) for one in range(2)]
+        one = Fleet(members[0], members[1:])
+        one.hear(members[1:], backlog=0.4)
+        one.sent.clear()
+        one.hear([members[1]._replace(started=900)])
+        changed = pool_messages.BacklogChanged("a-1", 0.0)
+        self.assertIn(messages.Send(pool_messages.GATEWAY, changed), one.sent)
+
     def test_backlog_of_a_planner_reaches_the_gateway(self):
         members = [make_member("a", one) for one in range(2)]
         one = Fleet(members[0], members[1:])
--- a/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
@@ -106,6 +106,33 @@
         self.world.run(3.0)
         self.assertEqual(self.planning(), {"n-a1", "n-a2", "n-b", "n-b1"})
 
+    def isolate(self, name):
+        """Cut an instance from all others, but not from executors."""
+        for other in self.world.nodes:
+            if other != name:
+                self.world.cut(name, other)
+
+    def test_isolated_successor_takes_nothing_from_the_planners(self):
+        self.isolate("n-a2")
+        self.world.run(3.0)
+        for name in ("n-a", "n-a1"):
+            fenced = self.world.nodes[name].events("fenced")
+            self.assertEqual(fenced, [])
+        self.assertEqual(self.world.nodes["n-a2"].events("began to plan"), [])
+
+    def test_isolated_instance_takes_nothing_from_the_planners(self):
+        self.isolate("n-a4")
+        self.world.run(3.0)
+        for name in ("n-a", "n-a1"):
+            fenced = self.world.nodes[name].events("fenced")
+            self.assertEqual(fenced, [])
+
+    def test_place_is_taken_when_a_planner_and_its_successor_die(self):
+        for name in ("n-a", "n-a2"):
+            self.world.nodes[name].alive = False
+        self.world.run(1.5)
+        self.assertIn("n-a3", self.planning())
+
     def test_planner_without_executors_gets_no_batches(self):
         for name, one in self.world.executors.items():
             one.dark = name.startswith("x-a")
--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -42,11 +42,13 @@
             if send.to != messages.TIMERS
         ]
 
-    def see(self, alive, missing=""):
+    def see(self, alive, missing="", confirmed=True):
         view = pool_messages.FleetChanged(
             self.members["a"],
             tuple(self.members[one] for one in alive),
             tuple(self.members[one] for one in missing),
+            (),
+            confirmed,
         )
         return self.tell(view)
 
@@ -102,6 +104,20 @@
         self.assertEqual(self.claimed(self.tick(2.0)), set())
         self.assertTrue(self.claimed(self.tick(2.0)))
 
+    def test_successor_that_hears_nobody_waits_and_probes(self):
+        self.list_all()
+        sent = self.see("abcd", confirmed=False)
+        self.assertEqual(self.claimed(sent), set())
+        self.assertEqual(self.claimed(self.tick(0.3)), set())
+        self.assertTrue(self.claimed(self.see("abcd", confirmed=True)))
+
+    def test_successor_that_goes_on_hearing_nobody_counts_as_cut_off(self):
+        self.list_all()
+        self.see("a", "bcd", confirmed=False)
+        self.assertEqual(self.claimed(self.tick(0.5)), set())
+        self.tell(pool_messages.ProbeAnswered("x-b", True))
+        self.assertEqual(self.claimed(self.tick(2.0)), set())
+
     def test_whole_fleet_in_sight_again_claims_all_at_once(self):
         self.list_all()
         self.see("a", "bcd")
