--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import collections
 import queue
+import signal
 import sys
 import time
 from collections.abc import Sequence
@@ -97,6 +98,10 @@
         (sends if isinstance(one, clients.Send) else looks).append(one)
 
 
+def _end(number, frame):
+    raise SystemExit(f"ended by {signal.Signals(number).name}")
+
+
 def main() -> int:
     """Run the seeds named on the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -114,6 +119,9 @@
     parser.add_argument("--only", action="append", choices=kinds, default=[])
     parser.add_argument("--keep", default="", help="folder for the logs")
     args = parser.parse_args()
+    # So that the processes of a soak end with it.
+    signal.signal(signal.SIGTERM, _end)
+    signal.signal(signal.SIGINT, _end)
     bad = 0
     seeds = range(args.seed, args.seed + args.many)
     if args.regressions:
