--- a/packages/standins/src/cardamompath_standins/backend.py
+++ b/packages/standins/src/cardamompath_standins/backend.py
@@ -9,7 +9,6 @@
 import argparse
 import collections
 import json
-import signal
 import threading
 import time
 
@@ -96,12 +95,10 @@
     parser.add_argument("--connections", type=int, default=64)
     parser.add_argument("--speed", type=float, default=1.0)
     args = parser.parse_args()
-    signals = (signal.SIGTERM, signal.SIGINT)
-    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
-    running = start(args.port, args.slots, args.connections, args.speed)
-    print(f"backend stand-in on {running.host}:{running.port}", flush=True)
-    signal.sigwait(signals)
-    running.stop()
+    listener.run_until_ended(
+        "backend",
+        lambda: start(args.port, args.slots, args.connections, args.speed),
+    )
 
 
 if __name__ == "__main__":
--- a/packages/standins/src/cardamompath_standins/listener.py
+++ b/packages/standins/src/cardamompath_standins/listener.py
@@ -4,6 +4,8 @@
 
 import contextlib
 import json
+import os
+import signal
 import socket
 import threading
 from collections.abc import Callable
@@ -17,6 +19,7 @@
     "Call",
     "Listener",
     "Reply",
+    "run_until_ended",
     "start",
 ]
 
@@ -93,6 +96,26 @@
     return Listener(host, server.bind_addr[1], server.stop)
 
 
+def run_until_ended(name: str, make: Callable[[], Listener]) -> None:
+    """Run a stand-in as a process, until a signal to end.
+
+    Parameters
+    ----------
+    name : str
+        For the line that says where it listens.
+    make : callable
+        Starts it.
+    """
+    signals = (signal.SIGTERM, signal.SIGINT)
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    running = make()
+    print(f"{name} stand-in on {running.host}:{running.port}", flush=True)
+    signal.sigwait(signals)
+    running.stop()
+    # Threads that serve calls would keep the process.
+    os._exit(0)
+
+
 def _call(environ):
     length = int(environ.get("CONTENT_LENGTH") or 0)
     headers = {
--- a/packages/standins/src/cardamompath_standins/platform.py
+++ b/packages/standins/src/cardamompath_standins/platform.py
@@ -5,7 +5,6 @@
 import argparse
 import json
 import re
-import signal
 import threading
 import time
 import zlib
@@ -184,12 +183,9 @@
     parser.add_argument("--port", type=int, default=7000)
     parser.add_argument("--append-rate", type=float, default=300.0)
     args = parser.parse_args()
-    signals = (signal.SIGTERM, signal.SIGINT)
-    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
-    running = start(args.port, args.append_rate)
-    print(f"platform stand-in on {running.host}:{running.port}", flush=True)
-    signal.sigwait(signals)
-    running.stop()
+    listener.run_until_ended(
+        "platform", lambda: start(args.port, args.append_rate)
+    )
 
 
 if __name__ == "__main__":
--- a/packages/standins/src/cardamompath_standins/store.py
+++ b/packages/standins/src/cardamompath_standins/store.py
@@ -10,7 +10,6 @@
 import base64
 import collections
 import json
-import signal
 import struct
 import threading
 from typing import Any
@@ -256,11 +255,7 @@
     parser.add_argument("--port", type=int, default=7900)
     parser.add_argument("--ping", type=float, default=1.5)
     args = parser.parse_args()
-    signals = (signal.SIGTERM, signal.SIGINT)
-    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
-    running = start(args.port, args.ping)
-    print(f"store stand-in on {running.host}:{running.port}", flush=True)
-    signal.sigwait(signals)
+    listener.run_until_ended("store", lambda: start(args.port, args.ping))
 
 
 if __name__ == "__main__":
