A refusal counts only from the planner that has the batch

Cause: a batch is handed over again each 0.4 s, so a planner may say twice that it refused. The second time came when another planner had been asked and may have started some of it, and the caller was told that it had not run. Found by reading; test_gateway, refusal_of_the_planner_before..., failed before.

An end names its planner; the planner that refused is told to drop the batch, should it be on its way there once more.

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -366,6 +366,7 @@
         "missing": [one.name for one in view.missing],
         "leaving": [one.name for one in view.alive if one.leaving],
         "planners": [one.name for one in state.planning.planners],
+        "confirmed": view.confirmed,
     }
     note = pool_messages.Note("fleet", "members changed", "", fields)
     return [
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -264,12 +264,14 @@
     if one is None:
         return ()
     outcome = msg.outcome
-    if (
-        outcome.state == batches.REFUSED
-        and gateway_planners.has_room_elsewhere(state, one)
-    ):
+    refused = outcome.state == batches.REFUSED
+    if refused and msg.planner != _name(one.planner):
+        # It is said again when a batch is handed over again; the planner
+        # asked since may have started some of it.
+        return ()
+    if refused and gateway_planners.has_room_elsewhere(state, one):
         return _ask_another(state, one, now)
-    if outcome.state == batches.REFUSED and one.round > 0:
+    if refused and one.round > 0:
         # An earlier planner may have started some of it.
         outcome = outcome._replace(state=batches.GIVEN_UP)
     del state.waiting[msg.name]
@@ -279,12 +281,16 @@
 def _ask_another(state, one, now):
     fields = {"planner": _name(one.planner)}
     fields["age_ms"] = round((now - one.submitted) * 1000.0)
+    # The same batch may be on the way there once more.
+    drop = pool_messages.DropBatch(one.batch.name, state.own)
+    dropped = gateway_planners.send_to(state, one.planner, drop)
     one.tried.add(one.planner.name)
     one.planner = None
     one.place = None
     one.handed = False
     note = _note("asks another planner", one.batch.name, fields)
-    return [note, *gateway_planners.hand_over(state, one, now)]
+    handed = gateway_planners.hand_over(state, one, now)
+    return [note, dropped, *handed]
 
 
 def _answer(state, one, outcome, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -123,7 +123,7 @@
     name = msg.batch.name
     ended = state.ended.get(name)
     if ended is not None:
-        again = pool_messages.BatchEnded(name, msg.origin, ended)
+        again = pool_messages.BatchEnded(name, msg.origin, ended, state.own)
         return [planner_runs.to_member(state, msg.origin, again)]
     known = state.plans.get(name)
     if known is not None:
@@ -138,7 +138,9 @@
             "this instance is cut off from the others",
             planner_roles.CAUTION,
         )
-        refused = pool_messages.BatchEnded(name, msg.origin, outcome)
+        refused = pool_messages.BatchEnded(
+            name, msg.origin, outcome, state.own
+        )
         return [planner_runs.to_member(state, msg.origin, refused)]
     state.early[name] = (msg, now)
     return []
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -278,7 +278,7 @@
         )
     ]
     for origin in plan.origins:
-        ended = pool_messages.BatchEnded(plan.name, origin, outcome)
+        ended = pool_messages.BatchEnded(plan.name, origin, outcome, state.own)
         sends.append(to_member(state, origin, ended))
     return sends + drop_plan(state, plan)
 
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -93,6 +93,7 @@
     state: str
     reason: str
     retry_after_us: int
+    planner: str
 
 
 class ConfigurationFields(NamedTuple):
@@ -150,7 +151,15 @@
     wire.I32,
 )
 wire.declare(DropFields, wire.TEXT, wire.TEXT)
-wire.declare(EndedFields, wire.TEXT, wire.TEXT, wire.TEXT, wire.TEXT, wire.I64)
+wire.declare(
+    EndedFields,
+    wire.TEXT,
+    wire.TEXT,
+    wire.TEXT,
+    wire.TEXT,
+    wire.I64,
+    wire.TEXT,
+)
 wire.declare(ConfigurationFields, wire.I64, wire.BINARY)
 
 _HELLO = wire.Method("hello", HelloFields, HelloFields)
@@ -326,6 +335,7 @@
         outcome.state,
         outcome.reason,
         _micros(outcome.retry_after),
+        msg.planner,
     )
 
 
@@ -333,7 +343,9 @@
     outcome = batches.Outcome(
         fields.state, fields.reason, fields.retry_after_us / 1e6
     )
-    return pool_messages.BatchEnded(fields.name, fields.origin, outcome)
+    return pool_messages.BatchEnded(
+        fields.name, fields.origin, outcome, fields.planner
+    )
 
 
 def _read_configuration(fields):
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -177,6 +177,8 @@
     name: str
     origin: str
     outcome: batches.Outcome
+    planner: str
+    """Name of the instance that planned it."""
 
 
 class MemberHeard(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -68,9 +68,11 @@
     def planners(self):
         return ["a0", "a1"]
 
-    def end(self, state):
+    def end(self, state, address):
         outcome = batches.Outcome(state, "", 1.0)
-        return self.tell(pool_messages.BatchEnded("j1", "a-8", outcome))
+        planner = f"{address[0]}-{address[1:]}"
+        ended = pool_messages.BatchEnded("j1", "a-8", outcome, planner)
+        return self.tell(ended)
 
     def test_nothing_is_denied_before_the_routes_are_known(self):
         for kind in (pool_messages.CountWaiting, pool_messages.CancelBatch):
@@ -107,20 +109,30 @@
         self.configure()
         self.see(self.members)
         first = self.submit()[0][0]
-        sent = self.end(batches.REFUSED)
+        sent = self.end(batches.REFUSED, first)
         second, msg = self.handed(sent)[0]
         self.assertNotEqual(first, second)
         self.assertEqual(msg.round, 0)
-        sent = self.end(batches.REFUSED)
+        sent = self.end(batches.REFUSED, second)
         self.assertEqual(self.answers(sent)[0].state, batches.REFUSED)
 
+    def test_refusal_of_the_planner_before_says_nothing_of_the_next(self):
+        # It may be said twice, as batches are handed over again.
+        self.configure()
+        self.see(self.members)
+        first = self.submit()[0][0]
+        second = self.handed(self.end(batches.REFUSED, first))[0][0]
+        self.assertEqual(self.end(batches.REFUSED, first), [])
+        sent = self.end(batches.COMPLETE, second)
+        self.assertEqual(self.answers(sent)[0].state, batches.COMPLETE)
+
     def test_refusal_stands_when_all_are_busy(self):
         self.configure()
         self.see(self.members)
-        self.submit()
+        first = self.submit()[0][0]
         for one in self.members:
             self.tell(pool_messages.BacklogChanged(one.name, 1.0))
-        sent = self.end(batches.REFUSED)
+        sent = self.end(batches.REFUSED, first)
         self.assertEqual(self.answers(sent)[0].state, batches.REFUSED)
 
     def test_batch_follows_the_place_of_its_planner(self):
@@ -143,8 +155,8 @@
         self.see(self.members)
         self.submit()
         left = [one for one in self.members if one.domain != "a"]
-        _, msg = self.see(left)[0]
+        address, msg = self.see(left)[0]
         self.assertEqual((msg.round, msg.moved), (1, True))
         # What may have run is never called not run.
-        sent = self.end(batches.REFUSED)
+        sent = self.end(batches.REFUSED, address)
         self.assertEqual(self.answers(sent)[0].state, batches.GIVEN_UP)
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -45,7 +45,7 @@
         )
         outcome = batches.Outcome(batches.REFUSED, "full", 1.0)
         self.assert_same(
-            pool_messages.BatchEnded("5c0e", "n-1", outcome),
+            pool_messages.BatchEnded("5c0e", "n-1", outcome, "n-2"),
             pool_messages.GATEWAY,
         )
         self.assert_same(
