A planner that is cut off stops runs of the other side at once

Change: no grace while cut off from most members. Members of a small fleet speak often to all again, so that a domain that is cut off notices within 0.55 s and not only 0.4 s later. Test: test_planner_roles, minority_stops_runs..., failed before.

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -39,6 +39,9 @@
 """Seconds between signs of life of a planner to other failure domains."""
 SELDOM_INTERVAL = 0.5
 """Seconds between signs of life where nobody waits for them."""
+SMALL_FLEET = 12
+"""Other members up to which all speak often to all, so that an instance
+that is cut off hears the silence of all at once."""
 OFTEN_PER_SECOND = 200.0
 TO_PLANNERS_PER_SECOND = 50.0
 FAR_PER_SECOND = 128.0
@@ -195,6 +198,8 @@
     if member.name in state.engaged:
         return FAR_PLANNER_INTERVAL
     count = len(state.peers)
+    if count <= SMALL_FLEET:
+        return HELLO_INTERVAL
     if state.own.name in {one.name for one in state.planning.planners}:
         return max(FAR_INTERVAL, count / FAR_PER_SECOND)
     return max(SELDOM_INTERVAL, count / SELDOM_PER_SECOND)
--- a/packages/daemon/src/cardamompathd/controllers/planner_holds.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_holds.py
@@ -36,9 +36,9 @@
 tokens; doubled each time, as the clocks of instances may differ."""
 ORPHAN_GRACE = 0.3
 """Seconds for which a run of an unknown batch may go on.  Instances
-hand their batches to a new planner within that time; with
-`fleet.SILENCE` before it, such a run ends before an earlier planner
-behind a partition counts its lease as lapsed."""
+hand their batches to a new planner within that time.  A planner that is
+cut off from most members gives none: the other side counts such a run as
+lapsed soon, and holds for the runs adopted here would keep it alive."""
 UNLISTED_TIME = 20.0
 """Seconds for which an executor that is no longer registered may be
 behind a partition; longer than partitions that the users plan for."""
@@ -166,7 +166,8 @@
             )
             continue
         first = held.orphans.setdefault(run, now)
-        if task is not None or now - first > ORPHAN_GRACE:
+        cut_off = state.minority_since is not None
+        if task is not None or cut_off or now - first > ORPHAN_GRACE:
             sends.append(
                 planner_notes.note(
                     "stray run stopped",
--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -118,6 +118,27 @@
         self.tell(pool_messages.ProbeAnswered("x-b", True))
         self.assertEqual(self.claimed(self.tick(2.0)), set())
 
+    def test_minority_stops_runs_of_the_other_side_at_once(self):
+        # Found on plumeguild-sched scale-2 --seed 641438554989: such a run
+        # was kept alive until the other side had started its task again.
+        self.list_all()
+        self.see("a", "bcd")
+        hold = next(
+            msg
+            for msg in self.tick(0.5)
+            if isinstance(msg, pool_messages.HoldRuns)
+        )
+        run = pool_messages.Run("other", 0, 0, 1)
+        listing = pool_messages.HoldAnswered(
+            hold.executor.name, hold.token, 1, self.now, (run,), ()
+        )
+        stops = [
+            msg.run
+            for msg in self.tell(listing)
+            if isinstance(msg, pool_messages.StopRun)
+        ]
+        self.assertEqual(stops, [run])
+
     def test_whole_fleet_in_sight_again_claims_all_at_once(self):
         self.list_all()
         self.see("a", "bcd")
