--- a/packages/proof/src/cardamompath_proof/soak/checks.py
+++ b/packages/proof/src/cardamompath_proof/soak/checks.py
@@ -197,14 +197,21 @@
 
 
 def check_shutdown(sends: Sequence[clients.Send], rig: Any) -> list[str]:
-    """Find requests that a process cut off when it was asked to end."""
+    """Find requests that a process cut off when it was asked to end.
+
+    Not those of a process that another fault met before its end.
+    """
     faults = []
+    disturbed = {one.name: one.disturbed for one in rig.instances}
     for one in sends:
         if one.status or one.ended - one.began < CUT_AFTER:
             continue
         spans = rig.terminated.get(one.instance, [])
+        others = disturbed[one.instance]
         if any(
-            at <= one.ended <= at + GRACE and one.began >= clean
+            at <= one.ended <= at + GRACE
+            and one.began >= clean
+            and not any(at < began <= one.ended for began, _ in others)
             for at, clean in spans
         ):
             faults.append(f"cut off by a shutdown: {one!r}")
--- a/packages/proof/src/cardamompath_proof/soak/regressions.py
+++ b/packages/proof/src/cardamompath_proof/soak/regressions.py
@@ -15,6 +15,8 @@
     " as late",
     9: "as seed 6",
     12: "as seed 6",
+    121: "an instance that was told to end and killed 0.2 s later counted as"
+    " one that cut its callers off",
     118: "the driver waited for a store that it had paused itself and was to"
     " wake next",
 }
--- a/packages/proof/src/cardamompath_proof/tests/test_soak.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_soak.py
@@ -77,6 +77,11 @@
         self.assert_broken(checks.check_shutdown([one], rig))
         disturbed = make_rig(terminated=[(10.2, 10.1)])
         self.assert_broken(checks.check_shutdown([one], disturbed), 0)
+        own = [(10.2, 17.0)]
+        rig = make_rig(own, terminated=[(10.2, 0.0)])
+        self.assert_broken(checks.check_shutdown([one], rig))
+        killed = make_rig([*own, (10.4, 11.0)], terminated=[(10.2, 0.0)])
+        self.assert_broken(checks.check_shutdown([one], killed), 0)
 
     def test_route_of_an_old_version(self):
         published = [(1.0, 1, ("r0",)), (10.0, 2, ("r1",))]
