--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -133,6 +133,8 @@
         return _take_up(state, msg, now)
     started = msg.round > 0 or name in state.dropped
     if planner_roles.is_passive(state, now) and not started:
+        # It may have come before, when this instance was not passive yet.
+        state.early.pop(name, None)
         outcome = batches.Outcome(
             batches.REFUSED,
             "this instance is cut off from the others",
--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -204,6 +204,30 @@
     def started(self, sent):
         return [msg for msg in sent if isinstance(msg, pool_messages.StartRun)]
 
+    def test_refused_batch_is_not_taken_up_later(self):
+        # Found on plumeguild-sched hunt-baf0-19: handed over once before
+        # this instance knew that it is cut off, and once after.
+        self.list_all()
+        self.see("a", "bcd")
+        step = batches.Step(1, executors.Room(1000, 1), 0.2)
+        batch = batches.Batch(
+            "j", "", (step,), batches.Terms("r", "desk", slack=5.0)
+        )
+        plan = pool_messages.PlanBatch(batch, "n-a", 0.1, 9.0, 0)
+        self.tell(plan)
+        self.tell(pool_messages.ProbeAnswered("x-b", True))
+        ended = [
+            msg.outcome.state
+            for msg in self.tell(plan, 0.4)
+            if isinstance(msg, pool_messages.BatchEnded)
+        ]
+        self.assertEqual(ended, [batches.REFUSED])
+        sent = self.see("abcd")
+        self.answer_holds(sent)
+        self.assertNotIn("batch planned", self.events(sent))
+        sent = self.tick(0.5)
+        self.assertEqual(self.started(sent), [])
+
     def test_fenced_minority_lets_go(self):
         self.list_all()
         self.see("a", "bcd")
--- a/packages/proof/src/cardamompath_proof/soak/faults.py
+++ b/packages/proof/src/cardamompath_proof/soak/faults.py
@@ -139,11 +139,11 @@
     one = _instance(rig, fault)
     if not _alive(one):
         return []
-    now = clocks.boottime()
     clean = max([0.0, *(until for _, until in one.disturbed)])
-    rig.terminated.setdefault(one.name, []).append((now, clean))
-    rig.signal(one, signal.SIGTERM)
     _disturb(one, GRACE + RESTART)
+    began = one.disturbed[-1][0]
+    rig.terminated.setdefault(one.name, []).append((began, clean))
+    rig.signal(one, signal.SIGTERM)
 
     process = one.process.process
     return [(GRACE, lambda: _replace(rig.start_instance, one, process))]
