Take signals in a task of their own

Cause: after SIGSTOP and SIGCONT signal.sigtimedwait returned a siginfo that was never filled (si_signo -); the main thread failed on it and the instance served on, but never ended on SIGTERM.

Ruled out: a request in flight that held the end back, the process had none of its own.

Change: a task waits with signal.sigwait and puts signals on a queue.

--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import queue
 import signal
 import threading
 import time
@@ -75,21 +76,40 @@
         return EXIT_SETTINGS
     loguru.logger.info("instance: {} is up, process {}", cfg.name, os.getpid())
     tell = running.app.tellers[pool_messages.FLEET]
-    _follow_settings(cfg, tell, signals)
+    _follow_settings(cfg, tell, _watch_signals(signals))
     _stop(running)
     log.close()
     return 0
 
 
-def _follow_settings(cfg, tell, signals):
+def _watch_signals(signals):
+    """Start the task that takes signals; return the queue of them.
+
+    ``signal.sigtimedwait`` would do, but after a stop and SIGCONT it can
+    return a number that is no signal.
+    """
+    found = queue.SimpleQueue()
+
+    def watch():
+        while True:
+            found.put(signal.sigwait(signals))
+
+    threading.Thread(target=watch, name="signals", daemon=True).start()
+    return found
+
+
+def _follow_settings(cfg, tell, found):
     """Return when a signal to stop came."""
     while True:
-        info = signal.sigtimedwait(signals, RELOAD_INTERVAL)
-        if info is not None and info.si_signo != signal.SIGHUP:
-            name = signal.Signals(info.si_signo).name
+        try:
+            number = found.get(timeout=RELOAD_INTERVAL)
+        except queue.Empty:
+            number = None
+        if number not in (None, signal.SIGHUP):
+            name = signal.Signals(number).name
             loguru.logger.info("instance: {} received, draining", name)
             return
-        cfg = _reload(cfg, tell, info is not None)
+        cfg = _reload(cfg, tell, number is not None)
 
 
 def _reload(cfg, tell, asked):
