--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -14,15 +14,13 @@
 from cardamompath_core import seniority
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers import gateway_planners
 
 __all__ = [
     "GatewayState",
     "make_controller",
 ]
 
-REFRESH = 0.4
-"""Seconds after which a planner is told again of a batch, in case that
-the message or its answer was lost; doubled each time."""
 NO_PLANNER_WAIT = 1.5
 """Seconds for which a batch waits for a planner to be known; a successor
 is, within `fleet.SILENCE` and its first signs of life."""
@@ -32,14 +30,6 @@
 NO_ROUTES_RETRY = 1.0
 """Seconds after which a caller may try again while the configuration
 was not read yet."""
-IDLE_BACKLOG = 0.06
-"""Seconds of waiting work up to which a planner gets a batch at once;
-as long as a short task takes, and the usual objective allows."""
-FAR_COST = 0.04
-"""Seconds by which the backlog of a planner in another failure domain
-has to be shorter: two ways there and back, and bytes that are paid."""
-MOST_PLANNERS = 2
-"""Planners that are asked for one batch while none of it has started."""
 OFFER_INTERVAL = 0.5
 """Seconds between offers of the configuration to the same member."""
 
@@ -77,7 +67,7 @@
         """Planners that refused it."""
         self.round = 0
         self.handed = False
-        self.refresh_at = now + REFRESH
+        self.refresh_at = now + gateway_planners.REFRESH
 
 
 class GatewayState:
@@ -131,12 +121,12 @@
     batch = batches.Batch(name, msg.spec, msg.steps, route.terms)
     wait = msg.wait
     one = state.waiting[name] = _Waiting(batch, msg.reply, wait, now)
-    sends = [_note_accepted(state, one)]
-    sends += _hand_over(state, one, now)
+    sends = gateway_planners.hand_over(state, one, now)
+    sends.append(_note_accepted(state, one))
     sends.append(_timer(one.until, name))
     if not state.ticking:
         state.ticking = True
-        sends.append(_timer(now + REFRESH, None))
+        sends.append(_timer(now + gateway_planners.REFRESH, None))
     return sends
 
 
@@ -150,10 +140,13 @@
 
 
 def _note_accepted(state, one):
+    backlog = gateway_planners.backlog_of(state, one.planner)
     fields = {
         "route": one.batch.terms.route,
         "version": state.table.version,
         "wait_ms": round((one.until - one.submitted) * 1000.0),
+        "planner": _name(one.planner),
+        "backlog_ms": round(backlog * 1000.0),
     }
     return _note("submitted", one.batch.name, fields)
 
@@ -230,93 +223,10 @@
     return ()
 
 
-def _hand_over(state, one, now):
-    planner = _choose(state, one)
-    if planner is None:
-        return []
-    sends = []
-    if not _is_same(planner, one.planner):
-        sends += _take_back(state, one)
-        place = seniority.place_of(planner.name, state.planning)
-        if one.handed:
-            one.round += 1
-            one.moved |= place is None or place != one.place
-        one.place = place
-        one.refresh_at = now + REFRESH
-    one.planner = planner
-    one.handed = True
-    sends += _engage(state, one)
-    msg = pool_messages.PlanBatch(
-        one.batch,
-        state.own,
-        now - one.submitted,
-        one.until - now,
-        one.round,
-        one.moved,
-    )
-    return [*sends, _send_to(state, planner, msg)]
-
-
-def _engage(state, one):
-    """Let a planner elsewhere notice soon when this instance is gone."""
-    if one.planner.domain == state.domain:
-        return []
-    msg = pool_messages.Engage(one.planner.name, one.until)
-    return [messages.Send(pool_messages.FLEET, msg)]
-
-
-def _is_same(member, other):
-    """Return whether two members are the same life of one instance."""
-    if member is None or other is None:
-        return False
-    return (member.name, member.started) == (other.name, other.started)
-
-
-def _take_back(state, one):
-    """Tell a planner that is alive but no longer plans to stop a batch."""
-    if not any(_is_same(member, one.planner) for member in state.alive):
-        return []
-    drop = pool_messages.DropBatch(one.batch.name, state.own)
-    return [_send_to(state, one.planner, drop)]
-
-
-def _choose(state, one):
-    """Return the planner for a batch: its own one, or who took its place."""
-    for planner in state.planning.planners:
-        if _is_same(planner, one.planner):
-            return planner
-    if one.place is not None:
-        successor = seniority.planner_at(one.place, state.planning)
-        if successor is not None:
-            return successor
-    ordered = seniority.order_planners(
-        one.batch.name, state.domain, state.planning
-    )
-    ordered = [it for it in ordered if it.name not in one.tried] or ordered
-    for planner in ordered:
-        if state.backlogs.get(planner.name, 0.0) <= IDLE_BACKLOG:
-            return planner
-    return min(ordered, key=lambda it: _cost(state, it), default=None)
-
-
-def _cost(state, planner):
-    """Return about how long a batch waits at a planner, in seconds."""
-    far = state.planning.by_domain and planner.domain != state.domain
-    backlog = state.backlogs.get(planner.name, 0.0)
-    return backlog + (FAR_COST if far else 0.0)
-
-
 def _name(planner):
     return planner.name if planner else ""
 
 
-def _send_to(state, planner, msg):
-    if planner.name == state.own:
-        return messages.Send(pool_messages.PLANNER, msg)
-    to_member = pool_messages.SendToMember(planner.address, msg)
-    return messages.Send(pool_messages.LINKS, to_member)
-
-
 def _withdraw(state, msg, now):
     one = state.waiting.get(state.by_reply.pop(msg.reply, ""))
     if one is None or msg.reply not in one.replies:
@@ -333,18 +243,31 @@
     fields["age_ms"] = round((now - one.submitted) * 1000.0)
     sends = [_note("withdrawn", one.batch.name, fields)]
     planners = state.planning.planners
-    if any(_is_same(planner, one.planner) for planner in planners):
+    if any(
+        gateway_planners.is_same(planner, one.planner) for planner in planners
+    ):
         drop = pool_messages.DropBatch(one.batch.name, state.own)
-        sends.append(_send_to(state, one.planner, drop))
+        sends.append(gateway_planners.send_to(state, one.planner, drop))
     return sends
 
 
+def _has_planner(state, one):
+    """Return whether the planner of a batch still plans."""
+    return any(
+        gateway_planners.is_same(planner, one.planner)
+        for planner in state.planning.planners
+    )
+
+
 def _ended(state, msg, now):
     one = state.waiting.get(msg.name)
     if one is None:
         return ()
     outcome = msg.outcome
-    if outcome.state == batches.REFUSED and _has_room_elsewhere(state, one):
+    if (
+        outcome.state == batches.REFUSED
+        and gateway_planners.has_room_elsewhere(state, one)
+    ):
         return _ask_another(state, one, now)
     if outcome.state == batches.REFUSED and one.round > 0:
         # An earlier planner may have started some of it.
@@ -353,21 +276,6 @@
     return _answer(state, one, outcome, now)
 
 
-def _has_room_elsewhere(state, one):
-    """Return whether another planner may run what one has refused.
-
-    Only what went to a single planner so far: then none of it started.
-    """
-    if one.round > 0 or len(one.tried) + 1 >= MOST_PLANNERS:
-        return False
-    return any(
-        planner.name not in one.tried
-        and not _is_same(planner, one.planner)
-        and state.backlogs.get(planner.name, 0.0) <= IDLE_BACKLOG
-        for planner in state.planning.planners
-    )
-
-
 def _ask_another(state, one, now):
     fields = {"planner": _name(one.planner)}
     fields["age_ms"] = round((now - one.submitted) * 1000.0)
@@ -376,7 +284,7 @@
     one.place = None
     one.handed = False
     note = _note("asks another planner", one.batch.name, fields)
-    return [note, *_hand_over(state, one, now)]
+    return [note, *gateway_planners.hand_over(state, one, now)]
 
 
 def _answer(state, one, outcome, now):
@@ -404,8 +312,10 @@
     planners = state.planning.planners
     sends = []
     for one in state.waiting.values():
-        if not any(_is_same(it, one.planner) for it in planners):
-            sends += _hand_over(state, one, now)
+        if not any(
+            gateway_planners.is_same(it, one.planner) for it in planners
+        ):
+            sends += gateway_planners.hand_over(state, one, now)
     return sends
 
 
@@ -422,11 +332,13 @@
         if not one.handed and now >= one.submitted + NO_PLANNER_WAIT:
             sends += _refuse_unhanded(state, one, now)
         elif now >= one.refresh_at:
-            one.refresh_at = now + REFRESH + (now - one.submitted)
-            sends += _hand_over(state, one, now)
+            one.refresh_at = (
+                now + gateway_planners.REFRESH + (now - one.submitted)
+            )
+            sends += gateway_planners.hand_over(state, one, now)
     state.ticking = bool(state.waiting)
     if state.ticking:
-        sends.append(_timer(now + REFRESH, None))
+        sends.append(_timer(now + gateway_planners.REFRESH, None))
     return sends
 
 
--- a/packages/standins/src/cardamompath_standins/store.py
+++ b/packages/standins/src/cardamompath_standins/store.py
@@ -25,6 +25,7 @@
 from cardamompathd.runtime import clocks
 
 __all__ = [
+    "READY_PATH",
     "make_controller",
     "pack_keyed",
     "start",
@@ -37,6 +38,8 @@
 REPLY_TIME = 5.0
 """Seconds for the controller to answer beyond that."""
 SERVERS = "keyed.servers"
+READY_PATH = "/v1/log-newest?topic=keyed.op&part=0"
+"""Answers 200 when the store is up."""
 EXPIRY = 3.0
 """Pings of silence after which an entry of an executor is dropped."""
 POSITIONS = struct.Struct("!QQ")
