Peers: encode and decode Thrift messages with its C extension

Cause: on small machines planners and gateways are short of processor time; the pure Python protocol took 122 us to encode a batch and 146 us to decode it, a heartbeat 64 and 76 us (timeit, this machine). Change: the accelerated compact protocol of the same library, with the pure one where the extension is missing. The bytes are the same; malformed messages are rejected by the same tests. Measured: batch 15 and 31 us, heartbeat 11 and 21 us.

--- a/packages/daemon/src/cardamompathd/peers/gossip_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/gossip_codec.py
@@ -83,7 +83,7 @@
     wire.I32,
     wire.I64,
 )
-_ENTRY = (EntryFields, EntryFields.thrift_spec)
+_ENTRY = wire.nested(EntryFields)
 wire.declare(
     DigestFields,
     (Thrift.TType.STRUCT, _ENTRY),
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -132,7 +132,7 @@
     wire.TEXT,
     wire.I32,
 )
-_STEP = (Thrift.TType.STRUCT, (StepFields, StepFields.thrift_spec), False)
+_STEP = (Thrift.TType.STRUCT, wire.nested(StepFields), False)
 wire.declare(
     PlanFields,
     wire.TEXT,
--- a/packages/daemon/src/cardamompathd/peers/wire.py
+++ b/packages/daemon/src/cardamompathd/peers/wire.py
@@ -35,6 +35,7 @@
     "encode_call_prefix",
     "encode_reply",
     "framed_size",
+    "nested",
 ]
 
 FRAME_HEADER_SIZE = 4
@@ -67,12 +68,68 @@
     for name, field_type in zip(struct._fields, field_types, strict=True):
         spec.append((len(spec), field_type[0], name, field_type[1], None))
     struct.thrift_spec = tuple(spec)
-    struct.read = classmethod(
-        lambda cls, protocol: protocol.readStruct(cls, cls.thrift_spec, True)
+    struct.read = classmethod(_read_struct)
+    struct.write = _write_struct
+    struct.decoded_type = type(
+        f"Decoded{struct.__name__}",
+        (_Decoded,),
+        {"struct": struct, "read": classmethod(_read_nested)},
     )
-    struct.write = lambda self, protocol: protocol.writeStruct(
-        self, self.thrift_spec
+
+
+def nested(struct: type) -> list:
+    """Return how a declared struct is named as the type of a field."""
+    return [struct.decoded_type, struct.thrift_spec]
+
+
+class _Decoded:
+    """A struct that is being decoded.
+
+    The C extension of the library sets one attribute after the other, which
+    a NamedTuple does not allow.
+    """
+
+    struct: type
+
+    def to_struct(self):
+        """Return the NamedTuple; raise TypeError if a field is missing."""
+        return self.struct(
+            **{
+                name: _decode_value(value)
+                for name, value in vars(self).items()
+            }
+        )
+
+
+def _decode_value(value):
+    if isinstance(value, _Decoded):
+        return value.to_struct()
+    if isinstance(value, list):
+        return [_decode_value(item) for item in value]
+    return value
+
+
+def _read_struct(struct, protocol):
+    # The C extension is optional.
+    if protocol._fast_decode is None:
+        return protocol.readStruct(struct, struct.thrift_spec, True)
+    decoded = struct.decoded_type()
+    protocol._fast_decode(
+        decoded, protocol, [struct.decoded_type, struct.thrift_spec]
     )
+    return decoded.to_struct()
+
+
+def _read_nested(decoded_type, protocol):
+    return _read_struct(decoded_type.struct, protocol)
+
+
+def _write_struct(fields, protocol):
+    if protocol._fast_encode is None:
+        protocol.writeStruct(fields, fields.thrift_spec)
+        return
+    raw = protocol._fast_encode(fields, [type(fields), fields.thrift_spec])
+    protocol.trans.write(raw)
 
 
 class Method(NamedTuple):
@@ -160,7 +217,7 @@
 
 def _encode(name, message_type, struct):
     buffer = TTransport.TMemoryBuffer()
-    protocol = TCompactProtocol.TCompactProtocol(buffer)
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(buffer)
     protocol.writeMessageBegin(name, message_type, 0)
     struct.write(protocol)
     protocol.writeMessageEnd()
@@ -169,8 +226,10 @@
 
 def _decode(raw, methods, expected_type):
     buffer = TTransport.TMemoryBuffer(raw)
-    protocol = TCompactProtocol.TCompactProtocol(
-        buffer, FRAME_LIMIT, CONTAINER_LIMIT
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(
+        buffer,
+        string_length_limit=FRAME_LIMIT,
+        container_length_limit=CONTAINER_LIMIT,
     )
     # The library raises many kinds of exceptions on malformed bytes.
     try:
