Actors: handle what has arrived before a missed deadline

Cause: an actor that was late fired its timers before it read the messages that had arrived meanwhile, so it took living peers for silent and answered requests for timed out. An error while a message was sent on to another task ended the whole actor (a name with a lone surrogate did). Change: both inboxes return what arrived first, then the deadline; an error in a delivery is logged and costs one message.

--- a/packages/daemon/src/cardamompathd/runtime/actors.py
+++ b/packages/daemon/src/cardamompathd/runtime/actors.py
@@ -108,25 +108,30 @@
     ) -> None:
         """Run the controller that a message is for, or the due timers."""
         now = self._clock()
+        self._handle(message, now)
+        self.actor_inbox.set_deadline(self._next_deadline(), self._clock)
+
+    def _handle(self, message, now):
         if isinstance(message, inboxes.DeadlineReached):
             self._fire_timers(now)
         else:
             self._process(message, now)
-        deadline = self._timers[0][0] if self._timers else None
-        self.actor_inbox.set_deadline(deadline, self._clock)
+
+    def _next_deadline(self):
+        return self._timers[0][0] if self._timers else None
 
     def _process(self, message, now):
         pending = collections.deque([message])
         while pending:
             send = pending.popleft()
             receive = self._receivers.get(send.to)
-            if receive is None:
-                self._deliver(send)
-                continue
             pending.extend(self._run(receive, send, now))
 
     def _run(self, receive, send, now):
         try:
+            if receive is None:
+                self._deliver(send)
+                return ()
             return receive(send.msg, now)
         except Exception:
             msg_type = type(send.msg).__name__
--- a/packages/daemon/src/cardamompathd/runtime/inboxes.py
+++ b/packages/daemon/src/cardamompathd/runtime/inboxes.py
@@ -47,12 +47,16 @@
     """A queue of messages with a deadline.
 
     Any thread may call `put`; the other methods are for the actor that
-    owns the inbox.
+    owns the inbox.  Messages that arrived before the deadline was noticed
+    come before it: an actor that was late must not take what it has not
+    read yet for missing.
     """
 
     def __init__(self):
         self._messages: queue.SimpleQueue = queue.SimpleQueue()
         self._deadline: float | None = None
+        self._before_deadline: int | None = None
+        """Number of messages that are returned before the deadline."""
         self._clock: Callable[[], float] | None = None
 
     def put(self, envelope: Any, /) -> None:
@@ -67,6 +71,12 @@
         if timeout is None or timeout > 0.0:
             with contextlib.suppress(queue.Empty):
                 return self._messages.get(timeout=timeout)
+        if self._before_deadline is None:
+            self._before_deadline = self._messages.qsize()
+        if self._before_deadline > 0:
+            self._before_deadline -= 1
+            return self._messages.get()
+        self._before_deadline = None
         self._deadline = None
         return _envelope.Envelope(DeadlineReached())
 
@@ -86,7 +96,8 @@
     """A queue of messages with a deadline and registered sockets.
 
     Any thread may call `put`; the other methods are for the actor that
-    owns the inbox.
+    owns the inbox.  As in `TimedInbox`, what arrived before the deadline
+    was noticed comes before it.
     """
 
     def __init__(self):
@@ -99,6 +110,9 @@
         self._selector.register(self._wake_receiver, selectors.EVENT_READ)
         self._is_selecting = False
         self._deadline: float | None = None
+        self._before_deadline: int | None = None
+        """Number of messages and events that are returned before the
+        deadline."""
         self._clock: Callable[[], float] | None = None
 
     def put(self, envelope: Any, /) -> None:
@@ -111,8 +125,16 @@
         """Wait for the next message, socket event or the deadline."""
         while True:
             if self._is_deadline_reached():
-                self._deadline = None
-                return _envelope.Envelope(DeadlineReached())
+                if self._before_deadline is None:
+                    self._select(0.0)
+                    self._before_deadline = len(self._messages) + len(
+                        self._ready
+                    )
+                if self._before_deadline == 0:
+                    self._before_deadline = None
+                    self._deadline = None
+                    return _envelope.Envelope(DeadlineReached())
+                self._before_deadline -= 1
             if self._messages:
                 return self._messages.popleft()
             if self._ready:
@@ -130,18 +152,17 @@
         self._deadline = at
         self._clock = clock
 
-    def register(self, sock: socket.socket, key: Any) -> None:
-        """Start to report when a socket is readable."""
-        self._selector.register(sock, selectors.EVENT_READ, key)
+    def register(
+        self, sock: socket.socket, key: Any, writable: bool = False
+    ) -> None:
+        """Start to report when a socket is readable, or also writable."""
+        self._selector.register(sock, _event_mask(writable), key)
 
     def watch_writable(
         self, sock: socket.socket, key: Any, enabled: bool
     ) -> None:
         """Start or stop to report when a registered socket is writable."""
-        events = selectors.EVENT_READ
-        if enabled:
-            events |= selectors.EVENT_WRITE
-        self._selector.modify(sock, events, key)
+        self._selector.modify(sock, _event_mask(enabled), key)
 
     def unregister(self, sock: socket.socket) -> None:
         """Stop to report the events of a socket."""
@@ -162,9 +183,8 @@
     def _is_deadline_reached(self):
         return self._deadline is not None and self._clock() >= self._deadline
 
-    def _select(self):
-        timeout = None
-        if self._deadline is not None:
+    def _select(self, timeout=None):
+        if timeout is None and self._deadline is not None:
             timeout = max(0.0, self._deadline - self._clock())
         self._is_selecting = True
         # A message that was put before the flag was set caused no wake-up.
@@ -184,3 +204,9 @@
     def _drain_wake_ups(self):
         with contextlib.suppress(BlockingIOError):
             self._wake_receiver.recv(4096)
+
+
+def _event_mask(writable):
+    if writable:
+        return selectors.EVENT_READ | selectors.EVENT_WRITE
+    return selectors.EVENT_READ
