Decision log: write lines in batches, encoded by orjson

Cause: a wake-up of the log's thread, a write and 6 us of encoding for each decision, five a batch. Change: lines are gathered for 0.2 s and written at once; orjson takes 1 us a line. Text that is not valid Unicode costs one line, and such a job is refused at the door with 400 instead of failing on its way to a planner.

--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -188,4 +188,6 @@
 def _parse_text(value):
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not a string")
+    # A lone surrogate cannot be sent on to other tasks.
+    value.encode()
     return value
--- a/packages/daemon/src/cardamompathd/telemetry/decisions.py
+++ b/packages/daemon/src/cardamompathd/telemetry/decisions.py
@@ -1,21 +1,20 @@
 """The decision log: one JSON object a line on standard output.
 
-A thread of its own writes the lines from a bounded queue.  If the queue is
-full or the lines exceed a rate limit, lines are dropped and counted, so that
-no decision waits for the log.
+A thread of its own writes the lines from a bounded queue, several at a time.
+If the queue is full or the lines exceed a rate limit, lines are dropped and
+counted, so that no decision waits for the log.
 """
 
 from __future__ import annotations
 
-import json
 import queue
 import sys
 import threading
 import time
-from collections.abc import Callable
 from typing import Any
 
 import loguru
+import orjson
 
 from cardamompathd import pool_messages
 
@@ -28,8 +27,11 @@
 """Capacity of the queue in lines, about one second of the busiest instance."""
 LINES_PER_SECOND = 1500
 """Rate limit, twice the rate of the busiest second of the users' traffic."""
-FLUSH_TIMEOUT = 0.2
-"""Seconds to write the queued lines when the instance stops."""
+WRITE_INTERVAL = 0.2
+"""Seconds for which lines are gathered before they are written at once."""
+FLUSH_TIMEOUT = 0.4
+"""Seconds to write the queued lines when the instance stops; twice the time
+for which lines are gathered."""
 POLL_INTERVAL = 0.01
 """Seconds between checks whether they are written."""
 
@@ -39,8 +41,6 @@
 
     Parameters
     ----------
-    write : callable
-        Writes text to the output of the log.
     length : int
         Capacity of the queue in lines.
     rate : int
@@ -48,14 +48,11 @@
     """
 
     def __init__(
-        self,
-        write: Callable[[str], Any],
-        length: int = QUEUE_LENGTH,
-        rate: int = LINES_PER_SECOND,
+        self, length: int = QUEUE_LENGTH, rate: int = LINES_PER_SECOND
     ):
-        self._write = write
+        self._length = length
         self._rate = rate
-        self._lines: queue.Queue = queue.Queue(length)
+        self._entries: queue.SimpleQueue = queue.SimpleQueue()
         self._dropped = 0
         self._current_second = 0
         self._written_in_second = 0
@@ -73,14 +70,26 @@
 
     def enqueue(self, at: float, fields: dict[str, Any]) -> None:
         """Queue the fields of a line, or drop them; never wait."""
-        try:
-            self._lines.put_nowait((at, fields))
-        except queue.Full:
+        if self._entries.qsize() >= self._length:
             self._dropped += 1
-
-    def write_next(self) -> None:
-        """Wait for a line and write it; drop it above the rate limit."""
-        at, fields = self._lines.get()
+        else:
+            self._entries.put((at, fields))
+
+    def wait(self) -> None:
+        """Wait until the queue is not empty, and for more lines to come."""
+        self._entries.put(self._entries.get())
+        time.sleep(WRITE_INTERVAL)
+
+    def take_lines(self) -> bytes:
+        """Remove all queued lines; return those within the rate limit."""
+        lines = []
+        for _ in range(self._entries.qsize()):
+            line = self._format(*self._entries.get())
+            if line is not None:
+                lines.append(line)
+        return b"".join(lines)
+
+    def _format(self, at, fields):
         if int(at) != self._current_second:
             self._current_second = int(at)
             self._written_in_second = 0
@@ -89,14 +98,20 @@
                 self._dropped = 0
         if self._written_in_second >= self._rate:
             self._dropped += 1
-            return
+            return None
         self._written_in_second += 1
         line = {"time": round(at, 4), **fields}
-        self._write(json.dumps(line, default=repr) + "\n")
+        try:
+            return orjson.dumps(line, repr, orjson.OPT_APPEND_NEWLINE)
+        except orjson.JSONEncodeError as exc:
+            # Text of a caller or a peer may not be valid Unicode.
+            invalid = {"time": line["time"], "invalid": ascii(fields)}
+            invalid["error"] = str(exc)
+            return orjson.dumps(invalid, None, orjson.OPT_APPEND_NEWLINE)
 
     def is_empty(self) -> bool:
         """Return whether the queue is empty."""
-        return self._lines.empty()
+        return self._entries.empty()
 
     def close(self) -> None:
         """Wait until the queue is empty, for a limited time."""
@@ -122,15 +137,15 @@
     DecisionLog
         The log that records the decisions.
     """
-    log = DecisionLog(sys.stdout.write)
+    log = DecisionLog()
     loguru.logger.remove()
     loguru.logger.add(log.record_log_message, level=level, format="{message}")
 
     def write_lines():
         while True:
-            log.write_next()
-            if log.is_empty():
-                sys.stdout.flush()
+            log.wait()
+            sys.stdout.buffer.write(log.take_lines())
+            sys.stdout.buffer.flush()
 
     threading.Thread(target=write_lines, name="log", daemon=True).start()
     return log
--- a/packages/daemon/src/cardamompathd/tests/test_decisions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_decisions.py
@@ -9,16 +9,11 @@
 
 
 class DecisionLogTest(unittest.TestCase):
-    def setUp(self):
-        self.lines = []
-
     def make_log(self, length=10, rate=10):
-        return decisions.DecisionLog(self.lines.append, length, rate)
+        return decisions.DecisionLog(length, rate)
 
     def drain(self, log):
-        while not log.is_empty():
-            log.write_next()
-        return [json.loads(line) for line in self.lines]
+        return [json.loads(line) for line in log.take_lines().splitlines()]
 
     def test_line_contains_the_decision(self):
         log = self.make_log()
@@ -59,6 +54,14 @@
         log.enqueue(1.0, {"room": {1, 2}})
         self.assertEqual(self.drain(log)[0]["room"], "{1, 2}")
 
+    def test_text_that_is_not_unicode_loses_one_line_only(self):
+        log = self.make_log()
+        log.enqueue(1.0, {"request": "\ud800"})
+        log.enqueue(1.0, {"request": "5c0e"})
+        lines = self.drain(log)
+        self.assertIn("ud800", lines[0]["invalid"])
+        self.assertEqual(lines[1]["request"], "5c0e")
+
 
 class DecisionCountsTest(unittest.TestCase):
     def count_answer(self, counts, state, age_ms):
