Listener: start threads as requests come

Change: two threads from the start, one more whenever a request comes and none waits, up to the same limit; a plain queue in place of one with conditions.

--- a/packages/daemon/src/cardamompathd/callers/server.py
+++ b/packages/daemon/src/cardamompathd/callers/server.py
@@ -14,6 +14,7 @@
 
 import loguru
 from cheroot import wsgi
+from cheroot.workers import threadpool
 
 from cardamompathd.callers import connections
 from cardamompathd.filters import chain
@@ -32,6 +33,9 @@
 SELECT_TIMEOUT = 0.5
 """Longest time in seconds for which the selector of a listener waits."""
 
+MIN_THREADS = 2
+"""Threads of a listener that wait for requests from the start."""
+
 WAKE_TIMEOUT = 1.0
 """Seconds to connect to the own listener to wake it for a stop."""
 
@@ -44,6 +48,7 @@
     """Bounds of a listener."""
 
     threads: int = 64
+    """Limit on the threads; they are started as requests come."""
     connections: int = 1024
     """Limit on open connections, and on those that wait for a thread."""
     header_bytes: int = 16 * 1024
@@ -53,6 +58,51 @@
     backlog: int = 128
 
 
+class _GrowingThreadPool(threadpool.ThreadPool):
+    """Starts a thread when a request comes and no thread waits for one.
+
+    Parameters
+    ----------
+    server : BoundedServer
+        Server whose requests the threads handle.
+    limits : ListenerLimits
+        Bounds of the listener.
+    """
+
+    def __init__(self, server, limits):
+        super().__init__(
+            server, min(MIN_THREADS, limits.threads), limits.threads
+        )
+        self._queue = queue.SimpleQueue()
+        self.get = self._take
+        self._capacity = limits.connections
+        self._lock = threading.Lock()
+        self._waiting = 0
+        """Threads that wait for a request, less the requests that wait."""
+
+    def _take(self):
+        with self._lock:
+            self._waiting += 1
+        return self._queue.get()
+
+    def put(self, obj):
+        """Queue a connection with a request for a thread.
+
+        Raises
+        ------
+        queue.Full
+            If too many connections wait.
+        """
+        if self._queue.qsize() >= self._capacity:
+            raise queue.Full
+        with self._lock:
+            self._waiting -= 1
+            is_short = self._waiting < 0
+        self._queue.put(obj)
+        if is_short and len(self._threads) < self.max:
+            self._threads.append(self._spawn_worker())
+
+
 class Listener(NamedTuple):
     """A running listener."""
 
@@ -246,14 +296,11 @@
     server = BoundedServer(
         address,
         make_application(handler),
-        numthreads=limits.threads,
-        max=limits.threads,
         request_queue_size=limits.backlog,
         timeout=limits.timeout,
         server_name="cardamompath",
-        accepted_queue_size=limits.connections,
-        accepted_queue_timeout=0.001,
     )
+    server.requests = _GrowingThreadPool(server, limits)
     server.max_request_header_size = limits.header_bytes
     server.header_timeout = limits.timeout
     server.keep_alive_conn_limit = limits.connections
