Pool: one task owns the sockets of executors and of peers

Cause: a thread for each executor and one for the links; each exchange with an executor took two switches between threads and 60 us in http.client and urllib3, and on a slowed planner answers were read after their timeout.

--- a/packages/daemon/src/cardamompathd/peers/links.py
+++ b/packages/daemon/src/cardamompathd/peers/links.py
@@ -1,4 +1,4 @@
-"""Links between instances: one actor owns all their sockets.
+"""Links between instances: one task owns all their sockets.
 
 An instance sends on the links that it opened itself and receives on those
 that other instances opened to it.  A broken link is reopened.  Messages
@@ -15,17 +15,18 @@
 from typing import Any
 
 import loguru
-import pykka
 
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.peers import errors
 from cardamompathd.peers import pool_codec
 from cardamompathd.peers import wire
-from cardamompathd.runtime import inboxes
+from cardamompathd.runtime import actors
+from cardamompathd.runtime import sockets
 
 __all__ = [
-    "LinksActor",
+    "Links",
+    "make_owner",
 ]
 
 REOPEN_DELAY = 0.2
@@ -58,14 +59,13 @@
 
 class _OutgoingLink:
     __slots__ = (
-        "address", "awaits_write", "connected", "opened_at", "pending",
-        "reopen_at", "sock", "stalled_at",
+        "address", "connected", "opened_at", "pending", "reopen_at", "sock",
+        "stalled_at",
     )  # fmt: skip
 
     def __init__(self, address):
         self.address = address
         self.sock: socket.socket | None = None
-        self.awaits_write = False
         self.connected = False
         self.opened_at = 0.0
         self.reopen_at = 0.0
@@ -81,17 +81,17 @@
         self.buffer = bytearray()
 
 
-class LinksActor(pykka.ThreadingActor):
-    """Owns the links to and from the other instances.
+class Links:
+    """The links to and from the other instances.
 
     Parameters
     ----------
     address : tuple of str and int
         Address at which other instances connect.
+    registry : SocketRegistry
+        Reports when the sockets are ready.
     deliver : callable
         Called with a `Send` for each received message.
-    clock : callable
-        Returns the present time in seconds.
 
     Raises
     ------
@@ -99,50 +99,35 @@
         If the address cannot be bound.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         address: tuple[str, int],
+        registry: sockets.SocketRegistry,
         deliver: Callable[[messages.Send], None],
-        clock: Callable[[], float],
     ):
-        super().__init__()
         self._deliver = deliver
-        self._clock = clock
+        self._registry = registry
         self._outgoing: dict[tuple[str, int], _OutgoingLink] = {}
         self._incoming: dict[int, _IncomingLink] = {}
         self._check_at = 0.0
         self._listener = socket.create_server(address, backlog=BACKLOG)
         self._listener.setblocking(False)
-        self.actor_inbox.register(self._listener, "listener")
-
-    @staticmethod
-    def _create_actor_inbox():
-        return inboxes.SelectorInbox()
-
-    def on_receive(self, message: Any) -> None:
-        """Handle a command or a socket event, then check the links."""
-        now = self._clock()
-        if isinstance(message, messages.Send):
-            self._handle_command(message.msg, now)
-        elif isinstance(message, inboxes.Readable):
-            self._read(message.key, now)
-        elif isinstance(message, inboxes.Writable):
-            self._write(message.key, now)
-        if now >= self._check_at:
-            self._check_links(now)
-
-    def on_stop(self) -> None:
+        registry.register(self._listener, "listener")
+
+    def close(self) -> None:
         """Close every socket."""
         for link in self._outgoing.values():
             self._close(link)
         for link in self._incoming.values():
             link.sock.close()
         self._listener.close()
-        self.actor_inbox.close()
 
-    def _handle_command(self, msg, now):
+    def next_check(self) -> float:
+        """Return when `check` is due."""
+        return self._check_at
+
+    def receive(self, msg: Any, now: float) -> None:
+        """Open or close a link, or send a message on links."""
         if isinstance(msg, pool_messages.SetLink):
             self._set_link(msg, now)
             return
@@ -170,7 +155,8 @@
             link = self._outgoing[msg.address] = _OutgoingLink(msg.address)
             self._open(link, now)
 
-    def _check_links(self, now):
+    def check(self, now: float) -> None:
+        """Reopen broken links, and close those that stall."""
         for link in list(self._outgoing.values()):
             if link.sock is None:
                 if now >= link.reopen_at:
@@ -180,7 +166,6 @@
             elif link.stalled_at and now > link.stalled_at + STALL_TIMEOUT:
                 self._fail(link, "stalled", now)
         self._check_at = now + REOPEN_DELAY / 2.0
-        self.actor_inbox.set_deadline(self._check_at, self._clock)
 
     def _open(self, link, now):
         link.sock = sock = socket.socket()
@@ -197,11 +182,10 @@
             link.reopen_at = now + REOPEN_DELAY
             self._report_failure(link, result)
             return
-        self.actor_inbox.register(sock, link.address)
-        self.actor_inbox.watch_writable(sock, link.address, True)
-        link.awaits_write = True
+        self._registry.register(sock, link.address, writable=True)
 
-    def _write(self, key, now):
+    def write(self, key: tuple[str, int], now: float) -> None:
+        """Go on with a link that is writable."""
         link = self._outgoing.get(key)
         if link is None or link.sock is None:
             return
@@ -229,14 +213,12 @@
             link.stalled_at = None
         elif sent or link.stalled_at is None:
             link.stalled_at = now
-        has_pending = bool(link.pending)
-        if has_pending != link.awaits_write:
-            link.awaits_write = has_pending
-            self.actor_inbox.watch_writable(
-                link.sock, link.address, has_pending
-            )
-
-    def _read(self, key, now):
+        self._registry.watch_writable(
+            link.sock, link.address, bool(link.pending)
+        )
+
+    def read(self, key: Any, now: float) -> None:
+        """Read from a link, or accept a connection."""
         if key == "listener":
             self._accept()
         elif isinstance(key, tuple):
@@ -257,7 +239,7 @@
             sock.setsockopt(*option)
         number = sock.fileno()
         self._incoming[number] = _IncomingLink(sock)
-        self.actor_inbox.register(sock, number)
+        self._registry.register(sock, number)
 
     def _read_outgoing(self, link, now):
         # The other side never sends on a link that this instance opened.
@@ -283,7 +265,7 @@
         if received and self._deliver_frames(link.buffer):
             return
         del self._incoming[number]
-        self.actor_inbox.unregister(link.sock)
+        self._registry.unregister(link.sock, number)
         link.sock.close()
 
     def _deliver_frames(self, buffer):
@@ -326,9 +308,33 @@
         if link.sock is None:
             return
         with contextlib.suppress(KeyError, ValueError):
-            self.actor_inbox.unregister(link.sock)
+            self._registry.unregister(link.sock, link.address)
         link.sock.close()
         link.sock = None
         link.connected = False
         link.stalled_at = None
         link.pending.clear()
+
+
+def make_owner(
+    address: tuple[str, int],
+    make_registry: Callable[[str], sockets.SocketRegistry],
+    deliver: actors.Deliver,
+) -> sockets.SocketOwner:
+    """Make the links of an instance, for the actor that owns them.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
+    """
+    links = Links(address, make_registry(pool_messages.LINKS), deliver)
+    return sockets.SocketOwner(
+        pool_messages.LINKS,
+        links.receive,
+        links.read,
+        links.write,
+        links.check,
+        links.next_check,
+        links.close,
+    )
--- a/packages/daemon/src/cardamompathd/platform/executor_protocol.py
+++ b/packages/daemon/src/cardamompathd/platform/executor_protocol.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 from typing import NamedTuple
 
+import orjson
+
 from cardamompath_core import types
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -15,7 +16,6 @@
     "Endpoint",
     "decode",
     "encode",
-    "write",
 ]
 
 COMMAND_TIMEOUT = 0.25
@@ -51,8 +51,8 @@
 
     backend: Endpoint
     command: Any
-    path: str
-    body: bytes
+    request: bytes
+    """The HTTP request, head and body."""
     timeout: float
     """Seconds to wait for the response."""
     start_by: float
@@ -64,8 +64,17 @@
     spec = command.executor
     backend = Endpoint(spec.name, *spec.address)
     path, fields, timeout = _ENCODERS[type(command)](command)
-    body = json.dumps(fields, separators=(",", ":")).encode()
-    return Call(backend, command, path, body, timeout, now + timeout)
+    body = orjson.dumps(fields)
+    host, port = spec.address
+    head = (
+        f"POST {path} HTTP/1.1\r\n"
+        f"Host: {host}:{port}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        f"{EXPECTED_INSTANCE_HEADER}: {spec.name}\r\n\r\n"
+    )
+    request = head.encode("latin-1") + body
+    return Call(backend, command, request, timeout, now + timeout)
 
 
 def _encode_start(command):
@@ -117,15 +126,6 @@
     return f"{run.batch}.{OCCURRENCE}.{run.step}.{run.index}"
 
 
-def write(conn: Any, call: Call) -> None:
-    """Write the HTTP request of a call to a connection."""
-    conn.putrequest("POST", call.path, skip_accept_encoding=True)
-    conn.putheader("Content-Type", "application/json")
-    conn.putheader("Content-Length", len(call.body))
-    conn.putheader(EXPECTED_INSTANCE_HEADER, call.command.executor.name)
-    conn.endheaders(call.body)
-
-
 def decode(call: Call, answer: types.BackendAnswer) -> messages.Send:
     """Return the message for the planner about the result of a call.
 
@@ -146,8 +146,8 @@
     if answer.phase != "done":
         return {}
     try:
-        doc = json.loads(answer.payload)
-    except ValueError:
+        doc = orjson.loads(answer.payload)
+    except orjson.JSONDecodeError:
         return {}
     return doc if isinstance(doc, dict) else {}
 
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -179,7 +179,6 @@
 def _make_protocol():
     return pool_app.Protocol(
         executor_protocol.encode,
-        executor_protocol.write,
         executor_protocol.decode,
     )
 
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import queue
 from collections.abc import Callable
 from typing import Any
@@ -13,13 +14,14 @@
 from cardamompath_core import types
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.backends import call_connections
 from cardamompathd.backends import connections
-from cardamompathd.backends import pool
 from cardamompathd.controllers import fleet
 from cardamompathd.controllers import gateway
 from cardamompathd.controllers import planner
 from cardamompathd.peers import links
 from cardamompathd.runtime import actors
+from cardamompathd.runtime import sockets
 from cardamompathd.telemetry import pool_metrics
 
 __all__ = [
@@ -38,8 +40,6 @@
 
     encode: Callable[[Any, float], Any]
     """Takes a request message and the present time; returns the call."""
-    write: connections.WriteRequest
-    """Writes a call on a connection."""
     decode: Callable[[Any, types.BackendAnswer], messages.Send]
     """Takes a call and its answer; returns a message to a task."""
 
@@ -60,37 +60,23 @@
     """Returns the metrics page."""
 
 
-class _PoolActor(actors.ControllerActor):
-    """Runs the controllers and owns the connections to the executors."""
+def _make_executor_connections(protocol, make_registry, deliver):
+    """Make the connections to the executors, for the actor that owns them."""
 
-    def __init__(self, controllers, deliver, clock, protocol):
-        super().__init__(controllers, self._send, clock)
-        self._deliver_outside = deliver
-        self._protocol = protocol
-        self._executors = pool.Pool(self._open_connection)
+    def handle_answer(call, answer):
+        deliver(protocol.decode(call, answer))
 
-    def on_stop(self):
-        """Close the connections."""
-        self._executors.close()
-
-    def _open_connection(self):
-        return connections.BackendActor.start(
-            LIMITS, self._deliver_answer, self._clock, self._protocol.write
-        )
+    calls = call_connections.CallConnections(
+        LIMITS, make_registry(pool_messages.EXECUTORS), handle_answer
+    )
 
-    def _deliver_answer(self, call, answer):
-        self.actor_ref.tell(self._protocol.decode(call, answer))
+    def receive(msg, now):
+        if isinstance(msg, pool_messages.DisconnectExecutor):
+            calls.disconnect(msg.executor.name, *msg.executor.address)
+        else:
+            calls.send(protocol.encode(msg, now), now)
 
-    def _send(self, send):
-        if isinstance(send.msg, pool_messages.DisconnectExecutor):
-            spec = send.msg.executor
-            self._executors.disconnect(spec.name, *spec.address)
-            return
-        if send.to == pool_messages.EXECUTORS:
-            call = self._protocol.encode(send.msg, self._clock())
-            self._executors.send(call)
-            return
-        self._deliver_outside(send)
+    return call_connections.make_owner(pool_messages.EXECUTORS, calls, receive)
 
 
 def start(
@@ -134,7 +120,7 @@
     planner_controller = planner.make_controller(
         own_member.name, make_token, clock(), remote_rack_factor
     )
-    actor_ref = _PoolActor.start(
+    actor_ref = sockets.SocketActor.start(
         [
             fleet.make_controller(own_member),
             gateway.make_controller(own_member.name, own_member.domain),
@@ -142,7 +128,10 @@
         ],
         deliver,
         clock,
-        protocol,
+        [
+            functools.partial(_make_executor_connections, protocol),
+            functools.partial(links.make_owner, own_member.address),
+        ],
     )
     names = (
         pool_messages.FLEET,
@@ -151,10 +140,6 @@
     )
     controllers = {name: actors.make_tell(actor_ref, name) for name in names}
     receivers.update(controllers)
-    link_ref = links.LinksActor.start(own_member.address, deliver, clock)
-    receivers[pool_messages.LINKS] = actors.make_tell(
-        link_ref, pool_messages.LINKS
-    )
     for name in (pool_messages.FLEET, pool_messages.PLANNER):
         controllers[name](messages.TimerFired("start"))
 
@@ -164,7 +149,6 @@
 
     def stop():
         actor_ref.stop(block=False)
-        link_ref.stop(block=False)
 
     scrape = pool_metrics.make_scrape(counts)
     return Instance(receivers, controllers, leave, stop, scrape)
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -1,5 +1,6 @@
 """Links between instances over real sockets, and their codec."""
 
+import functools
 import queue
 import socket
 import unittest
@@ -14,6 +15,7 @@
 from cardamompathd.peers import links
 from cardamompathd.peers import pool_codec
 from cardamompathd.runtime import clocks
+from cardamompathd.runtime import sockets
 
 WAIT = 10.0
 """Seconds to wait for a message or for bytes."""
@@ -73,9 +75,17 @@
     def start(self):
         address = free_address()
         received = queue.SimpleQueue()
-        ref = links.LinksActor.start(address, received.put, clocks.boottime)
+        return address, received, self.start_at(address, received)
+
+    def start_at(self, address, received):
+        ref = sockets.SocketActor.start(
+            [],
+            received.put,
+            clocks.boottime,
+            [functools.partial(links.make_owner, address)],
+        )
         self.addCleanup(ref.stop)
-        return address, received, ref
+        return ref
 
     def tell(self, ref, msg):
         ref.tell(messages.Send(pool_messages.LINKS, msg))
@@ -117,10 +127,7 @@
         peer_ref.stop()
         self.wait_for(received, pool_messages.LinkFailed)
         after_reopening = queue.SimpleQueue()
-        restarted = links.LinksActor.start(
-            address, after_reopening.put, clocks.boottime
-        )
-        self.addCleanup(restarted.stop)
+        self.start_at(address, after_reopening)
         send = None
         while send is None:
             self.tell(ref, pool_messages.SendToMember(address, drop))
@@ -141,3 +148,16 @@
         drop = pool_messages.DropBatch("b", "n-1")
         self.tell(ref, pool_messages.SendToMember(address, drop))
         self.assertEqual(self.wait_for(received, type(drop)).msg, drop)
+
+    def test_message_that_cannot_be_encoded_is_lost_alone(self):
+        address, received, _ = self.start()
+        ref = self.start()[2]
+        self.tell(ref, pool_messages.SetLink(address, True))
+        for name in ("\ud800", "b"):
+            drop = pool_messages.DropBatch(name, "n-1")
+            self.tell(ref, pool_messages.SendToMember(address, drop))
+        # Messages before the link is open are lost.
+        drop = pool_messages.DropBatch("c", "n-1")
+        self.tell(ref, pool_messages.SendToMember(address, drop))
+        sent = self.wait_for(received, type(drop)).msg
+        self.assertIn(sent.name, ("b", "c"))
--- a/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
@@ -159,8 +159,11 @@
 
     def test_start_is_encoded(self):
         call = executor_protocol.encode(self.start(), 10.0)
-        self.assertEqual(call.path, "/v1/run-start")
-        body = json.loads(call.body)
+        head, _, raw = call.request.partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"POST /v1/run-start HTTP/1.1\r\n"))
+        self.assertIn(b"Content-Length: %d" % len(raw), head)
+        self.assertIn(b"Expect-Instance: i-1", head)
+        body = json.loads(raw)
         self.assertEqual(body["task"], "5c0e.0.0.17")
         self.assertEqual(body["attempt"], 2)
         self.assertEqual(body["expires_ms"], 486000)
