Leases: count the longest run that a slow clock and a stop allow

A run may go on for stop_timeout_ms after its lease if a stop came just before the end of that, and a lease of 1 s on a clock that is 2 % slow lasts 1.0204 s. The executor's clock, read up to 0.65 s before, was also extrapolated as if it were right. Change: LAPSE_TIME is the lease on the slowest clock, the stop and a margin (1.12 s); the clock is extrapolated as the slowest one. Ruled out: an order whose way takes long, as the end of a lease is a time of the executor's clock.

--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -24,9 +24,6 @@
     "would_be_late",
 ]
 
-TAKEOVER_DELAY = planner_runs.LEASE * 1.02 + planner_runs.LEASE_MARGIN
-"""Seconds after which no run of an earlier planner is left, unless a planner
-still renews the leases on its executor."""
 HEAL_TIME = 1.5
 """Seconds after the end of a partition for which a claim proves nothing: a
 lease, and the time until an instance counts as missing."""
@@ -161,7 +158,8 @@
         is_assigned = functools.partial(planner_roles.is_assigned, state)
         if planner_leases.all_claimed(state, is_assigned, now):
             return True
-    return now >= max(state.began_at, plan.received_at) + TAKEOVER_DELAY
+    last_start = max(state.began_at, plan.received_at)
+    return now >= last_start + planner_runs.LAPSE_TIME
 
 
 def _is_usable(executor, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -68,9 +68,9 @@
     # Otherwise it could never be known that they have lapsed.
     if executor.claimed and not executor.suspect and executor.runs:
         expires = executor.executor_clock(now) + planner_runs.LEASE
-        lapse = planner_runs.LEASE * (1.0 + planner_runs.CLOCK_ERROR)
-        lapse += planner_runs.LEASE_MARGIN
-        executor.lease_until = max(executor.lease_until, now + lapse)
+        executor.lease_until = max(
+            executor.lease_until, now + planner_runs.LAPSE_TIME
+        )
     hold = pool_messages.HoldExecutor(
         executor.spec, executor.token, executor.acknowledged, expires, wait
     )
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -9,8 +9,10 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import planner_log
+from cardamompathd.controllers import planner_state
 
 __all__ = [
+    "LAPSE_TIME",
     "LEASE",
     "adopt_run",
     "drop_plan",
@@ -26,10 +28,17 @@
 
 LEASE = 1.0
 """Seconds of the lease of a run; the longest that executors grant."""
-CLOCK_ERROR = 0.02
-"""Share by which an executor's clock may be slow, by its contract."""
+STOP_TIME = 0.05
+"""Seconds for which a run may go on after a stop, by contract; also after its
+lease, if the stop came just before the end of that."""
 LEASE_MARGIN = 0.05
-"""Seconds beyond the lease for the transmission of a request."""
+"""Seconds within which an executor ends a run whose lease has lapsed."""
+LAPSE_TIME = (
+    LEASE / (1.0 - planner_state.CLOCK_ERROR) + STOP_TIME + LEASE_MARGIN
+)
+"""Seconds after a start or a renewal after which its runs have surely ended.
+The end of a lease is a time of the executor's clock, so that a request that
+arrives late changes nothing."""
 ATTEMPT_SKIP = 8
 """Attempt numbers skipped for each earlier planner of a batch, and if an
 executor has seen a later attempt of the task."""
@@ -52,7 +61,7 @@
     task.started_at = now
     task.stopping = False
     task.adopted = False
-    task.start_deadline = now + LEASE * (1.0 + CLOCK_ERROR) + LEASE_MARGIN
+    task.start_deadline = now + LAPSE_TIME
     task.run = pool_messages.Run(
         plan.name, task.step, task.index, task.attempt
     )
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "ExecutorState",
+    "CLOCK_ERROR",
     "Plan",
     "PlannerState",
     "Task",
@@ -25,6 +26,8 @@
 
 MAX_REMEMBERED = 4096
 """Maximum number of outcomes kept for instances that missed them, and of
+CLOCK_ERROR = 0.02
+"""Share by which an executor's clock may be slow, by its contract."""
 dropped batches that are remembered."""
 
 
@@ -77,7 +80,6 @@
         "min_cpu",
         "origins",
         "pool_time",
-        "ready_at",
         "received_at",
         "round",
         "shard_changed",
@@ -98,7 +100,6 @@
         self.submitted_at = now - msg.age
         self.deadline = now + msg.time_left
         """When the caller stops waiting."""
-        self.ready_at = now
         self.round = msg.round
         self.shard_changed = msg.shard_changed
         self.may_have_started = msg.round > 0
@@ -224,7 +225,7 @@
 
     def executor_clock(self, now: float) -> float:
         """Return a lower bound of the executor's clock, in seconds."""
-        return self.clock + (now - self.clock_read_at)
+        return self.clock + (now - self.clock_read_at) * (1.0 - CLOCK_ERROR)
 
 
 class PlannerState:
