Planner: a start that was fenced waits for the executor's next answer

Cause: a start answered with 409 `fence` (or `late`, 421) put its task back while the executor still counted as claimed, so that the planner sent the next start at once, each 4 ms, for up to a poll of 0.4 s. Change: any refusal but `old` makes the executor suspect until it answers a hold, which tells who holds it.

--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -165,11 +165,12 @@
 
 def _record_refusal(executor, task, result):
     """Update the state for the reason why an executor did not start a run."""
-    if result in ("unhealthy", "unsent", "room"):
-        # The next hold shows whether it answers, and what runs there.
-        executor.suspect = True
-    elif result == "old":
+    if result == "old":
         task.attempt += ATTEMPT_SKIP
+    else:
+        # The next hold shows whether it answers, who holds it, and what
+        # runs there.  Until then it would refuse the task again and again.
+        executor.suspect = True
 
 
 def handle_stop_answer(state, msg, now):
