Packages: load modules when they are first used

Cause: the platform's program loaded every controller, codec and metrics library of the other interface: 0.57 s of processor time at each start, 1.5 s on a machine of 0.387 core, and 33 MB. Change: packages re-export their modules by __getattr__; messages imports types for annotations only while types are checked.

--- a/packages/core/src/cardamompath_core/__init__.py
+++ b/packages/core/src/cardamompath_core/__init__.py
@@ -5,12 +5,7 @@
 instance unless stated otherwise.
 """
 
-from cardamompath_core import errors
-from cardamompath_core import identity
-from cardamompath_core import issued_identifiers
-from cardamompath_core import journal_fold
-from cardamompath_core import leases
-from cardamompath_core import types
+from cardamompath_core import submodules
 
 __all__ = [
     "errors",
@@ -20,3 +15,5 @@
     "leases",
     "types",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/backends/__init__.py
+++ b/packages/daemon/src/cardamompathd/backends/__init__.py
@@ -1,9 +1,10 @@
 """The HTTP connections to backend servers."""
 
-from cardamompathd.backends import connections
-from cardamompathd.backends import pool
+from cardamompath_core import submodules
 
 __all__ = [
     "connections",
     "pool",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/callers/__init__.py
+++ b/packages/daemon/src/cardamompathd/callers/__init__.py
@@ -1,9 +1,6 @@
 """The HTTP interface for callers."""
 
-from cardamompathd.callers import codec
-from cardamompathd.callers import connections
-from cardamompathd.callers import handlers
-from cardamompathd.callers import server
+from cardamompath_core import submodules
 
 __all__ = [
     "codec",
@@ -11,3 +8,5 @@
     "handlers",
     "server",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/controllers/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/__init__.py
@@ -1,15 +1,6 @@
 """Controllers: each owns one kind of state and changes it by messages."""
 
-from cardamompathd.controllers import backends
-from cardamompathd.controllers import configuration
-from cardamompathd.controllers import fence
-from cardamompathd.controllers import job_reports
-from cardamompathd.controllers import jobs
-from cardamompathd.controllers import journal
-from cardamompathd.controllers import journal_store
-from cardamompathd.controllers import membership
-from cardamompathd.controllers import observations
-from cardamompathd.controllers import quotas
+from cardamompath_core import submodules
 
 __all__ = [
     "backends",
@@ -23,3 +14,5 @@
     "observations",
     "quotas",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/filters/__init__.py
+++ b/packages/daemon/src/cardamompathd/filters/__init__.py
@@ -4,14 +4,7 @@
 function ``(req) -> Response``.
 """
 
-from cardamompathd.filters import access_log
-from cardamompathd.filters import chain
-from cardamompathd.filters import errors
-from cardamompathd.filters import exceptions
-from cardamompathd.filters import json_bodies
-from cardamompathd.filters import paths
-from cardamompathd.filters import relay
-from cardamompathd.filters import wait_limit
+from cardamompath_core import submodules
 
 __all__ = [
     "access_log",
@@ -23,3 +16,5 @@
     "relay",
     "wait_limit",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/messages.py
+++ b/packages/daemon/src/cardamompathd/messages.py
@@ -12,15 +12,17 @@
 import math
 from collections.abc import Callable
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import Literal
 from typing import NamedTuple
 
-from cardamompath_core import config_fold
-from cardamompath_core import journal_fold
-from cardamompath_core import membership
-from cardamompath_core import quotas
-from cardamompath_core import types
+if TYPE_CHECKING:
+    from cardamompath_core import config_fold
+    from cardamompath_core import journal_fold
+    from cardamompath_core import membership
+    from cardamompath_core import quotas
+    from cardamompath_core import types
 
 __all__ = [
     "APPENDER",
--- a/packages/daemon/src/cardamompathd/operators/__init__.py
+++ b/packages/daemon/src/cardamompathd/operators/__init__.py
@@ -1,11 +1,11 @@
 """The HTTP interface for operators, with its own listener and threads."""
 
-from cardamompathd.operators import configuration
-from cardamompathd.operators import encoding
-from cardamompathd.operators import handlers
+from cardamompath_core import submodules
 
 __all__ = [
     "configuration",
     "encoding",
     "handlers",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/peers/__init__.py
+++ b/packages/daemon/src/cardamompathd/peers/__init__.py
@@ -1,13 +1,6 @@
 """Calls and links between instances: Thrift messages over TCP."""
 
-from cardamompathd.peers import client
-from cardamompathd.peers import errors
-from cardamompathd.peers import exchanges
-from cardamompathd.peers import gossip_codec
-from cardamompathd.peers import relay
-from cardamompathd.peers import server
-from cardamompathd.peers import traffic
-from cardamompathd.peers import wire
+from cardamompath_core import submodules
 
 __all__ = [
     "client",
@@ -19,3 +12,5 @@
     "traffic",
     "wire",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/recordlog/__init__.py
+++ b/packages/daemon/src/cardamompathd/recordlog/__init__.py
@@ -1,9 +1,10 @@
 """HTTP clients of the platform's log and instance list."""
 
-from cardamompathd.recordlog import appender
-from cardamompathd.recordlog import log_client
+from cardamompath_core import submodules
 
 __all__ = [
     "appender",
     "log_client",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/runtime/__init__.py
+++ b/packages/daemon/src/cardamompathd/runtime/__init__.py
@@ -1,9 +1,6 @@
 """Actors, clocks and message delivery."""
 
-from cardamompathd.runtime import actors
-from cardamompathd.runtime import asking
-from cardamompathd.runtime import clocks
-from cardamompathd.runtime import inboxes
+from cardamompath_core import submodules
 
 __all__ = [
     "actors",
@@ -11,3 +8,5 @@
     "clocks",
     "inboxes",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/settings/__init__.py
+++ b/packages/daemon/src/cardamompathd/settings/__init__.py
@@ -1,9 +1,10 @@
 """Settings, read from INI files and declared in one table."""
 
-from cardamompathd.settings import loading
-from cardamompathd.settings import table
+from cardamompath_core import submodules
 
 __all__ = [
     "loading",
     "table",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/telemetry/__init__.py
+++ b/packages/daemon/src/cardamompathd/telemetry/__init__.py
@@ -1,9 +1,10 @@
 """Logs and metrics."""
 
-from cardamompathd.telemetry import logs
-from cardamompathd.telemetry import metrics
+from cardamompath_core import submodules
 
 __all__ = [
     "logs",
     "metrics",
 ]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/tests/test_platform_program.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_program.py
@@ -2,6 +2,8 @@
 
 import queue
 import signal
+import subprocess
+import sys
 import unittest
 from unittest import mock
 
@@ -14,6 +16,31 @@
 CFG = settings.Settings("i", "d", ADDRESS, ADDRESS, ADDRESS, (), ADDRESS)
 
 
+class ImportTest(unittest.TestCase):
+    def test_program_loads_nothing_of_the_other_interface(self):
+        # Loading it took half of the time until an instance served, and a
+        # fifth of its memory.
+        code = (
+            "import sys; from cardamompathd.platform import program; "
+            "print(*sys.modules)"
+        )
+        run = subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        loaded = set(run.stdout.split())
+        self.assertIn("cardamompathd.controllers.planner", loaded)
+        for name in (
+            "cardamompathd.controllers.jobs",
+            "cardamompathd.callers.codec",
+            "cardamompathd.peers.exchanges",
+            "opentelemetry",
+        ):
+            self.assertNotIn(name, loaded)
+
+
 class SignalTest(unittest.TestCase):
     def run_until_stopped(self, numbers, load):
         received = queue.SimpleQueue()
