Fleet: fewer and shorter heartbeats, one election for each change

Change: addresses go to new members only; successors send each 0.25 s, members to their planners at 25 a second in all, others at 8; the fleet elects once and sends the result along; the log tells who came and went; health and estimates are reviewed each 0.2 s, roles of instances that do not plan each 0.5 s. The caches of heartbeats are gone, as most differ since they carry permissions. Tests: test_fleet (successor, addresses, log, size of a domain, which replaces the check of the message's field that is gone).

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -11,6 +11,8 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cardamompath_core import planner_election
@@ -22,6 +24,7 @@
     "Heartbeat",
     "longest_planner_timeout",
     "make_controller",
+    "make_view",
 ]
 
 HEARTBEAT_INTERVAL = 0.1
@@ -38,16 +41,17 @@
 batches of this instance.  It notices a failure in 0.9 s, before the caller
 of the dead instance asks another one."""
 REMOTE_DOMAIN_INTERVAL = 0.25
-"""Seconds between heartbeats of a planner to other failure domains."""
+"""Seconds between heartbeats of a planner to other failure domains, and of a
+successor to the members of its own."""
 BACKGROUND_INTERVAL = 0.5
 """Seconds between all other heartbeats, on which no work depends."""
 SMALL_FLEET = 12
 """Number of other members up to which all heartbeats are frequent, so that
 an instance that is cut off finds all others overdue at the same time."""
 MAX_LEAD_RATE = 200.0
-MAX_TO_LEADS_RATE = 50.0
+MAX_TO_LEADS_RATE = 25.0
 MAX_REMOTE_DOMAIN_RATE = 128.0
-MAX_BACKGROUND_RATE = 20.0
+MAX_BACKGROUND_RATE = 8.0
 """Maximum heartbeats of each kind that an instance sends per second: of a
 planner or successor to the members of its domain, of a member to these,
 of a planner to other domains, and all others.  In a large fleet the
@@ -68,8 +72,8 @@
 """Known members in a large fleet for each round without the addresses, so
 that the bytes sent for addresses do not grow with the fleet."""
 NEW_MEMBER_TIME = 1.0
-"""Seconds after a new member was heard in which every heartbeat lists the
-addresses."""
+"""Seconds after a new member was heard in which every heartbeat to it lists
+the addresses.  It then makes itself known to the others."""
 DISCOVERY_TIME = 0.2
 """Seconds after the start for which an instance looks for other members
 before it publishes its view of the fleet: long enough to open a link and
@@ -108,19 +112,22 @@
     __slots__ = (
         "alive",
         "dead",
+        "found_at",
         "heard_at",
-        "interval",
         "member",
         "reported_backlog",
         "sent_at",
+        "timeout",
     )
 
     def __init__(self, member, now):
         self.member = member
+        self.found_at = now
         self.heard_at = now
         self.alive = True
         self.dead = False
-        self.interval = HEARTBEAT_INTERVAL
+        self.timeout = HEARTBEAT_TIMEOUT
+        """Seconds of silence after which it counts as failed."""
         self.sent_at = 0.0
         """When its last heartbeat was sent, in seconds of its clock."""
         self.reported_backlog: float | None = None
@@ -138,12 +145,15 @@
         self.addresses: dict[tuple[str, int], float] = {}
         """When the last heartbeat was sent to each address."""
         self.started_at: float | None = None
+        self.last_found_at = 0.0
+        """When a member was last heard that is new or was restarted."""
         self.last_new_member_at = 0.0
         """When a new member was last heard."""
         self.published: tuple | None = None
         """The view of the fleet that was last published."""
         self.heartbeat_rounds = 0
         self.assignment = planner_election.PlannerAssignment()
+        self.planner_names: frozenset[str] = frozenset()
         self.planner_terms: dict[tuple[str, int], int] = {}
         """Number of the term of each planner, by its name and start time."""
         self.last_term = 0
@@ -183,12 +193,13 @@
         state.started_at = now
     changed = state.published is None
     for name, peer in list(state.peers.items()):
-        timeout = _heartbeat_timeout(peer)
         silence = now - peer.heard_at
-        if peer.alive and silence > timeout:
+        if silence <= peer.timeout:
+            continue
+        if peer.alive:
             peer.alive = False
             changed = True
-        if silence > max(FORGET_TIME, 2.0 * timeout):
+        if silence > max(FORGET_TIME, 2.0 * peer.timeout):
             del state.peers[name]
             state.addresses.pop(peer.member.address, None)
             link = pool_messages.SetLink(peer.member.address, False)
@@ -213,20 +224,39 @@
             for peer in state.peers.values()
         }
     permissions = _planner_permissions(state)
+    new_addresses = _addresses_of_new_members(state, now)
+    rounds = max(
+        MIN_ADDRESS_ROUNDS, len(state.peers) // MEMBERS_PER_ADDRESS_ROUND
+    )
+    lists_all = state.heartbeat_rounds % rounds == 0
+    state.heartbeat_rounds += 1
     groups = collections.defaultdict(list)
     for address, sent_at in state.addresses.items():
         interval = state.intervals.get(address, HEARTBEAT_INTERVAL)
         if now >= sent_at + interval - TIMER_TOLERANCE:
             state.addresses[address] = now
             permission = permissions.get(address, (0.0, 0))
-            groups[interval, permission].append(address)
-    state.heartbeat_rounds += 1
+            lists = lists_all or address in new_addresses
+            groups[interval, permission, lists].append(address)
     return [
-        _make_heartbeat(state, tuple(group), interval, permission, now)
-        for (interval, permission), group in groups.items()
+        _make_heartbeat(state, tuple(group), *key, now)
+        for key, group in groups.items()
     ]
 
 
+def _addresses_of_new_members(state, now):
+    """Return the addresses that need to learn those of the others."""
+    if now >= state.last_found_at + NEW_MEMBER_TIME:
+        return frozenset()
+    known = {peer.member.address for peer in state.peers.values()}
+    new = {
+        peer.member.address
+        for peer in state.peers.values()
+        if now < peer.found_at + NEW_MEMBER_TIME
+    }
+    return new | (state.addresses.keys() - known)
+
+
 def _planner_permissions(state):
     """Return until when batches stay with each planner, and its term.
 
@@ -240,7 +270,7 @@
         if peer is None or not peer.alive or term is None:
             continue
         if peer.sent_at > 0.0 and peer.member.started == planner.started:
-            until = peer.sent_at + _heartbeat_timeout(peer)
+            until = peer.sent_at + peer.timeout
             permissions[peer.member.address] = (until, term)
     return permissions
 
@@ -266,19 +296,20 @@
         interval = max(
             REMOTE_DOMAIN_INTERVAL, members / MAX_REMOTE_DOMAIN_RATE
         )
-    return max(HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_FACTOR * interval)
+    return _heartbeat_timeout(interval)
 
 
-def _heartbeat_timeout(peer):
+def _heartbeat_timeout(interval):
     """Return the seconds of silence after which a peer counts as failed."""
-    return max(HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_FACTOR * peer.interval)
+    return max(HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_FACTOR * interval)
 
 
 def _heartbeat_interval_to(state, member):
     same_group = not state.assignment.by_domain or (
         member.domain == state.own_member.domain
     )
-    if same_group and state.own_member.name in state.lead_members:
+    is_planner = state.own_member.name in state.planner_names
+    if same_group and is_planner:
         return max(
             HEARTBEAT_INTERVAL, len(state.domain_members) / MAX_LEAD_RATE
         )
@@ -289,9 +320,8 @@
     count = len(state.peers)
     if count <= SMALL_FLEET:
         return HEARTBEAT_INTERVAL
-    if state.own_member.name in {
-        planner.name for planner in state.assignment.planners
-    }:
+    is_successor = state.own_member.name in state.lead_members
+    if is_planner or (same_group and is_successor):
         return max(REMOTE_DOMAIN_INTERVAL, count / MAX_REMOTE_DOMAIN_RATE)
     return max(BACKGROUND_INTERVAL, count / MAX_BACKGROUND_RATE)
 
@@ -300,13 +330,11 @@
     return max(HEARTBEAT_INTERVAL, len(state.lead_members) / MAX_TO_LEADS_RATE)
 
 
-def _make_heartbeat(state, addresses, interval, permission, now):
+def _make_heartbeat(
+    state, addresses, interval, permission, lists_addresses, now
+):
     known_addresses: tuple[tuple[str, int], ...] = ()
-    has_new_member = now < state.last_new_member_at + NEW_MEMBER_TIME
-    rounds = max(
-        MIN_ADDRESS_ROUNDS, len(state.peers) // MEMBERS_PER_ADDRESS_ROUND
-    )
-    if has_new_member or state.heartbeat_rounds % rounds == 0:
+    if lists_addresses:
         known_addresses = tuple(
             peer.member.address for peer in state.peers.values() if peer.alive
         )
@@ -338,6 +366,7 @@
     member = msg.member
     peer = state.peers.get(member.name)
     if peer is None or peer.member.started < member.started:
+        state.last_found_at = now
         if peer is None:
             state.last_new_member_at = now
         peer = state.peers[member.name] = _Peer(member, now)
@@ -349,7 +378,7 @@
     peer.heard_at = now
     peer.alive = True
     peer.dead = False
-    peer.interval = msg.interval
+    peer.timeout = _heartbeat_timeout(msg.interval)
     peer.sent_at = msg.sent_at
     sends = []
     if msg.planner_until > now:
@@ -441,10 +470,9 @@
     overdue before those of other members.  Therefore it must have heard
     most of the members lately that it would plan for.
     """
-    planners = {planner.name for planner in state.assignment.planners}
     if (
         state.own_member.shard_number >= 0
-        or state.own_member.name not in planners
+        or state.own_member.name not in state.planner_names
     ):
         return True
     heard_since = now - QUORUM_AGE_FACTOR * _lead_interval(state)
@@ -468,11 +496,11 @@
         peer.member.domain for peer in state.peers.values()
     )
     domain_sizes[state.own_member.domain] += 1
-    view = pool_messages.FleetChanged(
+    view = make_view(
         state.own_member,
         (state.own_member, *sorted(alive, key=lambda member: member.name)),
         tuple(sorted(missing, key=lambda member: member.name)),
-        tuple(sorted(domain_sizes.items())),
+        domain_sizes,
     )
     _update_planners(state, view)
     view = view._replace(
@@ -481,15 +509,8 @@
     )
     if view == state.published:
         return []
+    decision = _log_changes(state.published, view)
     state.published = view
-    fields = {
-        "alive": [member.name for member in view.alive],
-        "missing": [member.name for member in view.missing],
-        "leaving": [member.name for member in view.alive if member.leaving],
-        "planners": [planner.name for planner in state.assignment.planners],
-        "confirmed": view.has_quorum,
-    }
-    decision = pool_messages.Decision("fleet", "members changed", "", fields)
     return [
         messages.Send(pool_messages.GATEWAY, view),
         messages.Send(pool_messages.PLANNER, view),
@@ -497,11 +518,65 @@
     ]
 
 
+def make_view(
+    own_member: planner_election.Member,
+    alive: Sequence[planner_election.Member],
+    missing: Sequence[planner_election.Member] = (),
+    domain_sizes: Mapping[str, int] | None = None,
+    has_quorum: bool = True,
+) -> pool_messages.FleetChanged:
+    """Make a view of the fleet, with the planners that follow from it.
+
+    Parameters
+    ----------
+    own_member : Member
+        This instance.
+    alive, missing : sequence of Member
+        Members that count as alive, and those that fell silent.
+    domain_sizes : mapping, optional
+        Number of members of each failure domain that were heard lately, those
+        that died since included.
+    has_quorum : bool
+        See `FleetChanged`.
+    """
+    assignment = planner_election.assign_planners(alive, missing, domain_sizes)
+    return pool_messages.FleetChanged(
+        own_member, tuple(alive), tuple(missing), assignment, has_quorum
+    )
+
+
+def _log_changes(before, view):
+    """Return the line that tells what is new in a view.
+
+    A line with every member would be as long as the fleet is large.
+    """
+    fields = {"alive": len(view.alive), "confirmed": view.has_quorum}
+    for name, select in _VIEW_PARTS.items():
+        names = select(view)
+        earlier = select(before) if before else frozenset()
+        if names != earlier:
+            fields[f"{name}_added"] = sorted(names - earlier)
+            fields[f"{name}_removed"] = sorted(earlier - names)
+    return pool_messages.Decision("fleet", "members changed", "", fields)
+
+
+def _names(members):
+    return frozenset(member.name for member in members)
+
+
+_VIEW_PARTS = {
+    "members": lambda view: _names(view.alive),
+    "missing": lambda view: _names(view.missing),
+    "leaving": lambda view: _names(
+        member for member in view.alive if member.leaving
+    ),
+    "planners": lambda view: _names(view.assignment.planners),
+}
+
+
 def _update_planners(state, view):
     """Update who plans for this instance, and who are the successors."""
-    assignment = planner_election.assign_planners(
-        view.alive, view.missing, dict(view.domain_sizes)
-    )
+    assignment = view.assignment
     domain = state.own_member.domain
     alive = planner_election.members_for_domain(view.alive, domain, assignment)
     missing = planner_election.members_for_domain(
@@ -514,6 +589,7 @@
         : len(planners) + SUCCESSOR_COUNT
     ]
     state.assignment = assignment
+    state.planner_names = _names(assignment.planners)
     state.planner_terms = _update_terms(state, assignment.planners)
     state.lead_members = frozenset(member.name for member in ranked)
     state.domain_members = frozenset(
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -335,9 +335,7 @@
 
 def _update_fleet(state, msg, now):
     state.alive = msg.alive
-    state.assignment = planner_election.assign_planners(
-        msg.alive, msg.missing, dict(msg.domain_sizes)
-    )
+    state.assignment = msg.assignment
     state.planner_terms = dict(msg.planner_terms)
     planners = state.assignment.planners
     sends = []
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -12,7 +12,6 @@
 
 from cardamompath_core import batches
 from cardamompath_core import executors
-from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import planner_dispatch
@@ -30,8 +29,15 @@
 
 TICK_INTERVAL = 0.05
 """Seconds between checks of leases, silent executors and late batches."""
-IDLE_TICK_INTERVAL = 0.1
-"""Seconds between checks whether this instance has to plan."""
+REVIEW_INTERVAL = 0.2
+"""Seconds between reviews of the executors' health and of the estimates;
+several times shorter than an ejection."""
+ROLE_TICK_INTERVAL = 0.1
+"""Seconds between checks whether this instance has to plan, while that
+depends on the time."""
+IDLE_TICK_INTERVAL = 0.5
+"""Seconds between these checks otherwise; a change of the fleet is checked at
+once."""
 EARLY_BATCH_TTL = 2.0
 """Seconds for which a batch is kept that arrives before this instance plans;
 the sender may learn earlier that it is a planner."""
@@ -77,21 +83,30 @@
 
 
 def _tick(state, _, now):
-    interval = (
-        IDLE_TICK_INTERVAL if state.active_since is None else TICK_INTERVAL
+    due = messages.SetTimer(
+        now + _tick_interval(state), pool_messages.PLANNER, "tick"
     )
-    due = messages.SetTimer(now + interval, pool_messages.PLANNER, "tick")
     sends = [messages.Send(messages.TIMERS, due)]
     if state.active_since is None:
         return sends
     sends += planner_permissions.drop_unpermitted(state, now)
     sends += planner_leases.check_leases(state, now)
-    sends += planner_health.eject_unhealthy(state, now)
-    planner_dispatch.refresh_estimates(state, now)
+    if now >= state.reviewed_at + REVIEW_INTERVAL:
+        state.reviewed_at = now
+        sends += planner_health.eject_unhealthy(state, now)
+        planner_dispatch.refresh_estimates(state, now)
     sends += planner_dispatch.report_backlog(state)
     return sends + planner_dispatch.refuse_late(state, now)
 
 
+def _tick_interval(state):
+    if state.active_since is not None:
+        return TICK_INTERVAL
+    if planner_roles.is_undecided(state):
+        return ROLE_TICK_INTERVAL
+    return IDLE_TICK_INTERVAL
+
+
 def _update_fleet(state, msg, now):
     if state.fleet is not None:
         missing = {member.name for member in state.fleet.missing}
@@ -101,9 +116,7 @@
     alive = {member.name for member in msg.alive}
     for name in [name for name in state.permissions if name not in alive]:
         del state.permissions[name]
-    state.assignment = planner_election.assign_planners(
-        msg.alive, msg.missing, dict(msg.domain_sizes)
-    )
+    state.assignment = msg.assignment
     if state.active_since is None:
         return []
     sends = []
--- a/packages/daemon/src/cardamompathd/controllers/planner_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_health.py
@@ -38,8 +38,8 @@
 HIGH_LOG_SLOWDOWN = 0.8
 """Logarithm of the slowdown of an executor that is clearly slower than others
 of its model.  At the users' sites these differ by up to 2.4 times."""
-SLOWDOWN_DECAY = 0.99
-"""Share of a logarithm above `HIGH_LOG_SLOWDOWN` that each check leaves.  Half
+SLOWDOWN_DECAY = 0.96
+"""Share of a logarithm above `HIGH_LOG_SLOWDOWN` that a review leaves.  Half
 of it is forgotten in 3.5 s, so that a slow executor is tried again."""
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -21,6 +21,7 @@
     "handle_probe_answer",
     "is_assigned",
     "is_passive",
+    "is_undecided",
     "report_backlog",
     "update_role",
 ]
@@ -90,6 +91,22 @@
     return state.active_since is None and now < state.passive_until
 
 
+def is_undecided(state):
+    """Return whether it depends on the time if this instance plans.
+
+    It does until its first view of the fleet, and while it waits for a quorum
+    or for the results of probes.  Batches that arrived early may also wait
+    for its role.
+    """
+    return (
+        state.fleet is None
+        or state.no_quorum_since is not None
+        or state.minority_since is not None
+        or bool(state.early_batches)
+        or state.name in {each.name for each in state.assignment.planners}
+    )
+
+
 def _awaits_quorum(state, now):
     """Return whether to wait for heartbeats of most of the members."""
     if state.fleet.has_quorum or state.active_since is not None:
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Callable
 from typing import Any
 from typing import Literal
@@ -276,6 +277,8 @@
         """Since when this instance plans; None if it does not."""
         self.began_at = 0.0
         """When this instance last began to plan."""
+        self.reviewed_at = -math.inf
+        """When the executors and the estimates were last reviewed."""
         self.listed: dict[str, executors.Executor] = {}
         self.listed_at: float | None = None
         """When the executors were last listed."""
--- a/packages/daemon/src/cardamompathd/peers/links.py
+++ b/packages/daemon/src/cardamompathd/peers/links.py
@@ -165,7 +165,7 @@
                 self._fail(link, "connecting timed out", now)
             elif link.stalled_at and now > link.stalled_at + STALL_TIMEOUT:
                 self._fail(link, "stalled", now)
-        self._check_at = now + REOPEN_DELAY / 2.0
+        self._check_at = now + REOPEN_DELAY
 
     def _open(self, link, now):
         link.sock = sock = socket.socket()
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 from typing import Any
 from typing import NamedTuple
 
@@ -22,10 +21,6 @@
     "encode",
 ]
 
-HEARTBEAT_CACHE_SIZE = 2048
-"""Heartbeats that are cached in encoded and in decoded form.  Most are the
-same as the previous one, and decoding one costs as much as handling ten."""
-
 
 class HeartbeatFields(NamedTuple):
     """A heartbeat of a member."""
@@ -183,22 +178,10 @@
     method.name: method
     for method in (_HEARTBEAT, _PLAN, _DROP, _ENDED, _CONFIGURATION)
 }
-_HEARTBEAT_PREFIX = wire.encode_call_prefix(_HEARTBEAT)
 
 
 def encode(msg: Any) -> bytes:
     """Encode a message for another instance."""
-    if isinstance(msg, fleet.Heartbeat):
-        return _encode_cached(msg)
-    return _encode(msg)
-
-
-@functools.lru_cache(HEARTBEAT_CACHE_SIZE)
-def _encode_cached(msg):
-    return _encode(msg)
-
-
-def _encode(msg):
     method, encode_fields = _ENCODERS[type(msg)]
     return wire.encode_call(method, encode_fields(msg))
 
@@ -211,17 +194,6 @@
     BadMessage
         If the bytes are not a valid message.
     """
-    if raw.startswith(_HEARTBEAT_PREFIX):
-        return _decode_cached(raw)
-    return _decode(raw)
-
-
-@functools.lru_cache(HEARTBEAT_CACHE_SIZE)
-def _decode_cached(raw):
-    return _decode(raw)
-
-
-def _decode(raw):
     method, fields = wire.decode_call(raw, _METHODS)
     to, decode_fields = _DECODERS[method.name]
     try:
--- a/packages/daemon/src/cardamompathd/peers/wire.py
+++ b/packages/daemon/src/cardamompathd/peers/wire.py
@@ -32,7 +32,6 @@
     "decode_reply",
     "declare",
     "encode_call",
-    "encode_call_prefix",
     "encode_reply",
     "framed_size",
     "nested",
@@ -207,14 +206,6 @@
     return _decode(raw, methods, Thrift.TMessageType.REPLY)[1]
 
 
-def encode_call_prefix(method: Method) -> bytes:
-    """Return the bytes that every call of a method starts with."""
-    buffer = TTransport.TMemoryBuffer()
-    protocol = TCompactProtocol.TCompactProtocol(buffer)
-    protocol.writeMessageBegin(method.name, Thrift.TMessageType.CALL, 0)
-    return buffer.getvalue()
-
-
 def _encode(name, message_type, struct):
     buffer = TTransport.TMemoryBuffer()
     protocol = TCompactProtocol.TCompactProtocolAccelerated(buffer)
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -258,9 +258,8 @@
     """Members that count as alive, this instance included."""
     missing: tuple[planner_election.Member, ...]
     """Members whose heartbeats are overdue; a partition may hide them."""
-    domain_sizes: tuple[tuple[str, int], ...] = ()
-    """Number of members of each failure domain that were heard lately, those
-    that died since included."""
+    assignment: planner_election.PlannerAssignment
+    """Who plans, by these members."""
     has_quorum: bool = True
     """Whether this instance may take over a free shard: it has just heard
     most of the members that it would plan for.  Also true if it plans
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -116,6 +116,48 @@
         harness.advance(4.0)
         self.assertGreaterEqual(harness.count_heartbeats()["b-0", 1], 18)
 
+    def test_successor_is_heard_often_enough_to_be_missed(self):
+        # The third member of a domain takes the next free shard.
+        members = make_members()
+        harness = self.start(members[2], members)
+        harness.advance(10.0)
+        counts = harness.count_heartbeats()
+        self.assertGreaterEqual(counts["a-9", 1], 32)
+        self.assertLessEqual(counts["a-9", 1], 45)
+
+    def test_only_new_members_get_the_addresses_of_the_others(self):
+        # While members are restarted one after the other, every heartbeat
+        # of a large fleet listed all of its addresses.
+        members = make_members()
+        harness = self.start(members[0], members)
+        restarted = members[20]._replace(started=members[20].started + 9000)
+        harness.others = [
+            restarted if member == members[20] else member
+            for member in harness.others
+        ]
+        harness.advance(0.9)
+        listed = {
+            address
+            for send in harness.sent
+            if isinstance(send.msg, pool_messages.SendToMembers)
+            and send.msg.msg.known_addresses
+            for address in send.msg.addresses
+        }
+        self.assertIn(restarted.address, listed)
+        rounds_with_all = max(
+            fleet.MIN_ADDRESS_ROUNDS,
+            len(members) // fleet.MEMBERS_PER_ADDRESS_ROUND,
+        )
+        self.assertGreater(rounds_with_all, 4)
+        sent = harness.count_heartbeats()
+        lists = sum(
+            len(send.msg.addresses)
+            for send in harness.sent
+            if isinstance(send.msg, pool_messages.SendToMembers)
+            and send.msg.msg.known_addresses
+        )
+        self.assertLess(lists, sum(sent.values()) / 2)
+
 
 class DiscoveryTest(unittest.TestCase):
     def test_no_view_is_published_while_members_are_found(self):
@@ -161,14 +203,43 @@
         harness.advance(0.6, silent=members[2:])
         self.assertEqual(harness.published_views()[-1].missing, (members[2],))
 
-    def test_dead_member_still_counts_in_the_domain_sizes(self):
-        members = [make_member("a", number) for number in range(3)]
+    def test_dead_member_still_counts_in_the_size_of_its_domain(self):
+        # A domain of nine members has two planners, one of eight only one.
+        members = [
+            make_member(domain, number)
+            for domain in "ab"
+            for number in range(9)
+        ]
         harness = FleetHarness(members[0], members[1:])
         harness.advance(1.0)
-        harness.tell(pool_messages.LinkFailed(members[1].address, True))
+        harness.tell(pool_messages.LinkFailed(members[8].address, True))
         view = harness.published_views()[-1]
-        self.assertNotIn(members[1], view.alive)
-        self.assertEqual(view.domain_sizes, (("a", 3),))
+        self.assertNotIn(members[8], view.alive)
+        planners = [
+            member.name
+            for member in view.assignment.planners
+            if member.domain == "a"
+        ]
+        self.assertEqual(planners, ["a-0", "a-1"])
+
+    def test_change_of_the_fleet_is_logged_without_the_other_members(self):
+        members = make_members()
+        harness = FleetHarness(members[0], members[1:])
+        harness.advance(1.0)
+        harness.sent.clear()
+        harness.tell(pool_messages.LinkFailed(members[8].address, True))
+        lines = [
+            send.msg.fields
+            for send in harness.sent
+            if isinstance(send.msg, pool_messages.Decision)
+        ]
+        expected = {
+            "alive": 39,
+            "confirmed": True,
+            "members_added": [],
+            "members_removed": ["a-8"],
+        }
+        self.assertEqual(lines, [expected])
 
     def test_unchanged_heartbeat_sends_no_messages(self):
         members = [make_member("a", number) for number in range(3)]
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -6,6 +6,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers import fleet
 from cardamompathd.controllers import gateway
 from cardamompathd.tests import pool_simulation
 
@@ -38,10 +39,8 @@
         )
 
     def update_fleet(self, members):
-        census = tuple((domain, 9) for domain in DOMAINS)
-        view = pool_messages.FleetChanged(
-            self.members[8], tuple(members), (), census
-        )
+        domain_sizes = dict.fromkeys(DOMAINS, 9)
+        view = fleet.make_view(self.members[8], members, (), domain_sizes)
         return self.handed_over(self.tell(view))
 
     def submit(self, name="j1"):
--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -8,6 +8,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers import fleet
 from cardamompathd.controllers import planner
 
 CAPACITY = executors.Resources(8000, 1024)
@@ -43,12 +44,11 @@
         ]
 
     def update_fleet(self, alive, missing="", has_quorum=True):
-        view = pool_messages.FleetChanged(
+        view = fleet.make_view(
             self.members["a"],
-            tuple(self.members[name] for name in alive),
-            tuple(self.members[name] for name in missing),
-            (),
-            has_quorum,
+            [self.members[name] for name in alive],
+            [self.members[name] for name in missing],
+            has_quorum=has_quorum,
         )
         return self.tell(view)
 
