Platform: no document or response of any shape ends a task

Found while looking for the failures of similar systems (one malformed message took a whole process down): a version of 1e999 or deep nesting in op/config, or any other unexpected error, ended the task that follows the store, so that no later version came into force; a listing whose task name is no text, or a reason that is no text, raised in the decoder, and the hold stayed pending for good, so that the executor was never held again; a route whose host is a number was taken and failed each request after it. Change: parsers catch what a document can raise; the decoder of responses checks the types; a follower logs an unexpected error and polls again. A 409 without a reason counts as not known and is resolved by a stop.

--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
@@ -23,9 +23,10 @@
     "may_renew",
 ]
 
-UNPERMITTED_TIME = 0.2
+UNPERMITTED_TIME = 0.6
 """Seconds without a permission after which the runs of a batch are stopped.
-Leases outlast it, so that a permission that is only late costs nothing."""
+A lease that was renewed 0.4 s before outlasts it, so that a permission that
+is only late costs nothing."""
 
 
 def handle_permission(state, msg, now):
--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -39,6 +39,18 @@
 """The same for the fields of a job."""
 
 
+_INVALID = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""What a document of any shape can raise: infinite numbers, nesting that is
+too deep, and fields that are missing or of another type."""
+
+
 def parse_configuration(raw: bytes) -> routes.RouteTable:
     """Parse a published configuration.
 
@@ -54,21 +66,26 @@
             str(service["name"]) for service in doc.get("services", [])
         ]
         return routes.make_table(int(doc["version"]), parsed, services)
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+    except _INVALID as exc:
         raise errors.BadDocument(f"configuration: {exc!r}") from exc
 
 
 def _parse_route(doc):
     policy = batches.RoutePolicy(
-        doc["name"],
-        doc["service"],
+        _parse_text(doc["name"]),
+        _parse_text(doc["service"]),
         int(doc.get("priority", 0)),
         int(doc.get("max_attempts", 1)),
         float(doc.get("stretch", 1.0)),
         float(doc.get("target_duration_ms", 0)) / 1000.0,
     )
     timeout = float(doc.get("timeout_ms", 0)) / 1000.0
-    return routes.Route(doc["host"], doc["path_prefix"], timeout, policy)
+    return routes.Route(
+        _parse_text(doc["host"]),
+        _parse_text(doc["path_prefix"]),
+        timeout,
+        policy,
+    )
 
 
 def parse_executor(name: str, raw: bytes) -> executors.Executor:
@@ -95,7 +112,7 @@
             parse_resources(capacity),
             tuple(_parse_text(label) for label in doc.get("labels", [])),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+    except _INVALID as exc:
         raise errors.BadDocument(f"executor {name!r}: {exc!r}") from exc
 
 
@@ -130,7 +147,7 @@
         if not isinstance(phases, list) or not phases:
             raise TypeError("phases is not a non-empty list")
         steps = tuple(_parse_step(*phase) for phase in enumerate(phases))
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+    except _INVALID as exc:
         raise errors.BadDocument(f"job: {exc!r}") from exc
     tasks = sum(step.count for step in steps)
     if tasks > MAX_TASKS:
--- a/packages/daemon/src/cardamompathd/platform/executor_protocol.py
+++ b/packages/daemon/src/cardamompathd/platform/executor_protocol.py
@@ -170,7 +170,9 @@
     elif answer.status == 200:
         result = "started"
     elif answer.status == 409:
-        result = START_RESULTS.get(doc.get("reason"), "invalid")
+        reason = doc.get("reason")
+        if isinstance(reason, str):
+            result = START_RESULTS.get(reason, "invalid")
     elif answer.status == 421:
         result = "reborn"
     elif answer.status in (429, 503):
@@ -216,7 +218,11 @@
         _read_run(row[0], row[1]) for row in doc.get("running") or ()
     )
     ended = tuple(
-        pool_messages.EndedRun(row[0], _read_run(row[1], row[2]), row[3])
+        pool_messages.EndedRun(
+            _check_type(row[0], int),
+            _read_run(row[1], row[2]),
+            _check_type(row[3], str),
+        )
         for row in doc.get("ended_runs") or ()
     )
     return pool_messages.HoldAnswered(
@@ -230,8 +236,16 @@
 
 
 def _read_run(task, attempt):
-    batch, _, step, index = task.rsplit(".", 3)
-    return pool_messages.Run(batch, int(step), int(index), attempt)
+    batch, _, step, index = _check_type(task, str).rsplit(".", 3)
+    return pool_messages.Run(
+        batch, int(step), int(index), _check_type(attempt, int)
+    )
+
+
+def _check_type(value, expected):
+    if not isinstance(value, expected):
+        raise TypeError(f"{value!r} is not of type {expected.__name__}")
+    return value
 
 
 def _decode_probe(command, answer, _):
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -77,6 +77,10 @@
                     )
                 self._unavailable = True
                 pause = RETRY_DELAY
+            except Exception:
+                # Whatever the store sends must not end the task.
+                loguru.logger.exception("store: {}: poll failed", self.name)
+                pause = RETRY_DELAY
             else:
                 if self._unavailable:
                     loguru.logger.info("store: {}: available again", self.name)
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -165,6 +165,32 @@
         self.assertEqual(self.names(), [])
 
 
+class UnexpectedErrorTest(unittest.TestCase):
+    def test_unexpected_error_costs_one_poll(self):
+        # Any error but that of the client ended the task; no later version
+        # came into force.
+        polls = []
+
+        class Follower(followers._Follower):
+            def _poll(self):
+                polls.append(len(polls))
+                if len(polls) == 1:
+                    raise OverflowError("unexpected")
+                self.stop()
+                return 0.01
+
+        class Client:
+            def close(self):
+                """Do nothing."""
+
+        follower = Follower("test", Client())
+        follower._wait_for_message = lambda pause: setattr(
+            follower, "_stop_requested", len(polls) > 1
+        )
+        follower.run()
+        self.assertEqual(polls, [0, 1])
+
+
 class ConfigurationTest(unittest.TestCase):
     def test_invalid_configuration_is_not_sent(self):
         sent = []
--- /dev/null
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
@@ -0,0 +1,140 @@
+"""What others send to an instance on the platform, in any shape.
+
+A malformed document or response costs itself, never its task: parsers raise
+only their own error, and every call to an executor gets its answer.
+"""
+
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from cardamompath_core import executors
+from cardamompath_core import types
+from cardamompath_proof.tests.properties import shared
+from cardamompathd import messages
+from cardamompathd import pool_messages
+from cardamompathd.platform import documents
+from cardamompathd.platform import errors
+from cardamompathd.platform import executor_protocol
+
+RUN = pool_messages.Run("5c0e", 0, 1, 1)
+SPEC = executors.Executor(
+    "x", "desk", "a", ("h", 1), 1, "ready", executors.Resources(1, 1), ()
+)
+COMMANDS = (
+    pool_messages.StartRun(SPEC, 7, RUN, "s", 9.0),
+    pool_messages.StopRun(SPEC, 7, RUN),
+    pool_messages.HoldExecutor(SPEC, 7, 3, None, 0.0),
+    pool_messages.ProbeExecutor(SPEC),
+)
+DEEP = b'{"a":' * 40_000
+
+
+def documents_with(*names):
+    """Documents in which some fields have the names that are expected."""
+    return strategies.dictionaries(
+        strategies.sampled_from(names) | strategies.text(max_size=4),
+        shared.json_values
+        | strategies.lists(
+            strategies.dictionaries(
+                strategies.sampled_from(names), shared.json_values
+            ),
+            max_size=3,
+        ),
+    )
+
+
+class PlatformInputsTest(unittest.TestCase):
+    def parse(self, parser, *args):
+        """Run a parser, which may raise its own error only."""
+        try:
+            parser(*args)
+        except errors.BadDocument:
+            return
+
+    @shared.deterministic
+    @hypothesis.given(
+        documents_with("version", "routes", "services", "name", "host"),
+        strategies.binary(max_size=20),
+    )
+    def test_configuration(self, doc, junk):
+        raw = json.dumps(doc).encode()
+        for text in (raw, junk, raw + junk):
+            self.parse(documents.parse_configuration, text)
+
+    def test_nesting_of_any_depth(self):
+        self.parse(documents.parse_configuration, DEEP)
+        self.parse(documents.parse_executor, "x", DEEP)
+        call = executor_protocol.encode(COMMANDS[2], 0.0)
+        answer = types.BackendAnswer("done", 200, DEEP)
+        send = executor_protocol.decode(call, answer)
+        self.assertIsInstance(send.msg, pool_messages.HoldFailed)
+
+    def test_version_of_any_size(self):
+        # An infinite version ended the task that follows the store.
+        for version in ("1e999", "-1e999", "NaN", "[]", "null"):
+            raw = b'{"version":%s,"routes":[]}' % version.encode()
+            with self.subTest(version=version):
+                self.parse(documents.parse_configuration, raw)
+
+    def test_route_with_names_of_another_type(self):
+        # Such a route was taken, and failed each request that came after.
+        for field in ("name", "service", "host", "path_prefix"):
+            route = dict.fromkeys(
+                ("name", "service", "host", "path_prefix"), "/a/"
+            )
+            route[field] = 7
+            raw = json.dumps({"version": 1, "routes": [route]}).encode()
+            with (
+                self.subTest(field=field),
+                self.assertRaises(errors.BadDocument),
+            ):
+                documents.parse_configuration(raw)
+
+    @shared.deterministic
+    @hypothesis.given(
+        documents_with("state", "service", "zone", "addr", "capacity", "born"),
+        strategies.binary(max_size=20),
+    )
+    def test_executor(self, doc, junk):
+        raw = json.dumps(doc).encode()
+        for text in (raw, junk, raw + junk):
+            self.parse(documents.parse_executor, "x", text)
+
+    @shared.deterministic
+    @hypothesis.given(
+        documents_with("spec", "phases", "count", "cpu", "depends_on")
+    )
+    def test_job(self, doc):
+        self.parse(documents.parse_job, doc)
+
+    @shared.deterministic
+    @hypothesis.given(
+        documents_with("reason", "clock_ms", "running", "ended_runs", "born"),
+        strategies.sampled_from((200, 400, 409, 421, 429, 500, 503)),
+        strategies.binary(max_size=20),
+    )
+    def test_every_call_to_an_executor_gets_its_answer(
+        self, doc, status, junk
+    ):
+        # An answer that could not be decoded left a hold pending for good.
+        raw = json.dumps(doc).encode()
+        for command in COMMANDS:
+            call = executor_protocol.encode(command, 0.0)
+            for payload in (raw, junk):
+                answer = types.BackendAnswer("done", status, payload)
+                send = executor_protocol.decode(call, answer)
+                self.assertIsInstance(send, messages.Send)
+
+    def test_listing_with_fields_of_another_type(self):
+        rows = ('[[7,2,"",41]]', '[["a.0.0.1",[],"",41]]', '{"a":1}', "7")
+        for row in rows:
+            for field in ("running", "ended_runs"):
+                payload = f'{{"clock_ms":1,"{field}":{row}}}'.encode()
+                call = executor_protocol.encode(COMMANDS[2], 0.0)
+                answer = types.BackendAnswer("done", 200, payload)
+                with self.subTest(payload=payload):
+                    send = executor_protocol.decode(call, answer)
+                    self.assertIsInstance(send.msg, pool_messages.HoldFailed)
