--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/fleet_state.py
@@ -0,0 +1,108 @@
+"""State of the fleet: members that were heard, and addresses to try."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cardamompath_core import planner_election
+
+__all__ = [
+    "HEARTBEAT_INTERVAL",
+    "HEARTBEAT_TIMEOUT",
+    "FleetState",
+    "Heartbeat",
+    "Peer",
+]
+
+HEARTBEAT_INTERVAL = 0.1
+"""Seconds between heartbeats from and to planners; four may be lost before
+`HEARTBEAT_TIMEOUT`."""
+HEARTBEAT_TIMEOUT = 0.45
+"""Seconds without a heartbeat after which a planner does not count as
+alive.  Shorter than the lease of a run, so that a successor can adopt runs
+before their leases lapse."""
+
+
+class Heartbeat(NamedTuple):
+    """A heartbeat, as it is sent on a link."""
+
+    member: planner_election.Member
+    config_version: int
+    known_addresses: tuple[tuple[str, int], ...]
+    interval: float = HEARTBEAT_INTERVAL
+    """Seconds until the next heartbeat on this link."""
+    backlog: float = 0.0
+    """Seconds that the executors of the sender need for its waiting tasks."""
+    sent_at: float = 0.0
+    """When it was sent, in seconds of the sender's clock."""
+    planner_until: float = 0.0
+    """Until when the sender leaves its batches with the receiver as their
+    planner, in seconds of the receiver's clock.  A receiver that reads an old
+    heartbeat late can thereby tell."""
+    planner_term: int = 0
+    """Number of the term that this extends, see `FleetChanged`."""
+
+
+class Peer:
+    """A member that was heard, and when."""
+
+    __slots__ = (
+        "alive",
+        "dead",
+        "found_at",
+        "heard_at",
+        "member",
+        "reported_backlog",
+        "sent_at",
+        "timeout",
+    )
+
+    def __init__(self, member, now):
+        self.member = member
+        self.found_at = now
+        self.heard_at = now
+        self.alive = True
+        self.dead = False
+        self.timeout = HEARTBEAT_TIMEOUT
+        """Seconds of silence after which it counts as failed."""
+        self.sent_at = 0.0
+        """When its last heartbeat was sent, in seconds of its clock."""
+        self.reported_backlog: float | None = None
+        """The backlog that was last reported to the gateway, in seconds."""
+
+
+class FleetState:
+    """Members that were heard, and addresses at which one may listen."""
+
+    def __init__(self, own_member: planner_election.Member):
+        self.own_member = own_member
+        self.config_version = 0
+        self.backlog = 0.0
+        self.peers: dict[str, Peer] = {}
+        self.addresses: dict[tuple[str, int], float] = {}
+        """When the last heartbeat was sent to each address."""
+        self.started_at: float | None = None
+        self.last_found_at = 0.0
+        """When a member was last heard that is new or was restarted."""
+        self.last_new_member_at = 0.0
+        """When a new member was last heard."""
+        self.published: tuple | None = None
+        """The view of the fleet that was last published."""
+        self.heartbeat_rounds = 0
+        self.assignment = planner_election.PlannerAssignment()
+        self.planner_names: frozenset[str] = frozenset()
+        self.planner_terms: dict[tuple[str, int], int] = {}
+        """Number of the term of each planner, by its name and start time."""
+        self.last_term = 0
+        self.lead_members: frozenset[str] = frozenset()
+        """Names of the planners to which this instance sends its batches
+        first, and of their successors."""
+        self.domain_members: frozenset[str] = frozenset()
+        """Names of the members that these plan for, missing ones
+        included."""
+        self.intervals: dict[tuple[str, int], float] = {}
+        """Seconds between heartbeats to each address; empty if they have to
+        be computed again."""
+        self.remote_planners: dict[str, float] = {}
+        """Planners in other failure domains that have batches of this
+        instance, and until when."""
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -24,7 +24,7 @@
 
 NO_PLANNER_TIMEOUT = 1.5
 """Seconds for which a batch waits until a planner is known.  After a failure
-a successor is known within `fleet.HEARTBEAT_TIMEOUT` and the time of its
+a successor is known within `fleet_state.HEARTBEAT_TIMEOUT` and the time of its
 first heartbeats."""
 NO_PLANNER_RETRY_AFTER = 1.0
 """Seconds after which a caller may retry if no planner is known; a successor
--- a/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
@@ -5,7 +5,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_rates
 
 __all__ = [
     "RESEND_INTERVAL",
@@ -90,7 +90,7 @@
     if not any(is_same_incarnation(member, former) for member in state.alive):
         return 0.0
     is_remote = former.domain != state.domain
-    return fleet.longest_planner_timeout(is_remote, len(state.alive))
+    return fleet_rates.longest_planner_timeout(is_remote, len(state.alive))
 
 
 def _drop_at_former_planner(state, pending):
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -12,7 +12,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_state
 from cardamompathd.peers import errors
 from cardamompathd.peers import wire
 
@@ -347,7 +347,7 @@
 
 
 _ENCODERS = {
-    fleet.Heartbeat: (_HEARTBEAT, _encode_heartbeat),
+    fleet_state.Heartbeat: (_HEARTBEAT, _encode_heartbeat),
     pool_messages.PlanBatch: (_PLAN, _encode_plan),
     pool_messages.DropBatch: (_DROP, lambda msg: DropFields(*msg)),
     pool_messages.BatchEnded: (_ENDED, _encode_ended),
--- a/packages/daemon/src/cardamompathd/tests/load_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/load_simulation.py
@@ -16,7 +16,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import planner
 
 LATENCY = 0.003
@@ -143,7 +143,7 @@
         member = planner_election.Member("n-a", "a", ("a", 1), 1)
         specs = tuple(each.spec for each in self.executors.values())
         self.tell(pool_messages.ExecutorsListed(specs))
-        self.tell(fleet.make_view(member, (member,), ()))
+        self.tell(fleet_views.make_view(member, (member,), ()))
         self.tell(messages.TimerFired("start"))
 
     def schedule(self, delay, action, *args):
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -10,6 +10,7 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_state
 from cardamompathd.controllers import gateway
 from cardamompathd.controllers import planner
 
@@ -340,7 +341,7 @@
         ):
             return
         payload = msg.msg
-        if isinstance(payload, fleet.Heartbeat):
+        if isinstance(payload, fleet_state.Heartbeat):
             heartbeat = pool_messages.HeartbeatReceived(*payload)
             target.receive(pool_messages.FLEET, heartbeat)
         elif isinstance(payload, pool_messages.BatchEnded):
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -6,7 +6,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import gateway
 from cardamompathd.tests import pool_simulation
 
@@ -40,7 +40,9 @@
 
     def update_fleet(self, members):
         domain_sizes = dict.fromkeys(DOMAINS, 9)
-        view = fleet.make_view(self.members[8], members, (), domain_sizes)
+        view = fleet_views.make_view(
+            self.members[8], members, (), domain_sizes
+        )
         return self.handed_over(self.tell(view))
 
     def submit(self, name="j1"):
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -10,7 +10,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_state
 from cardamompathd.peers import errors
 from cardamompathd.peers import links
 from cardamompathd.peers import pool_codec
@@ -60,7 +60,9 @@
         member = planner_election.Member(
             "n-1", "a", ("10.1.0.1", 7), 1700, True, 645, 1
         )
-        heartbeat = fleet.Heartbeat(member, 3, (("10.1.0.2", 7),), 0.25, 0.42)
+        heartbeat = fleet_state.Heartbeat(
+            member, 3, (("10.1.0.2", 7),), 0.25, 0.42
+        )
         send = pool_codec.decode(pool_codec.encode(heartbeat))
         self.assertEqual(send.msg, pool_messages.HeartbeatReceived(*heartbeat))
 
--- a/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
@@ -8,7 +8,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import planner
 
 OWN_MEMBER = planner_election.Member("n-a", "a", ("a", 1), 1)
@@ -50,7 +50,7 @@
 
     def list_executors(self, *specs):
         self.tell(pool_messages.ExecutorsListed(specs))
-        self.tell(fleet.make_view(OWN_MEMBER, (OWN_MEMBER,), ()))
+        self.tell(fleet_views.make_view(OWN_MEMBER, (OWN_MEMBER,), ()))
         self.tick()
 
     def tick(self):
--- a/packages/daemon/src/cardamompathd/tests/test_planner_leases.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_leases.py
@@ -8,7 +8,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import planner
 
 CAPACITY = executors.Resources(8000, 1024)
@@ -35,7 +35,7 @@
         )
         own = planner_election.Member("n-a", "a", ("n-a", 1), 1000)
         self.tell(pool_messages.ExecutorsListed(specs))
-        sent = self.tell(fleet.make_view(own, (own,), ()))
+        sent = self.tell(fleet_views.make_view(own, (own,), ()))
         self.tokens = {
             msg.executor.name: msg.token
             for msg in sent
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -8,7 +8,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import planner
 from cardamompathd.controllers import planner_runs
 
@@ -41,7 +41,7 @@
         own = make_member("n-a", 1000)
         members = (own, make_member("n-b", ORIGIN_STARTED))
         self.tell(pool_messages.ExecutorsListed((spec,)))
-        self.tell(fleet.make_view(own, members, ()))
+        self.tell(fleet_views.make_view(own, members, ()))
         self.answer_hold()
 
     def tell(self, msg, later=0.0):
--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -8,7 +8,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import planner
 
 CAPACITY = executors.Resources(8000, 1024)
@@ -44,7 +44,7 @@
         ]
 
     def update_fleet(self, alive, missing="", has_quorum=True):
-        view = fleet.make_view(
+        view = fleet_views.make_view(
             self.members["a"],
             [self.members[name] for name in alive],
             [self.members[name] for name in missing],
--- a/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
+++ b/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
@@ -7,7 +7,7 @@
 
 from cardamompath_core import batches
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_views
 from cardamompathd.tests import pool_simulation
 
 
@@ -168,7 +168,7 @@
     def test_batch_without_a_planner_is_refused_before_its_limit(self):
         simulation = pool_simulation.Simulation(())
         instance = simulation.add_instance("n-a", "a", 1000)
-        empty_view = fleet.make_view(instance.member, (), ())
+        empty_view = fleet_views.make_view(instance.member, (), ())
         instance.receive(pool_messages.GATEWAY, empty_view)
         reply = simulation.submit(instance, "j1", timeout=30.0)
         simulation.advance(2.0)
--- a/packages/proof/src/cardamompath_proof/slopes/pool.py
+++ b/packages/proof/src/cardamompath_proof/slopes/pool.py
@@ -12,6 +12,8 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import fleet
+from cardamompathd.controllers import fleet_state
+from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import planner
 from cardamompathd.peers import pool_codec
 
@@ -60,7 +62,7 @@
             message_count = byte_count = 0
             started_at = time.process_time()
         for member in others[tick % 10 :: 10]:
-            heartbeat = fleet.Heartbeat(member, 1, (), 1.0)
+            heartbeat = fleet_state.Heartbeat(member, 1, (), 1.0)
             received = pool_codec.decode(pool_codec.encode(heartbeat))
             receive(received.msg, now)
         for send in receive(messages.TimerFired("heartbeat"), now):
@@ -94,7 +96,7 @@
         _make_executor(index, own.domain) for index in range(executor_count)
     )
     pending = [*receive(pool_messages.ExecutorsListed(specs), 1.0)]
-    pending += receive(fleet.make_view(own, (own,), ()), 1.0)
+    pending += receive(fleet_views.make_view(own, (own,), ()), 1.0)
     for send in pending:
         if isinstance(send.msg, pool_messages.HoldExecutor):
             receive(_answer_hold(send.msg, 1.0), 1.0)
