Election: a planner for 12 members of a pool with fast threads

Change: 12 members a planner where a thread has half a core or more; slow pools keep 8, since their planners are short of processor time.

--- a/packages/core/src/cardamompath_core/planner_election.py
+++ b/packages/core/src/cardamompath_core/planner_election.py
@@ -39,6 +39,11 @@
 MEMBERS_PER_PLANNER = 8
 """Number of members that one planner serves.  A planner with two dozen
 executors and the traffic of eight members uses less than half a core."""
+POOL_MEMBERS_PER_PLANNER = 12
+"""The same for a whole pool if threads are fast: a planner that has every
+executor packs tasks better, and its successor takes over without a wait."""
+FAST_THREAD_MILLICORES = 500
+"""CPU of a thread, in thousandths of a core, from which it counts as fast."""
 SIZE_STEP = 1.5
 """Ratio of CPU speeds from which an instance counts as larger.  Moving a
 planner's work does not pay off for smaller differences."""
@@ -113,7 +118,12 @@
 def choose_planners(alive: Sequence[Member]) -> tuple[Member, ...]:
     """Return the planners of a whole pool, highest precedence first."""
     ranked = rank_candidates(alive)
-    return tuple(ranked[: _planner_count(len(ranked))])
+    if not ranked:
+        return ()
+    members_per_planner = MEMBERS_PER_PLANNER
+    if ranked[0].thread_millicores >= FAST_THREAD_MILLICORES:
+        members_per_planner = POOL_MEMBERS_PER_PLANNER
+    return tuple(ranked[: -(-len(ranked) // members_per_planner)])
 
 
 def rank_candidates(alive: Sequence[Member]) -> list[Member]:
--- a/packages/core/src/cardamompath_core/tests/test_planner_election.py
+++ b/packages/core/src/cardamompath_core/tests/test_planner_election.py
@@ -40,6 +40,20 @@
         }
         self.assertEqual(sizes, {0: 0, 1: 1, 8: 1, 9: 2, 42: 6, 300: 38})
 
+    def test_fast_members_of_a_pool_share_fewer_planners(self):
+        # A pool of nine had two planners, or one while a member restarted;
+        # at each change batches waited for leases.  Found in incident
+        # inc-0538 of tsagaan-pitch.
+        members = [
+            member._replace(thread_millicores=537)
+            for member in make_members(13)
+        ]
+        sizes = {
+            count: len(planner_election.choose_planners(members[:count]))
+            for count in (8, 9, 12, 13)
+        }
+        self.assertEqual(sizes, {8: 1, 9: 1, 12: 1, 13: 2})
+
     def test_every_executor_has_one_of_several_planners(self):
         planners = make_members(6)
         counts = dict.fromkeys(planners, 0)
