Tokens: tell instances apart by a hash of their name

Cause: the last digits of a fencing token were the sum of the name's bytes, which is the same for edge-malvin-12 and edge-malvin-21; both may claim the same executors, and a millisecond would do for one token with two holders. Change: a hash of the name.

--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 import loguru
+import xxhash
 
 from cardamompath_core import planner_election
 from cardamompathd import pool_app
@@ -189,7 +190,7 @@
     The wall-clock time orders the tokens of different instances; the last
     three digits, from the name, separate those of the same millisecond.
     """
-    suffix = sum(name.encode()) % 1000
+    suffix = xxhash.xxh64_intdigest(name.encode()) % 1000
 
     def make_token() -> int:
         return int(time.time() * 1000.0) * 1000 + suffix
--- a/packages/daemon/src/cardamompathd/tests/test_platform_program.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_program.py
@@ -41,6 +41,17 @@
             self.assertNotIn(name, loaded)
 
 
+class TokenTest(unittest.TestCase):
+    def test_neighbours_never_share_a_token(self):
+        # The sum of the bytes is the same for edge-12 and edge-21.
+        with mock.patch.object(program.time, "time", return_value=1700.5):
+            tokens = {
+                program._make_token_source(f"edge-malvin-{number}")()
+                for number in range(1, 30)
+            }
+        self.assertEqual(len(tokens), 29)
+
+
 class SignalTest(unittest.TestCase):
     def run_until_stopped(self, numbers, load):
         received = queue.SimpleQueue()
