Planner: a claim proves only what came after the hand-over

Change: a task of a batch that was elsewhere starts by claims only if every executor has answered a hold that was sent after the batch arrived, and after the time for which its former planner may go on. A planner that leaves says at once that it has ended, and members that have not planned since the successor began need no wait.

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -225,9 +225,13 @@
 
 
 def _leave(state, _, now):
-    return _update_own_member(
-        state, state.own_member._replace(leaving=True), now
-    )
+    leaving = state.own_member._replace(leaving=True)
+    if leaving.shard_number < 0:
+        return _update_own_member(state, leaving, now)
+    # The planner learns of it first.  As it ends, both changes are sent at
+    # once, so that its successor need not wait for what it may still do.
+    state.own_member = leaving
+    return fleet_views.publish(state, now)
 
 
 def _set_config_version(state, msg, _):
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -46,6 +46,7 @@
     __slots__ = (
         "batch",
         "deadline",
+        "ended_planner",
         "handed_over",
         "permitted_until",
         "planner",
@@ -75,6 +76,8 @@
         self.handed_over = False
         self.permitted_until = 0.0
         """Until when one of its former planners may start tasks of it."""
+        self.ended_planner = ""
+        """Name of the only one of these, if it told that it does not plan."""
         self.resend_at = now + gateway_planners.RESEND_INTERVAL
 
 
--- a/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
@@ -40,9 +40,15 @@
         sends += _drop_at_former_planner(state, pending)
         shard = planner_election.shard_of(planner.name, state.assignment)
         if pending.handed_over:
-            pending.permitted_until = max(
-                pending.permitted_until, now + _permitted_time(state, pending)
-            )
+            has_ended = _has_ended(state, pending.planner)
+            pending.ended_planner = ""
+            if has_ended and pending.round == 0:
+                pending.ended_planner = pending.planner.name
+            if not has_ended:
+                pending.permitted_until = max(
+                    pending.permitted_until,
+                    now + _permitted_time(state, pending.planner),
+                )
             pending.round += 1
             pending.shard_changed |= shard is None or shard != pending.shard
         pending.shard = shard
@@ -59,6 +65,7 @@
         pending.shard_changed,
         max(0.0, pending.permitted_until - now),
         state.planner_terms.get((planner.name, planner.started), 0),
+        pending.ended_planner,
     )
     return [*sends, send_to(state, planner, msg)]
 
@@ -80,13 +87,23 @@
     return (member.name, member.started) == (other.name, other.started)
 
 
-def _permitted_time(state, pending):
+def _has_ended(state, former):
+    """Return whether a planner has told that it no longer plans.
+
+    The planner of this instance ends as this one learns of the change.
+    """
+    return former.name == state.name or any(
+        is_same_incarnation(member, former) and member.shard_number < 0
+        for member in state.alive
+    )
+
+
+def _permitted_time(state, former):
     """Return for how long the former planner of a batch may still run it.
 
     One that fell silent has no permission left.  One that lost its role is
     told, but may read that late.
     """
-    former = pending.planner
     if not any(is_same_incarnation(member, former) for member in state.alive):
         return 0.0
     members = (*state.alive, *state.missing)
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -113,6 +113,7 @@
         if any(member.name in missing for member in msg.alive):
             state.healed_at = now
     state.fleet = msg
+    state.idle_members &= planner_roles.idle_members(msg)
     alive = {member.name for member in msg.alive}
     for name in [name for name in state.permissions if name not in alive]:
         del state.permissions[name]
@@ -186,6 +187,7 @@
         plan.permitted_until = max(
             plan.permitted_until, now + msg.permitted_time
         )
+        plan.claims_since = plan.permitted_until
 
 
 def _accept_early_batches(state, now):
@@ -211,6 +213,8 @@
     )
     first_attempt = msg.round * planner_runs.ATTEMPT_SKIP
     plan = planner_state.Plan(msg, first_attempt, now)
+    if msg.ended_planner in state.idle_members:
+        plan.claims_since = state.began_at
     reason = _unfit_reason(state, plan)
     if reason:
         outcome = batches.Outcome(batches.FAILED, reason)
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -186,7 +186,9 @@
     )
     if not plan.shard_changed and not is_healing:
         is_assigned = functools.partial(planner_roles.is_assigned, state)
-        if planner_leases.all_claimed(state, is_assigned, now):
+        if planner_leases.all_claimed(
+            state, is_assigned, plan.claims_since, now
+        ):
             return True
     last_start = max(state.began_at, plan.received_at, plan.permitted_until)
     return now >= last_start + planner_runs.LAPSE_TIME
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -104,6 +104,7 @@
         )
     executor.claimed = True
     executor.fence_count = 0
+    executor.confirmed_at = executor.hold_sent_at
     executor.answered_at = now
     executor.clock = msg.clock
     executor.clock_read_at = now
@@ -283,7 +284,7 @@
     return messages.Send(pool_messages.EXECUTORS, msg)
 
 
-def all_claimed(state, is_assigned, now):
+def all_claimed(state, is_assigned, since, now):
     """Return whether every executor of this planner is claimed and answers.
 
     The answer is no while an executor is missing from the listing that may
@@ -304,7 +305,9 @@
     if any(is_assigned(spec) for _, spec in state.unlisted.values()):
         return False
     return all(
-        executor.claimed and not executor.suspect
+        executor.claimed
+        and not executor.suspect
+        and executor.confirmed_at >= since
         for executor in state.executors.values()
     )
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -19,6 +19,7 @@
     "PASSIVE_TIME",
     "claim_assigned",
     "handle_probe_answer",
+    "idle_members",
     "is_assigned",
     "is_passive",
     "is_undecided",
@@ -189,6 +190,7 @@
 def _begin_planning(state, now):
     state.active_since = now
     state.began_at = now
+    state.idle_members = idle_members(state.fleet)
     fields = {
         "listed": len(state.listed),
         "alive": len(state.fleet.alive),
@@ -198,6 +200,11 @@
     return [decision, _set_listing_rate(True), *claim_assigned(state, now)]
 
 
+def idle_members(view):
+    """Return the names of the members that told that they do not plan."""
+    return {member.name for member in view.alive if member.shard_number < 0}
+
+
 def _set_listing_rate(planning):
     msg = pool_messages.SetListingRate(planning)
     return messages.Send(pool_messages.LISTINGS, msg)
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -90,6 +90,7 @@
 
     __slots__ = (
         "batch",
+        "claims_since",
         "deadline",
         "done_count",
         "expected_time",
@@ -124,6 +125,9 @@
         self.round = msg.round
         self.permitted_until = now + msg.permitted_time
         """Until when an earlier planner may still start tasks of it."""
+        self.claims_since = self.permitted_until
+        """From when on a claim shows that no earlier planner holds an
+        executor; one that was only slow may have claimed it again before."""
         self.unpermitted_since: float | None = None
         """Since when this planner may not run it; None if it may."""
         self.shard_changed = msg.shard_changed
@@ -187,6 +191,7 @@
         "answered_at",
         "claimed",
         "clock",
+        "confirmed_at",
         "clock_read_at",
         "ejected_until",
         "ejections",
@@ -215,6 +220,9 @@
         executor has seen a higher token."""
         self.claimed = False
         """Whether the executor has answered a hold with the present token."""
+        self.confirmed_at = -math.inf
+        """When the last hold was sent that it has answered; no other planner
+        held it then."""
         self.clock = 0.0
         """The executor's clock in seconds, read at `clock_read_at`."""
         self.clock_read_at = now
@@ -277,6 +285,8 @@
         """Since when this instance plans; None if it does not."""
         self.began_at = 0.0
         """When this instance last began to plan."""
+        self.idle_members: set[str] = set()
+        """Names of the members that have not planned since then."""
         self.reviewed_at = -math.inf
         """When the executors and the estimates were last reviewed."""
         self.listed: dict[str, executors.Executor] = {}
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -76,6 +76,7 @@
     shard_changed: int = 1
     permitted_us: int = 0
     term: int = 0
+    ended_planner: str = ""
 
 
 class DropFields(NamedTuple):
@@ -154,6 +155,7 @@
     wire.I32,
     wire.I64,
     wire.I64,
+    wire.TEXT,
 )
 wire.declare(DropFields, wire.TEXT, wire.TEXT)
 wire.declare(
@@ -269,6 +271,7 @@
         int(msg.shard_changed),
         _to_micros(msg.permitted_time),
         msg.term,
+        msg.ended_planner,
     )
 
 
@@ -314,6 +317,7 @@
         bool(fields.shard_changed),
         fields.permitted_us / 1e6,
         fields.term,
+        fields.ended_planner,
     )
 
 
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -174,6 +174,9 @@
     """Seconds for which an earlier planner may still start its tasks."""
     term: int = 0
     """Number of the planner's term at the sender, see `FleetChanged`."""
+    ended_planner: str = ""
+    """Name of the only earlier planner, if it told that it no longer plans;
+    otherwise empty."""
 
 
 class DropBatch(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -145,12 +145,7 @@
 
     def test_batch_goes_to_the_successor_in_the_shard_of_its_planner(self):
         self.configure()
-        members = [
-            member._replace(shard_number=int(member.name[-1]))
-            if member.name[-1] in "01"
-            else member
-            for member in self.members
-        ]
+        members = self.make_planning_members()
         self.update_fleet(members)
         address = self.submit()[0][0]
         remaining = [
@@ -171,30 +166,43 @@
         sent = self.end_batch(batches.REFUSED, address)
         self.assertEqual(self.answers(sent)[0].state, batches.TIMED_OUT)
 
-    def test_next_planner_learns_how_long_the_former_one_may_go_on(self):
-        # One that fell silent has no permission left; one that only lost its
-        # role may read that late.
-        self.configure()
-        members = [
+    def make_planning_members(self):
+        """Return the members, of which those numbered 0 and 1 plan."""
+        return [
             member._replace(shard_number=int(member.name[-1]))
             if member.name[-1] in "01"
             else member
             for member in self.members
         ]
+
+    def hand_over_from_leaving_planner(self, **fields):
+        """Return the message to the successor of a planner that leaves."""
+        self.configure()
+        members = self.make_planning_members()
         self.update_fleet(members)
         address = self.submit()[0][0]
-        dismissed = [
-            member._replace(leaving=True, shard_number=-1)
+        changed = [
+            member._replace(leaving=True, **fields)
             if member.address[0] == address
             else member
             for member in members
         ]
-        successor, msg = self.update_fleet(dismissed)[0]
+        successor, msg = self.update_fleet(changed)[0]
         self.assertEqual(successor, "a2")
+        return f"a-{address[1:]}", changed, msg
+
+    def test_next_planner_learns_how_long_the_former_one_may_go_on(self):
+        # One that only lost its role may read that late; one that fell
+        # silent has no permission left.
+        _, members, msg = self.hand_over_from_leaving_planner()
         self.assertAlmostEqual(msg.permitted_time, 0.45)
-        silent = [
-            member for member in dismissed if member.address[0] != successor
-        ]
+        self.assertEqual(msg.ended_planner, "")
+        silent = [member for member in members if member.address[0] != "a2"]
         self.now += 2.0
         msg = self.update_fleet(silent)[0][1]
         self.assertEqual((msg.round, msg.permitted_time), (2, 0.0))
+
+    def test_next_planner_learns_that_the_former_one_has_ended(self):
+        former, _, msg = self.hand_over_from_leaving_planner(shard_number=-1)
+        self.assertEqual(msg.permitted_time, 0.0)
+        self.assertEqual(msg.ended_planner, former)
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -66,19 +66,11 @@
         until = self.now + seconds
         self.tell(pool_messages.PlanningPermitted("n-b", started, term, until))
 
-    def plan(self, term=1, round_number=0, count=1, permitted_time=0.0):
-        return self.tell(
-            pool_messages.PlanBatch(
-                make_batch(count),
-                "n-b",
-                0.1,
-                9.0,
-                round_number,
-                True,
-                permitted_time,
-                term,
-            )
+    def plan(self, term=1, round_number=0, count=1, **fields):
+        msg = pool_messages.PlanBatch(
+            make_batch(count), "n-b", 0.1, 9.0, round_number, term=term
         )
+        return self.tell(msg._replace(**fields))
 
     def kinds(self, sent, kind):
         return [msg for msg in sent if isinstance(msg, kind)]
@@ -161,6 +153,36 @@
         self.answer_hold()
         self.assertEqual(len(self.started(self.tick(0.2))), 1)
 
+    def test_claim_from_before_a_hand_over_proves_nothing(self):
+        # A planner that was slow believed its old claims, while another one
+        # had claimed an executor again and started a task there.  Failing
+        # run: seed 40 of test_slow_planners, in a pool.
+        self.permit(9.0)
+        self.now += 0.1
+        sent = self.plan(round_number=1, shard_changed=False)
+        self.assertEqual(self.started(sent), [])
+        self.assertEqual(self.started(self.tick()), [])
+        # The first answer is to a hold that was sent before.
+        self.assertEqual(self.started(self.answer_hold()), [])
+        self.assertEqual(len(self.started(self.answer_hold())), 1)
+
+    def test_claim_proves_all_once_the_former_planner_has_ended(self):
+        self.permit(9.0)
+        sent = self.plan(
+            round_number=1, shard_changed=False, ended_planner="n-b"
+        )
+        self.assertEqual(len(self.started(sent)), 1)
+
+    def test_claim_waits_for_a_former_planner_that_may_go_on(self):
+        self.permit(9.0)
+        self.plan(round_number=1, shard_changed=False, permitted_time=0.4)
+        self.now += 0.3
+        self.answer_hold()
+        self.assertEqual(self.started(self.answer_hold()), [])
+        self.now += 0.2
+        self.answer_hold()
+        self.assertEqual(len(self.started(self.answer_hold())), 1)
+
     def test_stopped_run_is_not_renewed_for_a_batch_that_comes_back(self):
         self.permit(0.4)
         self.running = tuple(self.started(self.plan()))
