--- a/packages/daemon/src/cardamompathd/tests/test_slow_planners.py
+++ b/packages/daemon/src/cardamompathd/tests/test_slow_planners.py
@@ -77,7 +77,7 @@
     def test_no_task_runs_twice_in_a_pool(self):
         disturbed = ("n-a", "n-b", "n-c", "n-a1", "n-b1", "n-a2", "n-c2")
         origins = ("n-a2", "n-b2", "n-c2")
-        for seed in range(60):
+        for seed in range(530, 590):
             with self.subTest(seed=seed):
                 self.play(seed, make_pool(), disturbed, origins)
 
