--- a/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
@@ -40,16 +40,7 @@
         sends += _drop_at_former_planner(state, pending)
         shard = planner_election.shard_of(planner.name, state.assignment)
         if pending.handed_over:
-            has_ended = _has_ended(state, pending.planner)
-            pending.ended_planner = ""
-            if has_ended and pending.round == 0:
-                pending.ended_planner = pending.planner.name
-            if not has_ended:
-                pending.permitted_until = max(
-                    pending.permitted_until,
-                    now + _permitted_time(state, pending.planner),
-                )
-            pending.round += 1
+            _leave_planner(state, pending, now)
             pending.shard_changed |= shard is None or shard != pending.shard
         pending.shard = shard
         pending.resend_at = now + RESEND_INTERVAL
@@ -70,6 +61,19 @@
     return [*sends, send_to(state, planner, msg)]
 
 
+def _leave_planner(state, pending, now):
+    """Note what the former planner of a batch may still do."""
+    former = pending.planner
+    pending.ended_planner = ""
+    if not _has_ended(state, former):
+        pending.permitted_until = max(
+            pending.permitted_until, now + _permitted_time(state, former)
+        )
+    elif pending.round == 0:
+        pending.ended_planner = former.name
+    pending.round += 1
+
+
 def _report_remote_planner(state, pending):
     """Have heartbeats sent often to a planner in another failure domain."""
     if pending.planner.domain == state.domain:
