Leases: none outlasts the pause after which a caller submits again

A caller whose instance died submits its job again 1.3 s later, at any instance, whose planner waits for nobody. The first planner counts the instance as failed after 0.45 to 3.4 s, depending on the interval of its heartbeats, and renewed the lease of the run for 1 s until then; if its stop was lost, both runs went on.

Cause: a lease rested on the time at which an instance counts as failed, not on when it was last known to have a caller for the batch. A permission now carries the time of the planner's heartbeat that it answers, and a lease ends, on the slowest clock and with the time of a stop, before that time and the callers' pause (resend_ms of the settings) are over.

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -101,7 +101,7 @@
         interval = state.intervals.get(address, fleet_state.HEARTBEAT_INTERVAL)
         if now >= sent_at + interval - TIMER_TOLERANCE:
             state.addresses[address] = now
-            permission = permissions.get(address, (0.0, 0))
+            permission = permissions.get(address, (0.0, 0, 0.0))
             lists = lists_all or address in new_addresses
             groups[interval, permission, lists].append(address)
     return [
@@ -124,10 +124,11 @@
 
 
 def _planner_permissions(state):
-    """Return until when batches stay with each planner, and its term.
+    """Return until when batches stay with each planner, its term, and the
+    time of the heartbeat on which this rests.
 
-    The time is that at which this instance takes the planner for failed
-    unless it hears of it again, in seconds of the planner's clock.
+    The first time is that at which this instance takes the planner for failed
+    unless it hears of it again.  Both are in seconds of the planner's clock.
     """
     permissions = {}
     for planner in state.assignment.planners:
@@ -137,7 +138,7 @@
             continue
         if peer.sent_at > 0.0 and peer.member.started == planner.started:
             until = peer.sent_at + peer.timeout
-            permissions[peer.member.address] = (until, term)
+            permissions[peer.member.address] = (until, term, peer.sent_at)
     return permissions
 
 
@@ -194,7 +195,11 @@
     sends = []
     if msg.planner_until > now:
         permitted = pool_messages.PlanningPermitted(
-            member.name, member.started, msg.planner_term, msg.planner_until
+            member.name,
+            member.started,
+            msg.planner_term,
+            msg.planner_until,
+            msg.planner_confirmed_at,
         )
         sends.append(messages.Send(pool_messages.PLANNER, permitted))
     if peer.reported_backlog != msg.backlog:
--- a/packages/daemon/src/cardamompathd/controllers/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet_state.py
@@ -41,6 +41,9 @@
     heartbeat late can thereby tell."""
     planner_term: int = 0
     """Number of the term that this extends, see `FleetChanged`."""
+    planner_confirmed_at: float = 0.0
+    """When the receiver sent the last heartbeat that had arrived before, in
+    seconds of its clock."""
 
 
 class Peer:
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -48,6 +48,7 @@
     make_token: Callable[[], int],
     started_at: float,
     remote_rack_factor: float = 1.0,
+    resubmit_delay: float = planner_state.RESUBMIT_DELAY,
 ) -> messages.Controller:
     """Make the controller that plans batches at this instance.
 
@@ -61,8 +62,12 @@
         Start of the instance, in seconds of its clock.
     remote_rack_factor : float
         Factor on the run time of a task on a rack without its data.
+    resubmit_delay : float
+        Seconds after which a caller without an answer submits a batch again.
     """
-    state = planner_state.PlannerState(name, make_token, remote_rack_factor)
+    state = planner_state.PlannerState(
+        name, make_token, remote_rack_factor, resubmit_delay
+    )
 
     def receive(msg, now):
         handler = _HANDLERS.get(type(msg))
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -175,7 +175,8 @@
     If the earlier planners had the same shard, this planner has claimed
     every executor on which such runs may be.
     """
-    if not planner_permissions.is_permitted(state, plan, now):
+    lease = planner_permissions.lease_time(state, plan, now)
+    if lease < planner_runs.MIN_LEASE:
         return False
     if plan.round == 0:
         return True
@@ -225,6 +226,7 @@
     """Start the waiting tasks of a batch that fit; return the messages."""
     sends = []
     placements = []
+    lease = planner_permissions.lease_time(state, plan, now)
     while plan.waiting:
         task = plan.waiting[0]
         executor = _choose_executor(state, plan, task, usable)
@@ -232,7 +234,7 @@
             break
         plan.waiting.popleft()
         placements.append([executor.spec.name, f"{task.step}.{task.index}"])
-        sends += planner_runs.send_start(state, executor, plan, task, now)
+        sends += planner_runs.send_start(executor, plan, task, lease, now)
         if executor.free_resources.cpu < min_cpu:
             usable.remove(executor)
     if placements:
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -67,16 +67,13 @@
     expires = None
     # The leases of an executor that does not answer are not renewed.
     # Otherwise it could never be known that they have lapsed.
-    if (
-        executor.claimed
-        and not executor.suspect
-        and executor.runs
-        and planner_permissions.may_renew(state, executor, now)
-    ):
-        expires = executor.executor_clock(now) + planner_runs.LEASE
-        executor.lease_until = max(
-            executor.lease_until, now + planner_runs.LAPSE_TIME
-        )
+    if executor.claimed and not executor.suspect and executor.runs:
+        lease = planner_permissions.renewal_time(state, executor, now)
+        if lease > 0.0:
+            expires = executor.executor_clock(now) + lease
+            executor.lease_until = max(
+                executor.lease_until, now + planner_runs.LAPSE_TIME
+            )
     hold = pool_messages.HoldExecutor(
         executor.spec, executor.token, executor.acknowledged, expires, wait
     )
--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+import math
+
 from cardamompathd.controllers import planner_log
 from cardamompathd.controllers import planner_runs
 from cardamompathd.controllers import planner_state
@@ -20,7 +22,8 @@
     "drop_unpermitted",
     "handle_permission",
     "is_permitted",
-    "may_renew",
+    "lease_time",
+    "renewal_time",
 ]
 
 UNPERMITTED_TIME = 0.6
@@ -31,7 +34,9 @@
 
 def handle_permission(state, msg, now):
     """Keep until when an instance leaves its batches with this planner."""
-    given = planner_state.Permission(msg.started, msg.term, msg.until)
+    given = planner_state.Permission(
+        msg.started, msg.term, msg.until, msg.confirmed_at
+    )
     last = state.permissions.get(msg.origin, given)
     # A message that was under way on a broken link may arrive late.
     state.permissions[msg.origin] = max(last, given)
@@ -53,18 +58,45 @@
     return given is not None and given.term == term and given.until > now
 
 
-def may_renew(state, executor, now):
-    """Return whether the leases of all runs on an executor may be renewed.
+def lease_time(state, plan, now):
+    """Return for how many seconds a run of a batch may be leased.
 
-    A renewal extends all of them.  None may outlast the permission of its
-    batch, and none that was stopped may live on if the stop was lost.
+    The run ends, also if its executor's clock is slow and no stop arrives,
+    before a caller whose instance was lost submits the batch again.  The
+    result is not above 0 if the batch is not permitted.
     """
-    return all(
-        not task.stopping
-        and state.plans.get(plan.name) is plan
-        and is_permitted(state, plan, now)
-        for plan, task in executor.runs.values()
-    )
+    latest_end = max(
+        (
+            _confirmed_at(state, origin, now)
+            for origin, term in plan.origins.items()
+            if _leaves_batch(state, origin, term, now)
+        ),
+        default=-math.inf,
+    ) + (state.resubmit_delay - planner_runs.END_TIME)
+    longest = (latest_end - now) * (1.0 - planner_state.CLOCK_ERROR)
+    return min(planner_runs.LEASE, longest)
+
+
+def _confirmed_at(state, origin, now):
+    """Return when an instance surely left its batches with this planner."""
+    if origin == state.name:
+        return now
+    return state.permissions[origin].confirmed_at
+
+
+def renewal_time(state, executor, now):
+    """Return for how many seconds the leases on an executor may be renewed.
+
+    A renewal extends all of them.  None may outlast what its batch allows,
+    and none that was stopped may live on if the stop was lost.  The result is
+    not above 0 if they must not be renewed.
+    """
+    longest = planner_runs.LEASE
+    for plan, task in executor.runs.values():
+        if task.stopping or state.plans.get(plan.name) is not plan:
+            return 0.0
+        longest = min(longest, lease_time(state, plan, now))
+    return longest
 
 
 def drop_unpermitted(state, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -12,8 +12,10 @@
 from cardamompathd.controllers import planner_state
 
 __all__ = [
+    "END_TIME",
     "LAPSE_TIME",
     "LEASE",
+    "MIN_LEASE",
     "adopt_run",
     "drop_plan",
     "finish_batch",
@@ -33,12 +35,15 @@
 lease, if the stop came just before the end of that."""
 LEASE_MARGIN = 0.05
 """Seconds within which an executor ends a run whose lease has lapsed."""
-LAPSE_TIME = (
-    LEASE / (1.0 - planner_state.CLOCK_ERROR) + STOP_TIME + LEASE_MARGIN
-)
+END_TIME = STOP_TIME + LEASE_MARGIN
+"""Seconds for which a run may go on after its lease, by the true clock."""
+LAPSE_TIME = LEASE / (1.0 - planner_state.CLOCK_ERROR) + END_TIME
 """Seconds after a start or a renewal after which its runs have surely ended.
 The end of a lease is a time of the executor's clock, so that a request that
 arrives late changes nothing."""
+MIN_LEASE = 0.5
+"""Seconds of the shortest lease with which a run is started; the first hold
+that renews it is sent before."""
 ATTEMPT_SKIP = 8
 """Attempt numbers skipped for each earlier planner of a batch, and if an
 executor has seen a later attempt of the task."""
@@ -53,8 +58,8 @@
 """Weight of a run in the moving average of an executor's failure rate."""
 
 
-def send_start(state, executor, plan, task, now):
-    """Start a task on an executor; return the messages."""
+def send_start(executor, plan, task, lease, now):
+    """Start a task on an executor with a lease in seconds."""
     task.attempt += 1
     task.status = "sent"
     task.executor_name = executor.spec.name
@@ -76,7 +81,7 @@
         executor.token,
         task.run,
         plan.batch.spec,
-        executor.executor_clock(now) + LEASE,
+        executor.executor_clock(now) + lease,
     )
     return [messages.Send(pool_messages.EXECUTORS, start)]
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "CLOCK_ERROR",
+    "RESUBMIT_DELAY",
     "ExecutorState",
     "Permission",
     "Plan",
@@ -30,6 +31,8 @@
 
 CLOCK_ERROR = 0.02
 """Share by which an executor's clock may be slow, by its contract."""
+RESUBMIT_DELAY = 1.3
+"""Default of the seconds after which callers submit a batch again."""
 MAX_REMEMBERED = 4096
 """Maximum number of outcomes kept for instances that missed them, and of
 dropped batches that are remembered."""
@@ -47,6 +50,10 @@
     """Number of this planner's term there."""
     until: float
     """In seconds of the clock of this planner."""
+    confirmed_at: float
+    """When this planner sent the heartbeat that the instance answered with
+    it, in the same seconds.  The instance lived and left the batches here
+    then or later."""
 
 
 class Task:
@@ -269,8 +276,12 @@
         name: str,
         make_token: Callable[[], int],
         remote_rack_factor: float = 1.0,
+        resubmit_delay: float = RESUBMIT_DELAY,
     ):
         self.name = name
+        self.resubmit_delay = resubmit_delay
+        """Seconds after which a caller whose instance was lost submits its
+        batch again; another planner may then start it."""
         self.remote_rack_factor = remote_rack_factor
         """Factor on the run time of a task on a rack without its data."""
         self.make_token = make_token
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -41,6 +41,7 @@
     sent_ms: int = 0
     planner_until_ms: int = 0
     planner_term: int = 0
+    planner_confirmed_ms: int = 0
 
 
 class StepFields(NamedTuple):
@@ -123,6 +124,7 @@
     wire.I64,
     wire.I64,
     wire.I64,
+    wire.I64,
 )
 wire.declare(
     StepFields,
@@ -226,6 +228,7 @@
         int(msg.sent_at * 1000.0),
         int(msg.planner_until * 1000.0),
         msg.planner_term,
+        int(msg.planner_confirmed_at * 1000.0),
     )
 
 
@@ -248,6 +251,7 @@
         fields.sent_ms / 1000.0,
         fields.planner_until_ms / 1000.0,
         fields.planner_term,
+        fields.planner_confirmed_ms / 1000.0,
     )
 
 
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -144,6 +144,7 @@
         clock,
         log.record,
         cfg.remote_rack_factor,
+        cfg.resubmit_delay,
     )
     tell_planner = app.controllers[pool_messages.PLANNER]
     tell_fleet = app.controllers[pool_messages.FLEET]
--- a/packages/daemon/src/cardamompathd/platform/settings.py
+++ b/packages/daemon/src/cardamompathd/platform/settings.py
@@ -7,6 +7,7 @@
 import tomllib
 from typing import NamedTuple
 
+from cardamompathd.controllers import planner_state
 from cardamompathd.platform import errors
 
 __all__ = [
@@ -34,6 +35,8 @@
     """Thousandths of a core available to one thread; 0 if unknown."""
     remote_rack_factor: float = 1.0
     """Factor by which a task takes longer outside the rack of its data."""
+    resubmit_delay: float = planner_state.RESUBMIT_DELAY
+    """Seconds after which a caller without an answer submits a job again."""
 
 
 def load(path: str | None = None) -> Settings:
@@ -55,6 +58,7 @@
     try:
         raw = tomllib.loads(pathlib.Path(path).read_text())
         listen = raw["listen"]
+        bounds = raw.get("bounds", {})
         return Settings(
             raw["node_name"],
             raw["zone"],
@@ -64,12 +68,19 @@
             tuple(parse_address(seed) for seed in raw.get("seeds", [])),
             parse_address(raw["platform"]["addr"]),
             _read_thread_millicores(raw.get("limits", {})),
-            float(raw.get("bounds", {}).get("remote_factor", 1.0)),
+            float(bounds.get("remote_factor", 1.0)),
+            _read_resubmit_delay(bounds),
         )
     except (OSError, KeyError, TypeError, ValueError) as exc:
         raise errors.BadSettings(f"{path}: {exc!r}") from exc
 
 
+def _read_resubmit_delay(bounds):
+    if "resend_ms" not in bounds:
+        return planner_state.RESUBMIT_DELAY
+    return float(bounds["resend_ms"]) / 1000.0
+
+
 def _read_thread_millicores(limits):
     """Return the share of a core that one thread may use, in thousandths."""
     share = limits.get("cpu_share", 0.0)
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -19,6 +19,7 @@
 from cardamompathd.controllers import fleet
 from cardamompathd.controllers import gateway
 from cardamompathd.controllers import planner
+from cardamompathd.controllers import planner_state
 from cardamompathd.peers import links
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import sockets
@@ -86,6 +87,7 @@
     clock: Callable[[], float],
     log_decision: Callable[[pool_messages.Decision], None],
     remote_rack_factor: float = 1.0,
+    resubmit_delay: float = planner_state.RESUBMIT_DELAY,
 ) -> Instance:
     """Start the tasks of an instance.
 
@@ -103,6 +105,8 @@
         Called with each decision, to write it to the decision log.
     remote_rack_factor : float
         Factor on the run time of a task on a rack without its data.
+    resubmit_delay : float
+        Seconds after which a caller without an answer submits a batch again.
 
     Raises
     ------
@@ -118,7 +122,11 @@
     }
     deliver = actors.make_router(receivers)
     planner_controller = planner.make_controller(
-        own_member.name, make_token, clock(), remote_rack_factor
+        own_member.name,
+        make_token,
+        clock(),
+        remote_rack_factor,
+        resubmit_delay,
     )
     actor_ref = sockets.SocketActor.start(
         [
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -215,6 +215,8 @@
     planner, in seconds of this instance's clock; 0 if they are not."""
     planner_term: int = 0
     """Number of the term that this extends, see `FleetChanged`."""
+    planner_confirmed_at: float = 0.0
+    """See `PlanningPermitted`."""
 
 
 class PlanningPermitted(NamedTuple):
@@ -230,6 +232,9 @@
     """Number of the term that this extends, see `FleetChanged`."""
     until: float
     """In seconds of the clock of this instance."""
+    confirmed_at: float
+    """When this instance sent the heartbeat that the other one had received
+    when it extended the permission, in seconds of the clock of this one."""
 
 
 class AddressesFound(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -11,8 +11,13 @@
 from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import planner
 from cardamompathd.controllers import planner_runs
+from cardamompathd.controllers import planner_state
 
 CAPACITY = executors.Resources(8000, 1024)
+RESUBMIT_DELAY = 1.3
+"""Seconds after which callers without an answer submit a job again."""
+TIMEOUT = 0.45
+"""Seconds from the sign of life that a permission rests on to its end."""
 ORIGIN_STARTED = 1001
 """Start time of the instance whose batch is planned."""
 
@@ -30,7 +35,12 @@
 class PlannerPermissionsTest(unittest.TestCase):
     def setUp(self):
         tokens = itertools.count(7)
-        controller = planner.make_controller("n-a", lambda: next(tokens), 0.0)
+        controller = planner.make_controller(
+            "n-a",
+            lambda: next(tokens),
+            0.0,
+            resubmit_delay=RESUBMIT_DELAY,
+        )
         self.receive = controller.receive
         self.now = 10.0
         self.running = ()
@@ -62,9 +72,12 @@
         self.ended = ()
         return self.tell(answer)
 
-    def permit(self, seconds, term=1, started=ORIGIN_STARTED):
+    def permit(self, seconds, term=1, started=ORIGIN_STARTED, timeout=TIMEOUT):
         until = self.now + seconds
-        self.tell(pool_messages.PlanningPermitted("n-b", started, term, until))
+        permitted = pool_messages.PlanningPermitted(
+            "n-b", started, term, until, until - timeout
+        )
+        self.tell(permitted)
 
     def plan(self, term=1, round_number=0, count=1, **fields):
         msg = pool_messages.PlanBatch(
@@ -115,6 +128,30 @@
         stopped = self.kinds(sent, pool_messages.StopRun)
         self.assertEqual([msg.run for msg in stopped], list(self.running))
 
+    def test_no_lease_outlasts_the_pause_of_a_caller_without_an_answer(self):
+        confirmed_at = self.now - 0.4
+        self.permit(0.4, timeout=0.8)
+        latest_end = confirmed_at + RESUBMIT_DELAY - planner_runs.END_TIME
+        start = self.kinds(self.plan(), pool_messages.StartRun)[0]
+        self.assertLessEqual(self.longest_end(start.expires), latest_end)
+        self.assertGreater(start.expires, self.now + 0.7)
+        self.running = (start.run,)
+        self.now += 0.3
+        self.answer_hold()
+        self.assertLessEqual(self.longest_end(self.hold.expires), latest_end)
+
+    def test_batch_waits_for_a_permission_that_covers_a_lease(self):
+        self.permit(0.4, timeout=1.2)
+        self.assertEqual(self.started(self.plan()), [])
+        self.permit(0.4)
+        self.assertEqual(len(self.started(self.tick())), 1)
+
+    def longest_end(self, expires):
+        """Return when a lease ends on the slowest clock of an executor."""
+        return self.now + (expires - self.now) / (
+            1.0 - planner_state.CLOCK_ERROR
+        )
+
     def test_permission_that_is_late_costs_nothing(self):
         self.permit(0.4)
         self.running = tuple(self.started(self.plan()))
