Heartbeats: planners ask remote origins often whether they live

A lease may not outlast the last sign of the instance whose caller waits by more than the callers' pause. In a fleet of 97 a planner sent heartbeats to members of other domains each 0.76 s, so a permission from there was up to 0.96 s old and allowed a lease of 0.24 s, less than the time between two holds. A planner that gets a batch from another domain now sends heartbeats there each 0.2 s, as the origin does the other way.

test_planner_asks_often_whether_a_remote_origin_lives (18 heartbeats in 4 s to the origin, at most 8 to others), test_planner_reports_origins_in_other_ domains.

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -71,9 +71,9 @@
             link = pool_messages.SetLink(peer.member.address, False)
             sends.append(messages.Send(pool_messages.LINKS, link))
             changed = True
-    for name, until in list(state.remote_planners.items()):
+    for name, until in list(state.remote_peers.items()):
         if now > until:
-            del state.remote_planners[name]
+            del state.remote_peers[name]
             state.intervals.clear()
     changed |= state.published is not None and (
         fleet_views.has_quorum(state, now) != state.published.has_quorum
@@ -124,11 +124,11 @@
 
 
 def _planner_permissions(state):
-    """Return until when batches stay with each planner, its term, and the
-    time of the heartbeat on which this rests.
+    """Return until when batches stay with each planner, and on what ground.
 
-    The first time is that at which this instance takes the planner for failed
-    unless it hears of it again.  Both are in seconds of the planner's clock.
+    Each permission has the time at which this instance takes the planner for
+    failed unless it hears of it again, the term, and the time of the planner's
+    last heartbeat.  Times are in seconds of the planner's clock.
     """
     permissions = {}
     for planner in state.assignment.planners:
@@ -265,11 +265,11 @@
     return ()
 
 
-def _add_remote_planner(state, msg, _):
-    until = max(state.remote_planners.get(msg.name, 0.0), msg.until)
-    if msg.name not in state.remote_planners:
+def _add_remote_peer(state, msg, _):
+    until = max(state.remote_peers.get(msg.name, 0.0), msg.until)
+    if msg.name not in state.remote_peers:
         state.intervals.clear()
-    state.remote_planners[msg.name] = until
+    state.remote_peers[msg.name] = until
     return ()
 
 
@@ -281,6 +281,6 @@
     pool_messages.Leave: _leave,
     pool_messages.ConfigurationInForce: _set_config_version,
     pool_messages.BacklogMeasured: _set_backlog,
-    pool_messages.RemotePlannerUsed: _add_remote_planner,
+    pool_messages.RemotePeerUsed: _add_remote_peer,
     pool_messages.ShardChanged: _set_shard,
 }
--- a/packages/daemon/src/cardamompathd/controllers/fleet_rates.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet_rates.py
@@ -21,10 +21,10 @@
     fleet_state.HEARTBEAT_TIMEOUT / fleet_state.HEARTBEAT_INTERVAL
 )
 """Multiple of the announced interval after which a heartbeat is overdue."""
-REMOTE_PLANNER_INTERVAL = 0.2
+REMOTE_PEER_INTERVAL = 0.2
 """Seconds between heartbeats to a planner in another failure domain that has
-batches of this instance.  It notices a failure in 0.9 s, before the caller
-of the dead instance asks another one."""
+batches of this instance, and from that planner; short beside the lease that
+they allow."""
 REMOTE_DOMAIN_INTERVAL = 0.25
 """Seconds between heartbeats of a planner to other failure domains, and of a
 successor to the members of its own."""
@@ -90,8 +90,8 @@
         )
     if same_group and member.name in state.lead_members:
         return lead_interval(state)
-    if member.name in state.remote_planners:
-        return REMOTE_PLANNER_INTERVAL
+    if member.name in state.remote_peers:
+        return REMOTE_PEER_INTERVAL
     count = len(state.peers)
     if count <= SMALL_FLEET:
         return fleet_state.HEARTBEAT_INTERVAL
--- a/packages/daemon/src/cardamompathd/controllers/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet_state.py
@@ -106,6 +106,7 @@
         self.intervals: dict[tuple[str, int], float] = {}
         """Seconds between heartbeats to each address; empty if they have to
         be computed again."""
-        self.remote_planners: dict[str, float] = {}
+        self.remote_peers: dict[str, float] = {}
         """Planners in other failure domains that have batches of this
-        instance, and until when."""
+        instance, and members there of which it has batches, and until
+        when."""
--- a/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
@@ -78,9 +78,7 @@
     """Have heartbeats sent often to a planner in another failure domain."""
     if pending.planner.domain == state.domain:
         return []
-    msg = pool_messages.RemotePlannerUsed(
-        pending.planner.name, pending.deadline
-    )
+    msg = pool_messages.RemotePeerUsed(pending.planner.name, pending.deadline)
     return [messages.Send(pool_messages.FLEET, msg)]
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -233,6 +233,7 @@
     state.plans[plan.name] = plan
     _reattach_runs(state, plan, now)
     return [
+        *_report_remote_origin(state, msg, plan),
         planner_log.decision(
             "batch planned",
             plan.name,
@@ -241,10 +242,24 @@
             tasks=len(plan.tasks),
             round=msg.round,
             age_ms=round(msg.age * 1000.0),
-        )
+        ),
     ]
 
 
+def _report_remote_origin(state, msg, plan):
+    """Have heartbeats sent often to an origin in another failure domain."""
+    if not state.assignment.by_domain:
+        return []
+    own_domain = state.fleet.own_member.domain
+    if any(
+        member.name == msg.origin and member.domain != own_domain
+        for member in state.fleet.alive
+    ):
+        used = pool_messages.RemotePeerUsed(msg.origin, plan.deadline)
+        return [messages.Send(pool_messages.FLEET, used)]
+    return []
+
+
 def _reattach_runs(state, plan, now):
     """Attach runs of an earlier submission of a batch to the new one."""
     for executor in state.executors.values():
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -46,7 +46,7 @@
     "PlanningPermitted",
     "ProbeAnswered",
     "ProbeExecutor",
-    "RemotePlannerUsed",
+    "RemotePeerUsed",
     "RoutesConfigured",
     "Run",
     "SendToMember",
@@ -302,14 +302,15 @@
     """Number of its shard of the executors; -1 if it has none."""
 
 
-class RemotePlannerUsed(NamedTuple):
-    """A planner in another failure domain got a batch of this instance.
+class RemotePeerUsed(NamedTuple):
+    """A batch went to a planner in another failure domain, or came from one.
 
-    It needs frequent heartbeats to notice soon if this instance dies.
+    Both need frequent heartbeats: the planner may run the batch only until
+    shortly after the last sign that the other instance lives.
     """
 
     name: str
-    """Name of the planner."""
+    """Name of the other instance."""
     until: float
     """When the caller of the batch stops waiting."""
 
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -112,10 +112,19 @@
     def test_remote_planner_with_batches_gets_more_heartbeats(self):
         members = make_members()
         harness = self.start(members[9], members)
-        harness.tell(pool_messages.RemotePlannerUsed("b-0", harness.now + 5.0))
+        harness.tell(pool_messages.RemotePeerUsed("b-0", harness.now + 5.0))
         harness.advance(4.0)
         self.assertGreaterEqual(harness.count_heartbeats()["b-0", 1], 18)
 
+    def test_planner_asks_often_whether_a_remote_origin_lives(self):
+        members = make_members(24)
+        harness = self.start(members[0], members)
+        harness.tell(pool_messages.RemotePeerUsed("b-9", harness.now + 5.0))
+        harness.advance(4.0)
+        counts = harness.count_heartbeats()
+        self.assertGreaterEqual(counts["b-9", 1], 18)
+        self.assertLessEqual(counts["b-8", 1], 8)
+
     def test_successor_is_heard_often_enough_to_be_missed(self):
         # The third member of a domain takes the next free shard.
         members = make_members()
--- a/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
@@ -55,6 +55,25 @@
             and decision.fields["executor"] == name
         }
 
+    def test_planner_reports_origins_in_other_domains(self):
+        planner = self.simulation.instances["n-b"]
+        batch = batches.Batch(
+            "j1", "", pool_simulation.make_steps(), pool_simulation.POLICY
+        )
+        for origin, is_remote in (("n-a5", True), ("n-b5", False)):
+            msg = pool_messages.PlanBatch(
+                batch._replace(name=origin), origin, 0.0, 5.0, 0
+            )
+            sent = planner.controllers[pool_messages.PLANNER](
+                msg, self.simulation.now
+            )
+            reported = [
+                send.msg.name
+                for send in sent
+                if isinstance(send.msg, pool_messages.RemotePeerUsed)
+            ]
+            self.assertEqual(reported, [origin] if is_remote else [])
+
     def test_each_domain_has_its_planners(self):
         self.assertEqual(self.find_planners(), {"n-a", "n-a1", "n-b", "n-b1"})
 
--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -209,7 +209,9 @@
         batch = batches.Batch(
             "j", "", (step,), batches.RoutePolicy("r", "desk")
         )
-        permission = pool_messages.PlanningPermitted("n-b", 1001, 0, 99.0, 98.5)
+        permission = pool_messages.PlanningPermitted(
+            "n-b", 1001, 0, 99.0, 98.5
+        )
         self.tell(permission)
         sent = self.tell(pool_messages.PlanBatch(batch, "n-b", 0.1, 9.0, 1))
         self.assertEqual(self.started_runs(sent), [])
