Drops: repeat them until the planner acknowledges

A caller that left or was answered 504 submits its job again at another instance; its planner starts the tasks although the first one still runs them.

Cause: a DropBatch was sent once. A link that was reset, or is being opened, loses it, and the planner went on by the permission of an instance that lived.

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -128,7 +128,8 @@
 
     Each permission has the time at which this instance takes the planner for
     failed unless it hears of it again, the term, and the time of the planner's
-    last heartbeat.  Times are in seconds of the planner's clock.
+    last heartbeat, or of the last one before a drop that it has not
+    acknowledged.  Times are in seconds of the planner's clock.
     """
     permissions = {}
     for planner in state.assignment.planners:
@@ -138,7 +139,8 @@
             continue
         if peer.sent_at > 0.0 and peer.member.started == planner.started:
             until = peer.sent_at + peer.timeout
-            permissions[peer.member.address] = (until, term, peer.sent_at)
+            confirmed_at = state.drops_pending.get(planner.name, peer.sent_at)
+            permissions[peer.member.address] = (until, term, confirmed_at)
     return permissions
 
 
@@ -265,6 +267,15 @@
     return ()
 
 
+def _note_pending_drops(state, msg, _):
+    if not msg.pending:
+        state.drops_pending.pop(msg.planner, None)
+    elif msg.planner not in state.drops_pending:
+        peer = state.peers.get(msg.planner)
+        state.drops_pending[msg.planner] = peer.sent_at if peer else 0.0
+    return ()
+
+
 def _add_remote_peer(state, msg, _):
     until = max(state.remote_peers.get(msg.name, 0.0), msg.until)
     if msg.name not in state.remote_peers:
@@ -281,6 +292,7 @@
     pool_messages.Leave: _leave,
     pool_messages.ConfigurationInForce: _set_config_version,
     pool_messages.BacklogMeasured: _set_backlog,
+    pool_messages.DropsPending: _note_pending_drops,
     pool_messages.RemotePeerUsed: _add_remote_peer,
     pool_messages.ShardChanged: _set_shard,
 }
--- a/packages/daemon/src/cardamompathd/controllers/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet_state.py
@@ -106,6 +106,9 @@
         self.intervals: dict[tuple[str, int], float] = {}
         """Seconds between heartbeats to each address; empty if they have to
         be computed again."""
+        self.drops_pending: dict[str, float] = {}
+        """Planners that have yet to acknowledge a drop, and the time of the
+        last heartbeat that each had sent before, in seconds of its clock."""
         self.remote_peers: dict[str, float] = {}
         """Planners in other failure domains that have batches of this
         instance, and members there of which it has batches, and until
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -15,6 +15,7 @@
 from cardamompath_core import routes
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers import gateway_drops
 from cardamompathd.controllers import gateway_planners
 
 __all__ = [
@@ -103,6 +104,8 @@
         """Number of the term of each planner, by its name and start time."""
         self.backlogs: dict[str, float] = {}
         """Backlog in seconds by the name of the planner."""
+        self.drops: dict[str, gateway_drops.PendingDrop] = {}
+        """Drops that were not acknowledged, by the name of the batch."""
         self.leaving = False
         self.timer_set = False
         """Whether a timer is set that sends batches again."""
@@ -145,6 +148,7 @@
         batch, msg.reply_to, timeout, now
     )
     sends = gateway_planners.hand_over(state, pending, now)
+    sends += gateway_drops.cancel(state, name, pending.planner)
     sends.append(_log_submitted(state, pending))
     sends.append(_make_timer(pending.deadline, name))
     if not state.timer_set:
@@ -275,8 +279,9 @@
         gateway_planners.is_same_incarnation(planner, pending.planner)
         for planner in planners
     ):
-        drop = pool_messages.DropBatch(pending.batch.name, state.name)
-        sends.append(gateway_planners.send_to(state, pending.planner, drop))
+        sends += gateway_drops.drop(
+            state, pending.planner, pending.batch.name, now
+        )
     return sends
 
 
@@ -289,10 +294,12 @@
 
 
 def _handle_end(state, msg, now):
+    outcome = msg.outcome
+    if outcome.state == batches.CANCELLED:
+        return gateway_drops.acknowledge(state, msg.name, msg.planner)
     pending = state.pending.get(msg.name)
     if pending is None:
         return ()
-    outcome = msg.outcome
     refused = outcome.state == batches.REFUSED
     if refused and msg.planner != _planner_name(pending.planner):
         # A planner repeats its refusal if the batch is sent to it again.
@@ -311,15 +318,16 @@
     fields = {"planner": _planner_name(pending.planner)}
     fields["age_ms"] = round((now - pending.submitted_at) * 1000.0)
     # The batch may have been sent to that planner once more meanwhile.
-    drop = pool_messages.DropBatch(pending.batch.name, state.name)
-    dropped = gateway_planners.send_to(state, pending.planner, drop)
+    dropped = gateway_drops.drop(
+        state, pending.planner, pending.batch.name, now
+    )
     pending.refused_by.add(pending.planner.name)
     pending.planner = None
     pending.shard = None
     pending.handed_over = False
     decision = _log("asks another planner", pending.batch.name, fields)
     sends = gateway_planners.hand_over(state, pending, now)
-    return [decision, dropped, *sends]
+    return [decision, *dropped, *sends]
 
 
 def _answer(state, pending, outcome, now):
@@ -346,7 +354,7 @@
     state.had_remote_planners |= msg.assignment.by_domain
     state.planner_terms = dict(msg.planner_terms)
     planners = state.assignment.planners
-    sends = []
+    sends = gateway_drops.forget_former_planners(state)
     for pending in state.pending.values():
         if not any(
             gateway_planners.is_same_incarnation(planner, pending.planner)
@@ -362,6 +370,8 @@
 
 
 def _handle_timer(state, msg, now):
+    if msg.key == gateway_drops.TIMER_KEY:
+        return gateway_drops.resend(state, now)
     if msg.key is not None:
         return _handle_deadline(state, state.pending.get(msg.key), now)
     sends = []
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -310,6 +310,15 @@
     return ""
 
 
+def _handle_drop(state, msg, now):
+    sends = _drop_batch(state, msg, now)
+    if state.fleet is None:
+        return sends
+    outcome = batches.Outcome(batches.CANCELLED, "dropped by its origin")
+    ended = pool_messages.BatchEnded(msg.name, msg.origin, outcome, state.name)
+    return [*sends, planner_runs.send_to_member(state, msg.origin, ended)]
+
+
 def _drop_batch(state, msg, now):
     state.early_batches.pop(msg.name, None)
     plan = state.plans.get(msg.name)
@@ -334,7 +343,7 @@
     pool_messages.ExecutorsListed: _update_listing,
     pool_messages.PlanBatch: _plan_batch,
     pool_messages.PlanningPermitted: planner_permissions.handle_permission,
-    pool_messages.DropBatch: _drop_batch,
+    pool_messages.DropBatch: _handle_drop,
     pool_messages.StartAnswered: planner_runs.handle_start_answer,
     pool_messages.StopAnswered: planner_runs.handle_stop_answer,
     pool_messages.HoldAnswered: planner_leases.handle_hold_answer,
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -26,6 +26,7 @@
     "Decision",
     "DisconnectExecutor",
     "DropBatch",
+    "DropsPending",
     "EXECUTORS",
     "EndedRun",
     "ExecutorsListed",
@@ -180,7 +181,10 @@
 
 
 class DropBatch(NamedTuple):
-    """Tell a planner that its origin no longer needs a batch."""
+    """Tell a planner that its origin no longer needs a batch.
+
+    The planner acknowledges it with a `BatchEnded` that says ``cancelled``.
+    """
 
     name: str
     origin: str
@@ -295,6 +299,14 @@
     """Seconds that its executors need for the waiting tasks."""
 
 
+class DropsPending(NamedTuple):
+    """Whether a planner has yet to acknowledge a drop of this instance."""
+
+    planner: str
+    """Name of the planner."""
+    pending: bool
+
+
 class ShardChanged(NamedTuple):
     """The planner of this instance took over or gave up a shard."""
 
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -55,6 +55,15 @@
             and send.to == pool_messages.PLANNER
         ]
 
+    def confirmed_to(self, address):
+        """Return the time that the last heartbeat to an address confirms."""
+        return [
+            send.msg.msg.planner_confirmed_at
+            for send in self.sent
+            if isinstance(send.msg, pool_messages.SendToMembers)
+            and address in send.msg.addresses
+        ][-1]
+
     def count_heartbeats(self):
         """Return the number of heartbeats sent to each address."""
         counts = {}
@@ -116,6 +125,19 @@
         harness.advance(4.0)
         self.assertGreaterEqual(harness.count_heartbeats()["b-0", 1], 18)
 
+    def test_nothing_later_is_confirmed_while_a_drop_is_pending(self):
+        members = make_members()
+        harness = self.start(members[9], members)
+        confirmed = []
+        for pending in (False, True, True, False):
+            harness.tell(pool_messages.DropsPending("a-0", pending))
+            harness.sent.clear()
+            harness.now += 0.5
+            harness.receive_heartbeats(members[:1], sent_at=harness.now)
+            harness.tell(messages.TimerFired("heartbeat"))
+            confirmed.append(harness.confirmed_to(members[0].address))
+        self.assertEqual(confirmed, [101.5, 101.5, 101.5, 103.0])
+
     def test_planner_asks_often_whether_a_remote_origin_lives(self):
         members = make_members(24)
         harness = self.start(members[0], members)
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -8,6 +8,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import gateway
+from cardamompathd.controllers import gateway_drops
 from cardamompathd.tests import pool_simulation
 
 DOMAINS = "abcd"
@@ -77,6 +78,72 @@
         ended = pool_messages.BatchEnded("j1", "a-8", outcome, planner)
         return self.tell(ended)
 
+    def withdraw(self, name="j1"):
+        return self.tell(pool_messages.WithdrawBatch(name))
+
+    def drops(self, sent):
+        """Return the address and the batch of each drop."""
+        return [
+            (msg.address[0], msg.msg.name)
+            for to, msg in sent
+            if to == pool_messages.LINKS
+            and isinstance(msg.msg, pool_messages.DropBatch)
+        ]
+
+    def reports(self, sent):
+        """Return whether drops are pending, as told to the fleet."""
+        return [
+            msg.pending
+            for _, msg in sent
+            if isinstance(msg, pool_messages.DropsPending)
+        ]
+
+    def pass_drop_interval(self):
+        fired = messages.TimerFired(gateway_drops.TIMER_KEY)
+        return self.tell(fired, gateway_drops.RESEND_INTERVAL)
+
+    def test_drop_that_a_broken_link_lost_is_repeated(self):
+        self.configure()
+        self.update_fleet(self.members)
+        address = self.submit()[0][0]
+        sent = self.withdraw()
+        self.assertEqual(self.drops(sent), [(address, "j1")])
+        self.assertEqual(self.reports(sent), [True])
+        for _ in range(2):
+            self.assertEqual(
+                self.drops(self.pass_drop_interval()), [(address, "j1")]
+            )
+        sent = self.end_batch(batches.CANCELLED, address)
+        self.assertEqual(self.reports(sent), [False])
+        self.assertEqual(self.drops(self.pass_drop_interval()), [])
+
+    def test_drop_is_forgotten_with_its_planner(self):
+        self.configure()
+        self.update_fleet(self.members)
+        address = self.submit()[0][0]
+        self.withdraw()
+        view = fleet_views.make_view(
+            self.members[8],
+            [item for item in self.members if item.address[0] != address],
+            (),
+            dict.fromkeys(DOMAINS, 9),
+        )
+        self.assertEqual(self.reports(self.tell(view)), [False])
+        self.assertEqual(self.drops(self.pass_drop_interval()), [])
+
+    def test_batch_that_is_submitted_again_is_not_dropped(self):
+        self.configure()
+        self.update_fleet(self.members)
+        address = self.submit()[0][0]
+        self.withdraw()
+        self.assertEqual([to for to, _ in self.submit()], [address])
+        self.assertEqual(self.drops(self.pass_drop_interval()), [])
+        # The acknowledgment of the drop arrives after that.
+        sent = self.end_batch(batches.CANCELLED, address)
+        self.assertEqual(self.answers(sent), [])
+        sent = self.end_batch(batches.COMPLETE, address)
+        self.assertEqual(len(self.answers(sent)), 1)
+
     def test_requests_are_refused_before_the_routes_are_known(self):
         for kind in (pool_messages.CountWaiting, pool_messages.CancelBatch):
             sent = self.tell(kind(pool_simulation.HOST, "/jobs/x", "r"))
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -229,6 +229,17 @@
         self.answer_hold()
         self.assertIsNone(self.hold.expires)
 
+    def test_drop_is_acknowledged_also_if_the_batch_is_unknown(self):
+        self.permit(0.4)
+        for name in ("j", "unknown"):
+            self.plan()
+            sent = self.tell(pool_messages.DropBatch(name, "n-b"))
+            answers = self.kinds(sent, pool_messages.SendToMember)
+            self.assertEqual(
+                [(item.msg.name, item.msg.outcome.state) for item in answers],
+                [(name, batches.CANCELLED)],
+            )
+
     def test_fenced_start_is_not_repeated_until_the_executor_answers(self):
         # A fenced planner sent the start again with each answer, each 4 ms.
         self.permit(9.0)
