Pool simulation: orders carried out late, restarts, resubmitting callers

The simulated executor now follows the contract of real ones where it did not: a start extends the leases of everything on its executor, also if it is answered old or room or the run is already there; orders of a kind may get no answer and are carried out 2 to 12 s later; an executor may crash and start again under its name, with a new clock and new numbers of ends and without a token; its clock may be slow. Callers submit a job again 1.3 s after their connection broke or their time limit passed; instances start again under their name. Two runs of a task on one executor count as well.

--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import random
 
 from cardamompath_core import batches
 from cardamompath_core import executors
@@ -22,6 +23,17 @@
 """Seconds from a stop until the run ends."""
 LISTING_INTERVAL = 0.4
 """Seconds between listings of the executors."""
+REQUEST_TIMEOUT = 0.25
+"""Seconds after which a request to an executor counts as unanswered."""
+ORDER_DELAYS = (2.0, 12.0)
+"""Shortest and longest number of seconds after which an order that got no
+answer is carried out."""
+RESUBMIT_DELAY = 1.3
+"""Seconds after which a caller without an answer submits its job again."""
+CALLER_POLL_TIME = 0.02
+"""Seconds between looks of a caller at its connection."""
+FIRST_RESTART = 9000
+"""Start times of restarted instances are later than this."""
 HOST = "desk.example"
 POLICY = batches.RoutePolicy("r-1", "desk", 0, 2, 1.6, 0.06)
 TABLE = routes.make_table(
@@ -57,19 +69,54 @@
         self.answers_to_lose = 0
         """Number of answers to lose, from the next one on."""
         self.start_count = 0
+        self.started_tasks = set()
+        """Names of the batches, steps and indexes of all started tasks."""
+        self.booted_at = 50.0
+        self.clock_rate = 1.0
+        """Seconds that its clock shows for a second."""
+        self.late_shares = {}
+        """Share of the orders of each type that get no answer and are
+        carried out late."""
 
     def clock(self):
         """Return the executor's clock, which differs from those of others."""
-        return self.simulation.now - 50.0
+        return (self.simulation.now - self.booted_at) * self.clock_rate
+
+    def crash(self, down_time):
+        """Lose all runs, and start again under the same name."""
+        self.unreachable = True
+        self.runs.clear()
+        self.pending_holds.clear()
+        self.simulation.schedule(down_time, self.boot)
+
+    def boot(self):
+        """Start anew: nothing of before is known, and counts begin again."""
+        self.unreachable = False
+        self.booted_at = self.simulation.now
+        self.spec = self.spec._replace(incarnation=self.spec.incarnation + 1)
+        self.token = 0
+        self.lease_until = 0.0
+        self.runs.clear()
+        self.ended_runs.clear()
+        self.highest_attempts.clear()
+        self.pending_holds.clear()
+        self.sequence = itertools.count(1)
+
+    def is_late(self, request):
+        """Return whether an order gets no answer and is carried out late."""
+        share = self.late_shares.get(type(request), 0.0)
+        return share > 0.0 and self.simulation.rng.random() < share
 
     def expire_leases(self):
-        if self.runs and self.simulation.now > self.lease_until:
+        if self.runs and self.clock() > self.lease_until:
             for run in list(self.runs):
                 self.end_run(run, "lapsed")
 
-    def end_run(self, run, state):
+    def end_run(self, run, state, started_at=None):
         if run not in self.runs:
             return
+        if started_at is not None and self.runs[run] != started_at:
+            return
         del self.runs[run]
         ended = pool_messages.EndedRun(next(self.sequence), run, state)
         self.ended_runs.append(ended)
@@ -85,10 +132,11 @@
         if request.token < self.token:
             return "fenced"
         self.token = request.token
-        if request.run in self.runs:
-            return "started"
         if request.expires <= now:
             return "late"
+        self.extend_leases(request.expires)
+        if request.run in self.runs:
+            return "started"
         if request.run.attempt <= self.highest_attempts.get(
             request.run[:3], 0
         ):
@@ -96,25 +144,61 @@
         free = self.spec.capacity.cpu - 4000 * len(self.runs)
         if free < 4000:
             return "room"
-        self.extend_leases(request.expires)
-        self.runs[request.run] = self.simulation.now
+        started_at = self.simulation.now
+        self.runs[request.run] = started_at
         self.start_count += 1
+        self.started_tasks.add(request.run[:3])
         self.simulation.check_duplicates(request.run)
         if not self.stalls_runs:
             state = "failed" if self.fails_runs else "done"
             self.simulation.schedule(
                 self.simulation.run_time,
-                lambda: self.end_run(request.run, state),
+                lambda: self.end_run(request.run, state, started_at),
             )
         return "started"
 
     def extend_leases(self, expires):
-        bounded = min(expires, self.clock() + LEASE)
-        lease_end = bounded + 50.0
+        lease_end = min(expires, self.clock() + LEASE)
         self.lease_until = max(self.lease_until, lease_end)
+        time_left = (lease_end - self.clock()) / self.clock_rate
+        self.simulation.schedule(time_left + 0.001, self.expire_leases)
+
+    def stop(self, request):
+        if request.token < self.token:
+            return False
+        self.token = request.token
+        key = request.run[:3]
+        highest = self.highest_attempts.get(key, 0)
+        self.highest_attempts[key] = max(highest, request.run.attempt)
         self.simulation.schedule(
-            lease_end - self.simulation.now + 0.001, self.expire_leases
+            STOP_TIME, lambda: self.end_run(request.run, "stopped")
         )
+        return True
+
+    def hold(self, request):
+        """Take over what a hold says; return whether it is not fenced."""
+        if request.token < self.token:
+            return False
+        self.token = request.token
+        self.ended_runs = [
+            ended
+            for ended in self.ended_runs
+            if ended.number > request.acknowledged
+        ]
+        if request.expires is not None:
+            self.extend_leases(request.expires)
+        return True
+
+    def carry_out(self, request):
+        """Carry out an order whose sender has given up on an answer."""
+        if self.unreachable:
+            return
+        if isinstance(request, pool_messages.StartRun):
+            self.start(request)
+        elif isinstance(request, pool_messages.StopRun):
+            self.stop(request)
+        elif isinstance(request, pool_messages.HoldExecutor):
+            self.hold(request)
 
     def make_hold_answer(self, token):
         return pool_messages.HoldAnswered(
@@ -189,10 +273,13 @@
     ----------
     domains : sequence of str
         Failure domains, with an instance and two executors in each.
+    seed : int
+        Seed of what happens by chance.
     """
 
-    def __init__(self, domains=("a", "b", "c")):
+    def __init__(self, domains=("a", "b", "c"), seed=0):
         self.now = 100.0
+        self.rng = random.Random(seed)
         self.run_time = 0.2
         """Seconds for which a task runs."""
         self.events = []
@@ -208,6 +295,12 @@
         same time."""
         self.answers = {}
         """Answers to callers, by their `reply_to`."""
+        self.submitted = []
+        """The `reply_to` of each submission."""
+        self.broken_replies = set()
+        """The `reply_to` of each submission whose connection broke."""
+        self.restart_count = 0
+        self.order_delays = ORDER_DELAYS
         self.executors = {}
         for domain in domains:
             for index in range(2):
@@ -280,13 +373,17 @@
         executor_names = [
             executor.spec.name
             for executor in self.executors.values()
-            if any(other[:3] == run[:3] for other in executor.runs)
+            for other in executor.runs
+            if other[:3] == run[:3]
         ]
         if len(executor_names) > 1:
             self.duplicate_runs.append((self.now, run, executor_names))
 
     def submit(self, instance, name, count=2, timeout=5.0):
         reply_to = f"{name}@{instance.name}"
+        if reply_to in self.submitted:
+            reply_to = f"{name}+{len(self.submitted)}@{instance.name}"
+        self.submitted.append(reply_to)
         instance.receive(
             pool_messages.GATEWAY,
             pool_messages.SubmitBatch(
@@ -300,6 +397,61 @@
         )
         return reply_to
 
+    def call(self, names, name, count=2, timeout=1.5):
+        """Submit a batch, and again if no answer comes, as callers do.
+
+        Parameters
+        ----------
+        names : sequence of str
+            The instances to which it is submitted, one after the other.
+        """
+        names = [each for each in names if self.instances[each].alive]
+        if not names:
+            return
+        instance = self.instances[names[0]]
+        reply_to = self.submit(instance, name, count, timeout)
+        gives_up_at = self.now + timeout + LATENCY
+
+        def poll():
+            answer = self.answers.get(reply_to)
+            if answer is not None and answer.state != batches.TIMED_OUT:
+                return
+            is_broken = not instance.alive or reply_to in self.broken_replies
+            if not is_broken and answer is None and self.now < gives_up_at:
+                self.schedule(CALLER_POLL_TIME, poll)
+                return
+            withdrawal = pool_messages.WithdrawBatch(reply_to)
+            instance.receive(pool_messages.GATEWAY, withdrawal)
+            self.schedule(
+                RESUBMIT_DELAY,
+                lambda: self.call(names[1:], name, count, timeout),
+            )
+
+        poll()
+
+    def break_connections(self, instance):
+        """Break the connections of the callers of an instance."""
+        self.broken_replies.update(
+            reply_to
+            for reply_to in self.submitted
+            if reply_to.endswith(f"@{instance.name}")
+        )
+
+    def restart_instance(self, name, down_time):
+        """Kill an instance, and start it again under its name."""
+        former = self.instances[name]
+        former.alive = False
+        self.lags.pop(name, None)
+        self.frozen_until.pop(name, None)
+        self.restart_count += 1
+        started = FIRST_RESTART + self.restart_count
+
+        def restart():
+            if self.instances[name] is former:
+                self.add_instance(name, former.domain, started)
+
+        self.schedule(down_time, restart)
+
     def route(self, instance, send):
         msg = send.msg
         if send.to == messages.TIMERS:
@@ -359,10 +511,14 @@
                 (instance.name, instance.domain), location
             )
         if not is_reached:
+            self._time_out(instance, request)
+            return
+        if executor.is_late(request):
             self.schedule(
-                0.25,
-                lambda: self._deliver_answer(instance, _make_timeout(request)),
+                self.rng.uniform(*self.order_delays),
+                lambda: executor.carry_out(request),
             )
+            self._time_out(instance, request)
             return
         if isinstance(request, pool_messages.HoldExecutor):
             self._answer_hold(instance, executor, request)
@@ -370,15 +526,20 @@
         answer = _handle_request(executor, request)
         if executor.answers_to_lose > 0:
             executor.answers_to_lose -= 1
-            self.schedule(
-                0.25,
-                lambda: self._deliver_answer(instance, _make_timeout(request)),
-            )
+            self._time_out(instance, request)
             return
         self.schedule(LATENCY, lambda: self._deliver_answer(instance, answer))
 
+    def _time_out(self, instance, request):
+        """Tell the sender of a request that no answer came."""
+        timeout = REQUEST_TIMEOUT
+        if isinstance(request, pool_messages.HoldExecutor):
+            timeout += request.wait
+        answer = _make_timeout(request)
+        self.schedule(timeout, lambda: self._deliver_answer(instance, answer))
+
     def _answer_hold(self, instance, executor, request):
-        if request.token < executor.token:
+        if not executor.hold(request):
             fenced = pool_messages.HoldFailed(
                 executor.spec.name, request.token, True, False, "fence"
             )
@@ -386,23 +547,17 @@
                 LATENCY, lambda: self._deliver_answer(instance, fenced)
             )
             return
-        executor.token = request.token
-        executor.ended_runs = [
-            ended
-            for ended in executor.ended_runs
-            if ended.number > request.acknowledged
-        ]
-        if request.expires is not None:
-            executor.extend_leases(request.expires)
+        booted_at = executor.booted_at
         answered = []
 
         def answer():
-            if not answered:
-                answered.append(True)
-                listing = executor.make_hold_answer(request.token)
-                self.schedule(
-                    LATENCY, lambda: self._deliver_answer(instance, listing)
-                )
+            if answered:
+                return
+            answered.append(True)
+            msg = executor.make_hold_answer(request.token)
+            if executor.unreachable or executor.booted_at != booted_at:
+                msg = _make_timeout(request)
+            self.schedule(LATENCY, lambda: self._deliver_answer(instance, msg))
 
         if executor.ended_runs or request.wait <= 0.0:
             answer()
@@ -437,15 +592,7 @@
             name, request.run, result, result, executor.clock()
         )
     if isinstance(request, pool_messages.StopRun):
-        stopped = request.token >= executor.token
-        if stopped:
-            executor.token = request.token
-            key = request.run[:3]
-            highest = executor.highest_attempts.get(key, 0)
-            executor.highest_attempts[key] = max(highest, request.run.attempt)
-            executor.simulation.schedule(
-                STOP_TIME, lambda: executor.end_run(request.run, "stopped")
-            )
+        stopped = executor.stop(request)
         return pool_messages.StopAnswered(name, request.run, stopped, "")
     return pool_messages.ProbeAnswered(name, True)
 
