--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_resubmissions.py
@@ -0,0 +1,146 @@
+"""Jobs that callers submit again never run beside their first submission.
+
+A caller submits its job again, at another instance, some time after its
+connection broke or its time limit passed.
+"""
+
+import unittest
+
+from cardamompathd import pool_messages
+from cardamompathd.tests import test_large_fleet
+
+
+class ResubmissionTest(unittest.TestCase):
+    """The first and the second submission have different planners."""
+
+    def setUp(self):
+        self.simulation = test_large_fleet.make_simulation()
+
+    def tearDown(self):
+        self.assertEqual(self.simulation.duplicate_runs, [])
+        starts = {
+            executor.spec.domain
+            for executor in self.simulation.executors.values()
+            if ("j", 0, 0) in executor.started_tasks
+        }
+        self.assertEqual(starts, {"a", "b"})
+
+    def call(self, timeout=9.0):
+        self.simulation.run_time = 4.0
+        self.simulation.call(["n-a5", "n-b5"], "j", 1, timeout)
+        self.simulation.advance(0.25)
+
+    def call_with_remote_planner(self):
+        """Have the first planner in the other failure domain."""
+        self.simulation.run_time = 0.4
+        for number in range(6):
+            origin = self.simulation.instances["n-a7"]
+            self.simulation.submit(origin, f"w{number}", 8, 9.0)
+        self.simulation.advance(0.3)
+        self.simulation.run_time = 4.0
+        self.simulation.call(["n-a5", "n-a6"], "j", 1, 9.0)
+        self.simulation.advance(0.25)
+
+    def lose_stops(self):
+        for executor in self.simulation.executors.values():
+            executor.late_shares = {pool_messages.StopRun: 1.0}
+
+    def cut_from_planners(self):
+        for planner in ("n-a", "n-a1"):
+            self.simulation.partition("n-a5", planner)
+
+    def lose_withdrawal(self):
+        """Break the caller's connection while a link loses messages."""
+        self.cut_from_planners()
+        self.simulation.break_connections(self.simulation.instances["n-a5"])
+        self.simulation.advance(0.1)
+        self.simulation.heal()
+
+    def set_planner_lag(self, seconds):
+        for name in ("n-a", "n-a1"):
+            self.simulation.lags[name] = seconds
+
+    def test_runs_of_a_dead_instance_end_before_its_job_comes_again(self):
+        self.call()
+        self.simulation.restart_instance("n-a5", 60.0)
+        self.simulation.advance(6.0)
+
+    def test_runs_of_a_dead_instance_end_though_their_stops_are_lost(self):
+        self.call()
+        self.lose_stops()
+        self.simulation.restart_instance("n-a5", 60.0)
+        self.simulation.advance(6.0)
+
+    def test_runs_at_a_remote_planner_end_though_their_stops_are_lost(self):
+        self.call_with_remote_planner()
+        self.lose_stops()
+        self.simulation.restart_instance("n-a5", 60.0)
+        self.simulation.advance(6.0)
+
+    def test_runs_on_slow_clocks_end_though_their_stops_are_lost(self):
+        for executor in self.simulation.executors.values():
+            executor.clock_rate = 0.98
+        self.call_with_remote_planner()
+        self.lose_stops()
+        self.simulation.restart_instance("n-a5", 60.0)
+        self.simulation.advance(6.0)
+
+    def test_runs_beside_others_end_though_their_stops_are_lost(self):
+        self.call()
+        self.lose_stops()
+        self.simulation.restart_instance("n-a5", 60.0)
+        self.simulation.run_time = 0.1
+        for number in range(30):
+            origin = self.simulation.instances["n-a6"]
+            self.simulation.submit(origin, f"k{number}", 5)
+            self.simulation.advance(0.1)
+        self.simulation.advance(3.0)
+
+    def test_runs_of_a_dead_instance_end_at_a_slow_planner(self):
+        for lag in (0.3, 0.6, 1.2):
+            with self.subTest(lag=lag):
+                self.simulation = test_large_fleet.make_simulation()
+                self.call()
+                self.lose_stops()
+                self.set_planner_lag(lag)
+                self.simulation.restart_instance("n-a5", 60.0)
+                self.simulation.advance(6.0)
+                self.assertEqual(self.simulation.duplicate_runs, [])
+
+    def test_runs_end_though_the_withdrawal_is_lost_on_a_link(self):
+        self.call()
+        self.lose_withdrawal()
+        self.simulation.advance(6.0)
+
+    def test_runs_end_though_the_withdrawal_and_the_stops_are_lost(self):
+        self.call()
+        self.lose_stops()
+        self.lose_withdrawal()
+        self.simulation.advance(6.0)
+
+    def test_runs_end_at_the_time_limit_though_its_message_is_lost(self):
+        self.call(timeout=1.5)
+        self.simulation.advance(1.2)
+        self.cut_from_planners()
+        self.simulation.advance(0.1)
+        self.simulation.heal()
+        self.simulation.advance(6.0)
+
+    def test_runs_end_at_a_planner_that_reads_the_withdrawal_late(self):
+        self.call()
+        self.lose_stops()
+        self.set_planner_lag(1.6)
+        self.simulation.break_connections(self.simulation.instances["n-a5"])
+        self.simulation.advance(6.0)
+
+    def test_runs_end_at_a_frozen_planner_of_a_dead_instance(self):
+        self.call()
+        self.lose_stops()
+        for name in ("n-a", "n-a1"):
+            self.simulation.freeze(self.simulation.instances[name], 1.2)
+        self.simulation.restart_instance("n-a5", 60.0)
+        self.simulation.advance(6.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
