Planner: a start renews no lease that must not be renewed

Callers saw a task run twice at the same time. An executor takes the end of a lease from a start for all runs that it has. Holds renew the leases of an executor only if all its runs may go on, starts always did, and a hold renewed those of runs of unknown batches. So a run whose stop was lost, or whose batch this planner may no longer run, lived on as long as other tasks started beside it, while its job ran elsewhere.

A start now carries the end that the leases of its executor have, and these are renewed first only if every run there may go on.

--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -45,7 +45,7 @@
     """Count the usable executors, and estimate all batches again."""
     state.pool.clear()
     for executor in state.executors.values():
-        if _is_usable(executor, now):
+        if _is_usable(state, executor, now):
             spec = executor.spec
             state.pool[spec.service, spec.model, spec.capacity] += 1
     for plan in state.plans.values():
@@ -123,7 +123,8 @@
     return [
         executor
         for executor in state.executors.values()
-        if executor.free_resources.cpu >= min_cpu and _is_usable(executor, now)
+        if executor.free_resources.cpu >= min_cpu
+        and _is_usable(state, executor, now)
     ]
 
 
@@ -194,18 +195,15 @@
     return now >= last_start + planner_runs.LAPSE_TIME
 
 
-def _is_usable(executor, now):
+def _is_usable(state, executor, now):
     """Return whether tasks may be started on an executor."""
-    if (
-        not executor.claimed
-        or executor.suspect
-        or executor.unregistered
-        or executor.orphans
-    ):
+    if not executor.claimed or executor.suspect or executor.unregistered:
         return False
     if executor.spec.state != executors.READY:
         return False
-    return not planner_health.is_ejected(executor, now)
+    if planner_health.is_ejected(executor, now):
+        return False
+    return planner_permissions.may_start(state, executor, now)
 
 
 def _urgency_of(plan):
@@ -232,7 +230,9 @@
             break
         plan.waiting.popleft()
         placements.append([executor.spec.name, f"{task.step}.{task.index}"])
-        sends += planner_runs.send_start(state, executor, plan, task, now)
+        if planner_permissions.may_renew(state, executor, now):
+            planner_runs.renew_leases(executor, now)
+        sends += planner_runs.send_start(executor, plan, task, now)
         if executor.free_resources.cpu < min_cpu:
             usable.remove(executor)
     if placements:
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -73,10 +73,8 @@
         and executor.runs
         and planner_permissions.may_renew(state, executor, now)
     ):
-        expires = executor.executor_clock(now) + planner_runs.LEASE
-        executor.lease_until = max(
-            executor.lease_until, now + planner_runs.LAPSE_TIME
-        )
+        planner_runs.renew_leases(executor, now)
+        expires = executor.lease_end
     hold = pool_messages.HoldExecutor(
         executor.spec, executor.token, executor.acknowledged, expires, wait
     )
--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
@@ -21,12 +21,17 @@
     "handle_permission",
     "is_permitted",
     "may_renew",
+    "may_start",
 ]
 
 UNPERMITTED_TIME = 0.6
 """Seconds without a permission after which the runs of a batch are stopped.
 A lease that was renewed 0.4 s before outlasts it, so that a permission that
 is only late costs nothing."""
+MIN_START_LEASE = 0.75
+"""Minimum number of seconds of a lease with which a run starts beside others
+that must not be renewed.  Those that are being stopped end sooner than in the
+rest of a lease."""
 
 
 def handle_permission(state, msg, now):
@@ -59,7 +64,7 @@
     A renewal extends all of them.  None may outlast the permission of its
     batch, and none that was stopped may live on if the stop was lost.
     """
-    return all(
+    return not executor.orphans and all(
         not task.stopping
         and state.plans.get(plan.name) is plan
         and is_permitted(state, plan, now)
@@ -67,6 +72,14 @@
     )
 
 
+def may_start(state, executor, now):
+    """Return whether a run on an executor can get a lease of some length."""
+    if may_renew(state, executor, now):
+        return True
+    time_left = executor.lease_end - executor.executor_clock(now)
+    return not executor.orphans and time_left >= MIN_START_LEASE
+
+
 def drop_unpermitted(state, now):
     """Drop the batches that other planners may run by now."""
     sends = []
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -22,6 +22,7 @@
     "handle_stop_answer",
     "lose_runs",
     "release_run",
+    "renew_leases",
     "send_start",
     "send_stop",
 ]
@@ -53,8 +54,18 @@
 """Weight of a run in the moving average of an executor's failure rate."""
 
 
-def send_start(state, executor, plan, task, now):
-    """Start a task on an executor; return the messages."""
+def renew_leases(executor, now):
+    """Let the leases of an executor end later, by its clock."""
+    executor.lease_end = executor.executor_clock(now) + LEASE
+    executor.lease_until = max(executor.lease_until, now + LAPSE_TIME)
+
+
+def send_start(executor, plan, task, now):
+    """Start a task on an executor; return the messages.
+
+    The start carries the present end of the leases there, as it would also
+    renew those of all other runs.
+    """
     task.attempt += 1
     task.status = "sent"
     task.executor_name = executor.spec.name
@@ -70,13 +81,12 @@
     executor.free_resources = executors.subtract(
         executor.free_resources, resources_of(plan, task)
     )
-    executor.lease_until = max(executor.lease_until, task.start_deadline)
     start = pool_messages.StartRun(
         executor.spec,
         executor.token,
         task.run,
         plan.batch.spec,
-        executor.executor_clock(now) + LEASE,
+        executor.lease_end,
     )
     return [messages.Send(pool_messages.EXECUTORS, start)]
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -201,6 +201,7 @@
         "hold_pending",
         "hold_sent_at",
         "last_end_at",
+        "lease_end",
         "lease_until",
         "log_slowdown",
         "orphans",
@@ -237,6 +238,9 @@
         self.hold_sent_at = now
         self.answered_at = now
         """When the executor last answered."""
+        self.lease_end = 0.0
+        """The latest end of a lease that was sent to it, in seconds of its
+        clock."""
         self.lease_until = 0.0
         """When all leases granted by the executor have surely lapsed."""
         self.retry_at = now
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -192,6 +192,41 @@
         self.answer_hold()
         self.assertIsNone(self.hold.expires)
 
+    def plan_own(self):
+        """Plan a batch whose caller waits at the planner's instance."""
+        own = make_batch()._replace(name="k")
+        return self.tell(pool_messages.PlanBatch(own, "n-a", 0.0, 9.0, 0))
+
+    def test_start_renews_no_run_without_permission(self):
+        self.permit(0.4)
+        self.running = tuple(self.started(self.plan()))
+        self.answer_hold()
+        self.now += 0.5
+        self.assertEqual(self.started(self.plan_own()), [])
+        self.ended = (pool_messages.EndedRun(1, self.running[0], "lapsed"),)
+        self.running = ()
+        self.assertEqual(len(self.started(self.answer_hold())), 1)
+
+    def test_start_renews_no_run_that_is_being_stopped(self):
+        self.permit(9.0)
+        first = self.kinds(self.plan(), pool_messages.StartRun)[0]
+        self.running = (first.run,)
+        self.tell(pool_messages.DropBatch("j", "n-b"), 0.1)
+        beside = self.kinds(self.plan_own(), pool_messages.StartRun)[0]
+        self.assertEqual(beside.expires, first.expires)
+
+    def test_start_beside_a_lost_stop_gets_no_short_lease(self):
+        self.permit(9.0)
+        self.running = tuple(self.started(self.plan()))
+        self.tell(pool_messages.DropBatch("j", "n-b"), 0.5)
+        self.assertEqual(self.started(self.plan_own()), [])
+
+    def test_hold_renews_no_run_of_an_unknown_batch(self):
+        own_run = self.started(self.plan_own())[0]
+        self.running = (own_run, pool_messages.Run("other", 0, 0, 1))
+        self.answer_hold()
+        self.assertIsNone(self.hold.expires)
+
     def test_fenced_start_is_not_repeated_until_the_executor_answers(self):
         # A fenced planner sent the start again with each answer, each 4 ms.
         self.permit(9.0)
