--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -71,9 +71,7 @@
         lease = planner_permissions.renewal_time(state, executor, now)
         if lease > 0.0:
             expires = executor.executor_clock(now) + lease
-            executor.lease_until = max(
-                executor.lease_until, now + planner_runs.LAPSE_TIME
-            )
+            planner_runs.record_lease(executor, expires, now)
     hold = pool_messages.HoldExecutor(
         executor.spec, executor.token, executor.acknowledged, expires, wait
     )
--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
@@ -24,6 +24,7 @@
     "is_permitted",
     "lease_time",
     "renewal_time",
+    "start_lease_end",
 ]
 
 UNPERMITTED_TIME = 0.6
@@ -91,6 +92,8 @@
     and none that was stopped may live on if the stop was lost.  The result is
     not above 0 if they must not be renewed.
     """
+    if executor.orphans:
+        return 0.0
     longest = planner_runs.LEASE
     for plan, task in executor.runs.values():
         if task.stopping or state.plans.get(plan.name) is not plan:
@@ -99,6 +102,27 @@
     return longest
 
 
+def start_lease_end(state, executor, plan, now):
+    """Return the end of the lease with which a run of a batch may start.
+
+    A start renews the leases of all runs on its executor, and the new run
+    gets the longest lease that was ever sent there.
+
+    Returns
+    -------
+    float or None
+        In seconds of the executor's clock; None if that is longer than the
+        batch allows, or too short to be renewed in time.
+    """
+    clock = executor.executor_clock(now)
+    allowed = lease_time(state, plan, now)
+    lease = min(allowed, renewal_time(state, executor, now))
+    lease_end = max(executor.lease_end, clock + lease)
+    if clock + planner_runs.MIN_LEASE <= lease_end <= clock + allowed:
+        return lease_end
+    return None
+
+
 def drop_unpermitted(state, now):
     """Drop the batches that other planners may run by now."""
     sends = []
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -23,13 +23,18 @@
     "handle_start_answer",
     "handle_stop_answer",
     "lose_runs",
+    "record_lease",
     "release_run",
     "send_start",
     "send_stop",
 ]
 
-LEASE = 1.0
-"""Seconds of the lease of a run; the longest that executors grant."""
+MAX_LEASE = 1.0
+"""Seconds of the longest lease that executors grant."""
+LEASE = 0.9
+"""Seconds of the lease of a run: long enough for a second hold after one
+without an answer, and allowed by a permission that rests on a heartbeat of
+0.28 s ago.  A run inherits the leases of others on its executor."""
 STOP_TIME = 0.05
 """Seconds for which a run may go on after a stop, by contract; also after its
 lease, if the stop came just before the end of that."""
@@ -37,11 +42,11 @@
 """Seconds within which an executor ends a run whose lease has lapsed."""
 END_TIME = STOP_TIME + LEASE_MARGIN
 """Seconds for which a run may go on after its lease, by the true clock."""
-LAPSE_TIME = LEASE / (1.0 - planner_state.CLOCK_ERROR) + END_TIME
+LAPSE_TIME = MAX_LEASE / (1.0 - planner_state.CLOCK_ERROR) + END_TIME
 """Seconds after a start or a renewal after which its runs have surely ended.
 The end of a lease is a time of the executor's clock, so that a request that
 arrives late changes nothing."""
-MIN_LEASE = 0.5
+MIN_LEASE = 0.6
 """Seconds of the shortest lease with which a run is started; the first hold
 that renews it is sent before."""
 ATTEMPT_SKIP = 8
@@ -58,8 +63,14 @@
 """Weight of a run in the moving average of an executor's failure rate."""
 
 
-def send_start(executor, plan, task, lease, now):
-    """Start a task on an executor with a lease in seconds."""
+def record_lease(executor, lease_end, now):
+    """Record that leases end at a time of an executor's clock."""
+    executor.lease_end = max(executor.lease_end, lease_end)
+    executor.lease_until = max(executor.lease_until, now + LAPSE_TIME)
+
+
+def send_start(executor, plan, task, lease_end, now):
+    """Start a task on an executor; its lease ends at a time of that clock."""
     task.attempt += 1
     task.status = "sent"
     task.executor_name = executor.spec.name
@@ -75,13 +86,13 @@
     executor.free_resources = executors.subtract(
         executor.free_resources, resources_of(plan, task)
     )
-    executor.lease_until = max(executor.lease_until, task.start_deadline)
+    record_lease(executor, lease_end, now)
     start = pool_messages.StartRun(
         executor.spec,
         executor.token,
         task.run,
         plan.batch.spec,
-        executor.executor_clock(now) + lease,
+        lease_end,
     )
     return [messages.Send(pool_messages.EXECUTORS, start)]
 
