Leases: as long as executors grant them

A successor adopts runs before their leases lapse only if these are a second long: test_successor_takes_over_the_shard_and_its_runs failed with 0.9 s. A batch whose permission allows less than the lease that an executor has starts on another one.

--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -29,12 +29,8 @@
     "send_stop",
 ]
 
-MAX_LEASE = 1.0
-"""Seconds of the longest lease that executors grant."""
-LEASE = 0.9
-"""Seconds of the lease of a run: long enough for a second hold after one
-without an answer, and allowed by a permission that rests on a heartbeat of
-0.28 s ago.  A run inherits the leases of others on its executor."""
+LEASE = 1.0
+"""Seconds of the lease of a run; the longest that executors grant."""
 STOP_TIME = 0.05
 """Seconds for which a run may go on after a stop, by contract; also after its
 lease, if the stop came just before the end of that."""
@@ -42,7 +38,7 @@
 """Seconds within which an executor ends a run whose lease has lapsed."""
 END_TIME = STOP_TIME + LEASE_MARGIN
 """Seconds for which a run may go on after its lease, by the true clock."""
-LAPSE_TIME = MAX_LEASE / (1.0 - planner_state.CLOCK_ERROR) + END_TIME
+LAPSE_TIME = LEASE / (1.0 - planner_state.CLOCK_ERROR) + END_TIME
 """Seconds after a start or a renewal after which its runs have surely ended.
 The end of a lease is a time of the executor's clock, so that a request that
 arrives late changes nothing."""
