--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -71,9 +71,9 @@
             link = pool_messages.SetLink(peer.member.address, False)
             sends.append(messages.Send(pool_messages.LINKS, link))
             changed = True
-    for name, until in list(state.remote_planners.items()):
+    for name, until in list(state.remote_peers.items()):
         if now > until:
-            del state.remote_planners[name]
+            del state.remote_peers[name]
             state.intervals.clear()
     changed |= state.published is not None and (
         fleet_views.has_quorum(state, now) != state.published.has_quorum
@@ -101,7 +101,7 @@
         interval = state.intervals.get(address, fleet_state.HEARTBEAT_INTERVAL)
         if now >= sent_at + interval - TIMER_TOLERANCE:
             state.addresses[address] = now
-            permission = permissions.get(address, (0.0, 0))
+            permission = permissions.get(address, (0.0, 0, 0.0))
             lists = lists_all or address in new_addresses
             groups[interval, permission, lists].append(address)
     return [
@@ -124,10 +124,12 @@
 
 
 def _planner_permissions(state):
-    """Return until when batches stay with each planner, and its term.
+    """Return until when batches stay with each planner, and on what ground.
 
-    The time is that at which this instance takes the planner for failed
-    unless it hears of it again, in seconds of the planner's clock.
+    Each permission has the time at which this instance takes the planner for
+    failed unless it hears of it again, the term, and the time of the planner's
+    last heartbeat, or of the last one before a drop that it has not
+    acknowledged.  Times are in seconds of the planner's clock.
     """
     permissions = {}
     for planner in state.assignment.planners:
@@ -137,7 +139,8 @@
             continue
         if peer.sent_at > 0.0 and peer.member.started == planner.started:
             until = peer.sent_at + peer.timeout
-            permissions[peer.member.address] = (until, term)
+            confirmed_at = state.drops_pending.get(planner.name, peer.sent_at)
+            permissions[peer.member.address] = (until, term, confirmed_at)
     return permissions
 
 
@@ -194,7 +197,11 @@
     sends = []
     if msg.planner_until > now:
         permitted = pool_messages.PlanningPermitted(
-            member.name, member.started, msg.planner_term, msg.planner_until
+            member.name,
+            member.started,
+            msg.planner_term,
+            msg.planner_until,
+            msg.planner_confirmed_at,
         )
         sends.append(messages.Send(pool_messages.PLANNER, permitted))
     if peer.reported_backlog != msg.backlog:
@@ -260,11 +267,20 @@
     return ()
 
 
-def _add_remote_planner(state, msg, _):
-    until = max(state.remote_planners.get(msg.name, 0.0), msg.until)
-    if msg.name not in state.remote_planners:
+def _note_pending_drops(state, msg, _):
+    if not msg.pending:
+        state.drops_pending.pop(msg.planner, None)
+    elif msg.planner not in state.drops_pending:
+        peer = state.peers.get(msg.planner)
+        state.drops_pending[msg.planner] = peer.sent_at if peer else 0.0
+    return ()
+
+
+def _add_remote_peer(state, msg, _):
+    until = max(state.remote_peers.get(msg.name, 0.0), msg.until)
+    if msg.name not in state.remote_peers:
         state.intervals.clear()
-    state.remote_planners[msg.name] = until
+    state.remote_peers[msg.name] = until
     return ()
 
 
@@ -276,6 +292,7 @@
     pool_messages.Leave: _leave,
     pool_messages.ConfigurationInForce: _set_config_version,
     pool_messages.BacklogMeasured: _set_backlog,
-    pool_messages.RemotePlannerUsed: _add_remote_planner,
+    pool_messages.DropsPending: _note_pending_drops,
+    pool_messages.RemotePeerUsed: _add_remote_peer,
     pool_messages.ShardChanged: _set_shard,
 }
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -48,6 +48,7 @@
     make_token: Callable[[], int],
     started_at: float,
     remote_rack_factor: float = 1.0,
+    resubmit_delay: float = planner_state.RESUBMIT_DELAY,
 ) -> messages.Controller:
     """Make the controller that plans batches at this instance.
 
@@ -61,8 +62,12 @@
         Start of the instance, in seconds of its clock.
     remote_rack_factor : float
         Factor on the run time of a task on a rack without its data.
+    resubmit_delay : float
+        Seconds after which a caller without an answer submits a batch again.
     """
-    state = planner_state.PlannerState(name, make_token, remote_rack_factor)
+    state = planner_state.PlannerState(
+        name, make_token, remote_rack_factor, resubmit_delay
+    )
 
     def receive(msg, now):
         handler = _HANDLERS.get(type(msg))
@@ -228,6 +233,7 @@
     state.plans[plan.name] = plan
     _reattach_runs(state, plan, now)
     return [
+        *_report_remote_origin(state, msg, plan),
         planner_log.decision(
             "batch planned",
             plan.name,
@@ -236,10 +242,24 @@
             tasks=len(plan.tasks),
             round=msg.round,
             age_ms=round(msg.age * 1000.0),
-        )
+        ),
     ]
 
 
+def _report_remote_origin(state, msg, plan):
+    """Have heartbeats sent often to an origin in another failure domain."""
+    if not state.assignment.by_domain:
+        return []
+    own_domain = state.fleet.own_member.domain
+    if any(
+        member.name == msg.origin and member.domain != own_domain
+        for member in state.fleet.alive
+    ):
+        used = pool_messages.RemotePeerUsed(msg.origin, plan.deadline)
+        return [messages.Send(pool_messages.FLEET, used)]
+    return []
+
+
 def _reattach_runs(state, plan, now):
     """Attach runs of an earlier submission of a batch to the new one."""
     for executor in state.executors.values():
@@ -290,6 +310,15 @@
     return ""
 
 
+def _handle_drop(state, msg, now):
+    sends = _drop_batch(state, msg, now)
+    if state.fleet is None:
+        return sends
+    outcome = batches.Outcome(batches.CANCELLED, "dropped by its origin")
+    ended = pool_messages.BatchEnded(msg.name, msg.origin, outcome, state.name)
+    return [*sends, planner_runs.send_to_member(state, msg.origin, ended)]
+
+
 def _drop_batch(state, msg, now):
     state.early_batches.pop(msg.name, None)
     plan = state.plans.get(msg.name)
@@ -314,7 +343,7 @@
     pool_messages.ExecutorsListed: _update_listing,
     pool_messages.PlanBatch: _plan_batch,
     pool_messages.PlanningPermitted: planner_permissions.handle_permission,
-    pool_messages.DropBatch: _drop_batch,
+    pool_messages.DropBatch: _handle_drop,
     pool_messages.StartAnswered: planner_runs.handle_start_answer,
     pool_messages.StopAnswered: planner_runs.handle_stop_answer,
     pool_messages.HoldAnswered: planner_leases.handle_hold_answer,
