--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -175,7 +175,8 @@
     If the earlier planners had the same shard, this planner has claimed
     every executor on which such runs may be.
     """
-    if not planner_permissions.is_permitted(state, plan, now):
+    lease = planner_permissions.lease_time(state, plan, now)
+    if lease < planner_runs.MIN_LEASE:
         return False
     if plan.round == 0:
         return True
@@ -225,16 +226,24 @@
     """Start the waiting tasks of a batch that fit; return the messages."""
     sends = []
     placements = []
+    candidates = usable
     while plan.waiting:
         task = plan.waiting[0]
-        executor = _choose_executor(state, plan, task, usable)
+        executor = _choose_executor(state, plan, task, candidates)
         if executor is None:
             break
+        lease_end = planner_permissions.start_lease_end(
+            state, executor, plan, now
+        )
+        if lease_end is None:
+            candidates = [item for item in candidates if item is not executor]
+            continue
         plan.waiting.popleft()
         placements.append([executor.spec.name, f"{task.step}.{task.index}"])
-        sends += planner_runs.send_start(state, executor, plan, task, now)
+        sends += planner_runs.send_start(executor, plan, task, lease_end, now)
         if executor.free_resources.cpu < min_cpu:
             usable.remove(executor)
+            candidates = [item for item in candidates if item is not executor]
     if placements:
         sends.append(_log_sent_tasks(state, plan, placements, now))
     return sends
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -26,6 +26,7 @@
     "Decision",
     "DisconnectExecutor",
     "DropBatch",
+    "DropsPending",
     "EXECUTORS",
     "EndedRun",
     "ExecutorsListed",
@@ -46,7 +47,7 @@
     "PlanningPermitted",
     "ProbeAnswered",
     "ProbeExecutor",
-    "RemotePlannerUsed",
+    "RemotePeerUsed",
     "RoutesConfigured",
     "Run",
     "SendToMember",
@@ -180,7 +181,10 @@
 
 
 class DropBatch(NamedTuple):
-    """Tell a planner that its origin no longer needs a batch."""
+    """Tell a planner that its origin no longer needs a batch.
+
+    The planner acknowledges it with a `BatchEnded` that says ``cancelled``.
+    """
 
     name: str
     origin: str
@@ -215,6 +219,8 @@
     planner, in seconds of this instance's clock; 0 if they are not."""
     planner_term: int = 0
     """Number of the term that this extends, see `FleetChanged`."""
+    planner_confirmed_at: float = 0.0
+    """See `PlanningPermitted`."""
 
 
 class PlanningPermitted(NamedTuple):
@@ -230,6 +236,9 @@
     """Number of the term that this extends, see `FleetChanged`."""
     until: float
     """In seconds of the clock of this instance."""
+    confirmed_at: float
+    """When this instance sent the heartbeat that the other one had received
+    when it extended the permission, in seconds of the clock of this one."""
 
 
 class AddressesFound(NamedTuple):
@@ -290,6 +299,14 @@
     """Seconds that its executors need for the waiting tasks."""
 
 
+class DropsPending(NamedTuple):
+    """Whether a planner has yet to acknowledge a drop of this instance."""
+
+    planner: str
+    """Name of the planner."""
+    pending: bool
+
+
 class ShardChanged(NamedTuple):
     """The planner of this instance took over or gave up a shard."""
 
@@ -297,14 +314,15 @@
     """Number of its shard of the executors; -1 if it has none."""
 
 
-class RemotePlannerUsed(NamedTuple):
-    """A planner in another failure domain got a batch of this instance.
+class RemotePeerUsed(NamedTuple):
+    """A batch went to a planner in another failure domain, or came from one.
 
-    It needs frequent heartbeats to notice soon if this instance dies.
+    Both need frequent heartbeats: the planner may run the batch only until
+    shortly after the last sign that the other instance lives.
     """
 
     name: str
-    """Name of the planner."""
+    """Name of the other instance."""
     until: float
     """When the caller of the batch stops waiting."""
 
