--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -10,6 +10,7 @@
 from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers import planner_crashes
 from cardamompathd.controllers import planner_log
 from cardamompathd.controllers import planner_permissions
 from cardamompathd.controllers import planner_runs
@@ -113,6 +114,7 @@
             sends += planner_runs.handle_run_end(state, executor, ended, now)
     sends += _reconcile_runs(state, executor, msg.running, now)
     executor.suspect = False
+    executor.aborted = False
     if state.active_since is None or (
         executor.unregistered and not executor.runs
     ):
@@ -128,6 +130,8 @@
     until it answers a hold with a higher token.
     """
     before = executor.spec
+    sends = planner_crashes.record_losses(state, executor, now)
+    sends += planner_crashes.record_restart(state, executor)
     executor.spec = spec
     executor.restarted = True
     executor.acknowledged = 0
@@ -141,15 +145,14 @@
         if task.run == run:
             task.status = "unknown"
     planner_runs.doubt_claim(state, executor, now)
-    return [
-        planner_log.decision(
-            "executor restarted",
-            executor=spec.name,
-            incarnation=spec.incarnation,
-            before=before.incarnation,
-            runs=len(executor.runs),
-        )
-    ]
+    decision = planner_log.decision(
+        "executor restarted",
+        executor=spec.name,
+        incarnation=spec.incarnation,
+        before=before.incarnation,
+        runs=len(executor.runs),
+    )
+    return [*sends, decision]
 
 
 def _reconcile_runs(state, executor, running, now):
@@ -255,6 +258,7 @@
     # It may have been restarted.  The first hold that it answers has to fence
     # off what was sent before.
     planner_runs.doubt_claim(state, executor, now)
+    executor.aborted = msg.aborted
     executor.retry_at = now + HOLD_RETRY_DELAY
     return sends
 
