Platform: addresses are IPv4 addresses with a port in range

Callers saw, on systems like this one, instances that stopped following the executors after another writer had left an entry with a port out of range. Here such an entry was accepted: `parse_address` took any host, and any port that `int` takes (70000, -1, 0, "1_0", 400 digits). For an executor, connecting raised OverflowError, so the claim was never answered and the planner waited for it for good. A host name was looked up on the thread that owns all sockets, which the platform does not allow.

The parser now accepts an IPv4 address and a port from 1 to 65535 only; that is what the platform has. An entry with anything else names no executor or member, the others hold.

Before: 19 of the 21 new cases failed ("ValueError not raised").

--- a/packages/daemon/src/cardamompathd/platform/settings.py
+++ b/packages/daemon/src/cardamompathd/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import os
 import pathlib
 import tomllib
@@ -16,6 +17,8 @@
 
 PATH_VARIABLE = "CARDAMOMPATH_SETTINGS"
 """Environment variable with the path of the settings file."""
+PORTS = range(1, 1 << 16)
+"""Valid TCP port numbers."""
 
 
 class Settings(NamedTuple):
@@ -77,14 +80,25 @@
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Return the IP address and the port of ``host:port``.
+    """Return the IPv4 address and the port of ``host:port``.
+
+    Host names are not accepted: to look one up would block the task that
+    connects to it.
 
     Raises
     ------
     ValueError
-        If the host or a numeric port is missing.
+        If the host is not an IPv4 address, or the port is missing or out
+        of range.
     """
     host, _, port = text.rpartition(":")
-    if not host:
-        raise ValueError(f"{text!r} is not an address; expected host:port")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as exc:
+        raise ValueError(
+            f"{text!r} is not an address; expected an IPv4 address and a port"
+        ) from exc
+    # `int` also accepts signs, spaces, underscores and other digits.
+    if not (port.isascii() and port.isdigit()) or int(port) not in PORTS:
+        raise ValueError(f"port of {text!r} is not in the range 1 to 65535")
     return host, int(port)
--- a/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
@@ -232,3 +232,20 @@
         for text in ("", "1.2.3.4", "1.2.3.4:x"):
             with self.subTest(text=text), self.assertRaises(ValueError):
                 settings.parse_address(text)
+
+    def test_port_out_of_range_is_an_error(self):
+        # Connecting there raised in the task that owns all sockets.
+        ports = ("0", "-1", "65536", "70000", "9" * 400, "9" * 5000)
+        for port in (*ports, "1_0", " 80", "+80", "\uff18\uff10", ""):
+            with self.subTest(port=port[:9]), self.assertRaises(ValueError):
+                settings.parse_address(f"1.2.3.4:{port}")
+        for port in (1, 65535):
+            address = settings.parse_address(f"1.2.3.4:{port}")
+            self.assertEqual(address, ("1.2.3.4", port))
+
+    def test_host_that_is_no_ipv4_address_is_an_error(self):
+        # Connecting to it would look up a name, or raise.
+        hosts = ("evil.example", "a..b", "1.2.3.4\0", "::1", "[::1]", "1.2.3")
+        for host in (*hosts, "256.1.1.1", "010.1.1.1", "\ud800", "x" * 300):
+            with self.subTest(host=host[:9]), self.assertRaises(ValueError):
+                settings.parse_address(f"{host}:80")
