Links: an address that raises costs its own link only

What callers saw: nothing; found while tracing the reports of odd entries. `socket` raises OverflowError for a port out of range, and TypeError or ValueError for some hosts. `Links` expected only error codes: the error left `receive` or `check`, which skipped the other links in that check, leaked the socket until it was collected, and reported no failure. The next check was due at once. (It did not spin: the check after a failed one found the link opening.)

Opening a link is now one function that returns a registered socket or raises; an error of the connection is retried as before, any other error is logged and retried after 30 s. The time of the next check is set first, so that an error in a check cannot make it due at once.

The new test failed before (no failure was reported for the address).

--- a/packages/daemon/src/cardamompathd/peers/links.py
+++ b/packages/daemon/src/cardamompathd/peers/links.py
@@ -31,6 +31,9 @@
 
 REOPEN_DELAY = 0.2
 """Seconds until a broken link is reopened."""
+INVALID_ADDRESS_DELAY = 30.0
+"""Seconds until a link is opened again whose address raised an error other
+than that of a connection."""
 CONNECT_TIMEOUT = 0.5
 """Seconds for a link to connect.  The kernel would resend a lost SYN only
 after a second."""
@@ -157,6 +160,7 @@
 
     def check(self, now: float) -> None:
         """Reopen broken links, and close those that stall."""
+        self._check_at = now + REOPEN_DELAY
         for link in list(self._outgoing.values()):
             if link.sock is None:
                 if now >= link.reopen_at:
@@ -165,24 +169,38 @@
                 self._fail(link, "connecting timed out", now)
             elif link.stalled_at and now > link.stalled_at + STALL_TIMEOUT:
                 self._fail(link, "stalled", now)
-        self._check_at = now + REOPEN_DELAY
 
     def _open(self, link, now):
-        link.sock = sock = socket.socket()
         link.opened_at = now
         link.connected = False
         link.pending.clear()
-        sock.setblocking(False)
-        for option in SOCKET_OPTIONS:
-            sock.setsockopt(*option)
-        result = sock.connect_ex(link.address)
-        if result not in (0, errno.EINPROGRESS):
-            sock.close()
-            link.sock = None
+        try:
+            link.sock = self._connect(link.address)
+        except OSError as exc:
             link.reopen_at = now + REOPEN_DELAY
-            self._report_failure(link, result)
-            return
-        self._registry.register(sock, link.address, writable=True)
+            self._report_failure(link, exc.errno)
+        except Exception:
+            # Several kinds of errors mean that the address is invalid.
+            loguru.logger.exception(
+                "links: cannot open a link to {}", link.address
+            )
+            link.reopen_at = now + INVALID_ADDRESS_DELAY
+            self._report_failure(link, None)
+
+    def _connect(self, address):
+        sock = socket.socket()
+        try:
+            sock.setblocking(False)
+            for option in SOCKET_OPTIONS:
+                sock.setsockopt(*option)
+            code = sock.connect_ex(address)
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, errno.errorcode.get(code, ""))
+            self._registry.register(sock, address, writable=True)
+        except BaseException:
+            sock.close()
+            raise
+        return sock
 
     def write(self, key: tuple[str, int], now: float) -> None:
         """Go on with a link that is writable."""
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -1,5 +1,6 @@
 """Links between instances over real sockets, and their codec."""
 
+import contextlib
 import functools
 import queue
 import socket
@@ -15,6 +16,7 @@
 from cardamompathd.peers import links
 from cardamompathd.peers import pool_codec
 from cardamompathd.runtime import clocks
+from cardamompathd.runtime import inboxes
 from cardamompathd.runtime import sockets
 
 WAIT = 10.0
@@ -79,11 +81,11 @@
         received = queue.SimpleQueue()
         return address, received, self.start_at(address, received)
 
-    def start_at(self, address, received):
+    def start_at(self, address, received, clock=clocks.boottime):
         ref = sockets.SocketActor.start(
             [],
             received.put,
-            clocks.boottime,
+            clock,
             [functools.partial(links.make_owner, address)],
         )
         self.addCleanup(ref.stop)
@@ -120,6 +122,30 @@
         self.assertEqual(failed.address, address)
         self.assertTrue(failed.refused)
 
+    def test_invalid_address_leaves_the_other_links(self):
+        # Each attempt to open it ended the check of all links early.
+        self.now = 100.0
+        received = queue.SimpleQueue()
+        ref = self.start_at(free_address(), received, lambda: self.now)
+        invalid = (("10.1.0.9", 70000), ("10.1.0.9", -1), ("a\0", 1))
+        address = free_address()
+        for to in (*invalid, address):
+            self.tell(ref, pool_messages.SetLink(to, True))
+            failed = self.wait_for(received, pool_messages.LinkFailed).msg
+            self.assertEqual(failed.address, to)
+        self.start_at(address, after_reopening := queue.SimpleQueue())
+        drop = pool_messages.DropBatch("b", "n-1")
+        self.tell(ref, pool_messages.SendToMember(address, drop))
+        for _ in range(2):
+            self.now += links.CONNECT_TIMEOUT + links.REOPEN_DELAY
+            ref.tell(inboxes.DeadlineReached())
+        send = None
+        while send is None:
+            self.tell(ref, pool_messages.SendToMember(address, drop))
+            with contextlib.suppress(queue.Empty):
+                send = after_reopening.get(timeout=0.1)
+        self.assertEqual(send.msg, drop)
+
     def test_broken_link_is_reopened(self):
         address, _, peer_ref = self.start()
         _, received, ref = self.start()
