Calls: an address that raises fails the call to it

Callers of systems like this one saw planners that no longer followed the executors after one entry with a port out of range. Here connecting to such an address raised OverflowError (a host with a NUL: TypeError) out of `CallConnections.send`, as only OSError was expected. The actor logged it and went on, but the call got no answer: the planner waited for the answer to its claim for good, so that not all its executors were ever claimed, and the socket stayed open until it was collected.

Connecting is now one function that returns a registered connection or raises; whatever it raises fails the call in the connect phase. Errors other than those of a connection are logged, once for each server.

The new test failed before: no answer within 10 s.

--- a/packages/daemon/src/cardamompathd/backends/call_connections.py
+++ b/packages/daemon/src/cardamompathd/backends/call_connections.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import httptools
+import loguru
 
 from cardamompath_core import types
 from cardamompathd.backends import connections
@@ -121,6 +122,9 @@
         self._connections: dict[int, _Connection] = {}
         self._free: dict[tuple, list[_Connection]] = {}
         self._deadlines: list[tuple[float, int, Any]] = []
+        self._invalid_servers: set[tuple] = set()
+        """Servers whose address raised an error other than that of a
+        connection, which is logged once."""
 
     def send(self, call: Any, now: float) -> None:
         """Send a call to its server."""
@@ -149,6 +153,7 @@
             if conn.server == server:
                 self._close(conn)
         self._free.pop(server, None)
+        self._invalid_servers.discard(server)
 
     def read(self, number: int, now: float) -> None:
         """Read from a connection that is readable."""
@@ -219,23 +224,35 @@
         return None
 
     def _open(self, server, call, now):
+        """Return a new connection, None if the call has failed."""
+        try:
+            return self._connect(server, now)
+        except OSError as exc:
+            reason = errno.errorcode.get(exc.errno, repr(exc))
+        except Exception as exc:
+            # Several kinds of errors mean that the address is invalid.
+            if server not in self._invalid_servers:
+                loguru.logger.exception("calls: cannot connect to {}", server)
+            self._invalid_servers.add(server)
+            reason = repr(exc)
+        self._handle_answer(call, types.BackendAnswer("connect", error=reason))
+        return None
+
+    def _connect(self, server, now):
         sock = socket.socket()
         try:
             sock.setblocking(False)
             for option in connections.SOCKET_OPTIONS:
                 sock.setsockopt(*option)
             code = sock.connect_ex(server[1:])
-        except OSError as exc:
-            code = exc.errno
-        if code not in (0, errno.EINPROGRESS):
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, errno.errorcode.get(code, ""))
+            conn = _Connection(next(self._numbers), server, sock, now)
+            self._registry.register(sock, conn.number, writable=True)
+        except BaseException:
             sock.close()
-            reason = errno.errorcode.get(code, str(code))
-            answer = types.BackendAnswer("connect", error=reason)
-            self._handle_answer(call, answer)
-            return None
-        conn = _Connection(next(self._numbers), server, sock, now)
+            raise
         self._connections[conn.number] = conn
-        self._registry.register(sock, conn.number, writable=True)
         return conn
 
     def _flush(self, conn, now):
--- a/packages/daemon/src/cardamompathd/tests/test_call_connections.py
+++ b/packages/daemon/src/cardamompathd/tests/test_call_connections.py
@@ -59,8 +59,8 @@
     def tell(self, msg: Any):
         self.actor.tell(messages.Send("calls", msg))
 
-    def send(self, number, **fields):
-        backend = ("x-1", "127.0.0.1", self.server.port)
+    def send(self, number, host="127.0.0.1", **fields):
+        backend = ("x-1", host, self.server.port)
         request = b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n%d" % number
         self.tell(Call(backend, number, request, **fields))
 
@@ -150,6 +150,19 @@
             self.send(0)
             self.assertEqual(self.next_answer()[1].phase, "connect")
 
+    def test_invalid_address_fails_in_the_connect_phase(self):
+        # Such a call got no answer, and its caller waited for good.
+        port = self.server.port
+        invalid = (("127.0.0.1", 70000), ("127.0.0.1", -1), ("a\0", port))
+        for number, (host, self.server.port) in enumerate(invalid):
+            self.send(number, host)
+            answered, answer = self.next_answer()
+            self.assertEqual((answered, answer.phase), (number, "connect"))
+        self.server.port = port
+        self.send(7)
+        self.server.accept()[0].sendall(ANSWER % (1, b"a"))
+        self.assertEqual(self.next_answer()[1].phase, "done")
+
     def test_call_is_not_sent_after_its_time(self):
         self.send(0, start_by=100.0)
         self.assertEqual(self.next_answer()[1].phase, "connect")
