Actors: a timer whose controller failed on it fires again

What callers saw: nothing yet; found while tracing what one odd number does. The timers of the planner and of the fleet are set again by the handler that they fire. An exception there loses all that the handler returned, so also the next timer: a planner that failed once never checked leases or late batches again, a fleet never sent a heartbeat again, and the process went on as if it were healthy.

The actor now fires a timer again 0.5 s after its controller failed on it. The failure is logged as before.

--- a/packages/daemon/src/cardamompathd/runtime/actors.py
+++ b/packages/daemon/src/cardamompathd/runtime/actors.py
@@ -25,6 +25,11 @@
 
 Deliver = Callable[[messages.Send], None]
 
+TIMER_RETRY_DELAY = 0.5
+"""Seconds after which a timer fires again if its controller failed on it.
+A periodic timer is set again by its own handler, so that a single failure
+would otherwise end it."""
+
 
 def make_router(receivers: Mapping[str, Callable[[Any], None]]) -> Deliver:
     """Make the function that delivers each message to its task.
@@ -138,6 +143,10 @@
             loguru.logger.exception(
                 "actor: {} failed on {}", send.to, msg_type
             )
+            if isinstance(send.msg, messages.TimerFired):
+                at = now + TIMER_RETRY_DELAY
+                timer = messages.SetTimer(at, send.to, send.msg.key)
+                self._set_timer(timer, now)
             return ()
 
     def _set_timer(self, msg, now):
