Platform: numbers of an entry or a job have an upper bound

Callers of systems like this one saw machines that ended or stopped following the executors after another writer had left an entry with a number too large. Here `_parse_count` had no upper bound. An executor that was listed with a CPU capacity of hundreds of digits raised OverflowError in `estimate_plan` ("int too large to convert to float"): each new batch failed, and with a batch waiting the tick of the planner raised too, which was its last. The same function reads the numbers of jobs: a task with 2**63 thousandths of a core, or 2**31 accelerators, could not be encoded for a planner on another machine, so that its caller waited for an answer until its deadline.

Counts now have 31 bits and the start time of an executor 63 bits, the widths of the same fields in the messages between instances. An entry beyond them names no executor; a job beyond them is rejected with 400.

The new cases failed before (14: "BadDocument not raised").

--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -23,6 +23,11 @@
 """Largest number of tasks in a job; the size that the users plan for."""
 MAX_SPEC_BYTES = 4000
 """Largest size of the text that is passed to each task."""
+MAX_COUNT = (1 << 31) - 1
+"""Largest number of tasks, thousandths of a core, megabytes or accelerators;
+the largest number that messages between instances carry for each of them."""
+MAX_TIMESTAMP = (1 << 63) - 1
+"""Largest time in milliseconds since 1970."""
 
 UNSUPPORTED_STEP_FIELDS = {
     "gang": "gang-scheduled tasks",
@@ -107,7 +112,7 @@
             _parse_text(doc["service"]),
             _parse_text(doc["zone"]),
             settings.parse_address(doc["addr"]),
-            _parse_count(doc.get("born", 0)),
+            _parse_count(doc.get("born", 0), MAX_TIMESTAMP),
             state,
             parse_resources(capacity),
             tuple(_parse_text(label) for label in doc.get("labels", [])),
@@ -122,7 +127,7 @@
     Raises
     ------
     TypeError, ValueError
-        If a number has another type or is negative.
+        If a number has another type, is negative or too large.
     """
     return executors.Resources(
         _parse_count(doc.get("cpu", 0)),
@@ -194,11 +199,11 @@
     return ""
 
 
-def _parse_count(value):
+def _parse_count(value, limit=MAX_COUNT):
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{value!r} is not an integer")
-    if value < 0:
-        raise ValueError(f"{value!r} is negative")
+    if not 0 <= value <= limit:
+        raise ValueError(f"{value!r} is not in the range 0 to {limit}")
     return value
 
 
--- a/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
@@ -64,6 +64,22 @@
             ):
                 parse(**fault)
 
+    def test_entry_with_a_number_out_of_range_is_rejected(self):
+        # Such a capacity raised in each tick of the planner, which ended.
+        for number in (2**31, 2**63, 10**400):
+            for name in ("cpu", "mem_mb", "gpu"):
+                with (
+                    self.subTest(name=name, bits=number.bit_length()),
+                    self.assertRaises(errors.BadDocument),
+                ):
+                    parse(capacity={"cpu": 8000, "mem_mb": 64, name: number})
+        for born in (2**63, 10**400, -1):
+            with (
+                self.subTest(born=born),
+                self.assertRaises(errors.BadDocument),
+            ):
+                parse(born=born)
+
     def test_entry_that_is_no_json_object_is_rejected(self):
         for raw in (b"", b"\xff\x00", b"[]", b"7", b"{"):
             with (
@@ -95,6 +111,9 @@
             {"phases": [{"count": 841}]},
             {"phases": [{"count": 1, "cpu": -1}]},
             {"phases": [{"count": 1, "cpu": "1"}]},
+            {"phases": [{"count": 1, "cpu": 2**63}]},
+            {"phases": [{"count": 1, "gpu": 2**31}]},
+            {"phases": [{"count": 1, "max_per_server": 2**31}]},
             {"phases": [{"count": 1, "depends_on": [0]}]},
             {"phases": [{"count": 1, "est_runtime_ms": "long"}]},
             {"spec": 7, "phases": [{"count": 1}]},
