Platform: the name of an executor can be sent in a header

What callers saw: nothing; found by reading the path of an entry that another writer left. The key of an entry goes into the header X-Cardamompath-Expect-Instance of each request to the executor, as it stands. A key with a line break added lines of its own to the request; one with characters beyond Latin-1 could not be encoded at all, so that the claim was never sent, nor answered, and the planner counted the executor as one that it had still to claim.

An entry whose key has other characters than visible ASCII names no executor.

The new cases failed before (7: "BadDocument not raised").

--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
 from cardamompath_core import batches
@@ -28,6 +29,8 @@
 the largest number that messages between instances carry for each of them."""
 MAX_TIMESTAMP = (1 << 63) - 1
 """Largest time in milliseconds since 1970."""
+EXECUTOR_NAME = re.compile(r"[!-~]+")
+"""Names that can be sent in a header: visible ASCII characters."""
 
 UNSUPPORTED_STEP_FIELDS = {
     "gang": "gang-scheduled tasks",
@@ -102,6 +105,8 @@
         If a field is missing or has a wrong type or value.
     """
     try:
+        if not EXECUTOR_NAME.fullmatch(name):
+            raise ValueError("the name cannot be sent in a header")
         doc = json.loads(raw)
         state = doc["state"]
         if state not in (executors.READY, executors.DRAINING):
--- a/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
@@ -80,6 +80,18 @@
             ):
                 parse(born=born)
 
+    def test_entry_with_a_name_that_no_header_can_carry_is_rejected(self):
+        # The name is sent in a header of each request to the executor.
+        raw = json.dumps(ENTRY).encode()
+        for name in ("", "x\r\nHost: y", "x\n", "x y", "\0", "\xe9", "\ud800"):
+            with (
+                self.subTest(name=name),
+                self.assertRaises(errors.BadDocument),
+            ):
+                documents.parse_executor(name, raw)
+        name = "i-7f3a91c2"
+        self.assertEqual(documents.parse_executor(name, raw).name, name)
+
     def test_entry_that_is_no_json_object_is_rejected(self):
         for raw in (b"", b"\xff\x00", b"[]", b"7", b"{"):
             with (
