Platform: an entry that becomes invalid no longer names an executor

When another writer replaced the entry of an executor by one that cannot be read, the follower logged it and kept the former entry, for good: the planner went on to send tasks to an executor of which nobody knew whether it was draining, or at which address it was. PROTOCOL.md: such an entry names no executor to use; the others hold.

The executor now leaves the listing at once, as one whose entry was deleted, and is listed again with its next valid entry; its runs are treated as those of any executor that left. A line is logged once for as long as an entry stays invalid, and again if it has been valid or gone meanwhile.

Both new tests failed before: the executor stayed listed, and a second invalid entry of the same key was not logged.

--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -201,6 +201,7 @@
             present = {entry.key for entry in records}
             absent = [name for name in self._executors if name not in present]
             records += [store.Record(name, b"") for name in absent]
+            self._invalid_keys &= present
         else:
             try:
                 records, self._offset = self._client.read(
@@ -223,17 +224,21 @@
         if not record.key:
             return
         if not record.value:
+            self._invalid_keys.discard(record.key)
             if record.key in self._executors:
                 self._missing_since.setdefault(record.key, self._clock())
             return
+        self._missing_since.pop(record.key, None)
         try:
             spec = documents.parse_executor(record.key, record.value)
         except errors.BadDocument as exc:
+            # An outage of the store is no reason to keep what it replaces.
+            self._executors.pop(record.key, None)
             if record.key not in self._invalid_keys:
                 loguru.logger.warning("store: {}", exc)
             self._invalid_keys.add(record.key)
             return
-        self._missing_since.pop(record.key, None)
+        self._invalid_keys.discard(record.key)
         self._executors[record.key] = spec
 
     def _remove_missing(self):
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -6,6 +6,7 @@
 import unittest
 from typing import NamedTuple
 
+import loguru
 import urllib3
 
 from cardamompathd import pool_messages
@@ -144,6 +145,34 @@
         self.step(newest_response(("i-1", self.entry), ("i-2", b"\xff")))
         self.assertEqual(self.names(), ["i-1"])
 
+    def test_entry_that_becomes_invalid_names_no_executor(self):
+        # The executor stayed listed as it was before.
+        odd = json.dumps({**ENTRY, "addr": "10.1.0.9:70000"}).encode()
+        pages = (newest_response, read_response)
+        for later in pages:
+            self.task.set_planning(later is read_response)
+            self.task._receive(self.task._inbox.get())
+            entries = (("i-1", self.entry), ("i-2", self.entry))
+            self.step(newest_response(*entries))
+            self.assertEqual(sorted(self.names()), ["i-1", "i-2"])
+            self.step(later(("i-1", odd), ("i-2", self.entry)))
+            self.assertEqual(self.names(), ["i-2"])
+            self.step(later(("i-1", self.entry), ("i-2", self.entry)))
+            self.assertEqual(sorted(self.names()), ["i-1", "i-2"])
+            self.task._offset = None
+
+    def test_invalid_entry_is_logged_once_while_it_is_there(self):
+        lines = []
+        sink = loguru.logger.add(lines.append, level="WARNING")
+        self.addCleanup(loguru.logger.remove, sink)
+        for _ in range(3):
+            self.step(newest_response(("i-1", self.entry), ("i-2", b"\xff")))
+        self.assertEqual(len(lines), 1)
+        for between in ((("i-2", self.entry),), ()):
+            self.step(newest_response(*between))
+            self.step(newest_response(("i-2", b"7")))
+        self.assertEqual(len(lines), 3)
+
     def test_new_planner_gets_the_present_listing(self):
         self.step(newest_response(("i-1", self.entry)))
         self.task._receive(True)
