Platform: entries of executors and their errors have a bounded size

What callers saw: nothing; found by trying odd entries. An entry of another writer could be as large as a record of the store, with any number of labels. The error of a rejected document quoted it, so that one log line, or one response to a caller, could be as large.

An entry has at most 64 KiB and 64 labels, and its names are as long as the keys of the store at most; others name no executor. Errors are cut after 200 characters.

--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -29,6 +29,14 @@
 the largest number that messages between instances carry for each of them."""
 MAX_TIMESTAMP = (1 << 63) - 1
 """Largest time in milliseconds since 1970."""
+MAX_ENTRY_BYTES = 1 << 16
+"""Largest size of the entry of an executor; usual are some hundred bytes."""
+MAX_LABELS = 64
+"""Largest number of labels of an executor; usual are two."""
+MAX_NAME_BYTES = 255
+"""Largest size of a service, a failure domain or a label, as of a key."""
+MAX_REASON_LENGTH = 200
+"""Characters of an error that are kept; it may quote a whole document."""
 EXECUTOR_NAME = re.compile(r"[!-~]+")
 """Names that can be sent in a header: visible ASCII characters."""
 
@@ -75,7 +83,7 @@
         ]
         return routes.make_table(int(doc["version"]), parsed, services)
     except _INVALID as exc:
-        raise errors.BadDocument(f"configuration: {exc!r}") from exc
+        raise errors.BadDocument(_describe("configuration", exc)) from exc
 
 
 def _parse_route(doc):
@@ -107,6 +115,8 @@
     try:
         if not EXECUTOR_NAME.fullmatch(name):
             raise ValueError("the name cannot be sent in a header")
+        if len(raw) > MAX_ENTRY_BYTES:
+            raise ValueError(f"the entry has {len(raw)} bytes")
         doc = json.loads(raw)
         state = doc["state"]
         if state not in (executors.READY, executors.DRAINING):
@@ -114,16 +124,22 @@
         capacity = doc["capacity"]
         return executors.Executor(
             name,
-            _parse_text(doc["service"]),
-            _parse_text(doc["zone"]),
+            _parse_name(doc["service"]),
+            _parse_name(doc["zone"]),
             settings.parse_address(doc["addr"]),
             _parse_count(doc.get("born", 0), MAX_TIMESTAMP),
             state,
             parse_resources(capacity),
-            tuple(_parse_text(label) for label in doc.get("labels", [])),
+            _parse_labels(doc.get("labels", [])),
         )
     except _INVALID as exc:
-        raise errors.BadDocument(f"executor {name!r}: {exc!r}") from exc
+        raise errors.BadDocument(_describe(f"executor {name!r}", exc)) from exc
+
+
+def _parse_labels(labels):
+    if not isinstance(labels, list) or len(labels) > MAX_LABELS:
+        raise ValueError(f"labels is no list of at most {MAX_LABELS}")
+    return tuple(_parse_name(label) for label in labels)
 
 
 def parse_resources(doc: dict[str, Any]) -> executors.Resources:
@@ -158,7 +174,7 @@
             raise TypeError("phases is not a non-empty list")
         steps = tuple(_parse_step(*phase) for phase in enumerate(phases))
     except _INVALID as exc:
-        raise errors.BadDocument(f"job: {exc!r}") from exc
+        raise errors.BadDocument(_describe("job", exc)) from exc
     tasks = sum(step.count for step in steps)
     if tasks > MAX_TASKS:
         reason = f"job: {tasks} tasks; at most {MAX_TASKS} are allowed"
@@ -218,3 +234,17 @@
     # A lone surrogate cannot be sent on to other tasks.
     value.encode()
     return value
+
+
+def _parse_name(value):
+    name = _parse_text(value)
+    if len(name.encode()) > MAX_NAME_BYTES:
+        raise ValueError(f"a name is longer than {MAX_NAME_BYTES} bytes")
+    return name
+
+
+def _describe(what, exc):
+    reason = repr(exc)
+    if len(reason) > MAX_REASON_LENGTH:
+        reason = f"{reason[:MAX_REASON_LENGTH]}..."
+    return f"{what}: {reason}"
--- a/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
@@ -80,6 +80,34 @@
             ):
                 parse(born=born)
 
+    def test_entry_of_unusual_size_is_rejected(self):
+        # Each choice of an executor went through all of its labels.
+        cases = (
+            {"labels": ["x"] * 60_000},
+            {"labels": ["x"] * 65},
+            {"labels": "a long label"},
+            {"labels": ["x" * 256]},
+            {"service": "x" * 256},
+            {"zone": "x" * 256},
+            {"note": "x" * 65_536},
+        )
+        for case in cases:
+            with (
+                self.subTest(case=str(case)[:30]),
+                self.assertRaises(errors.BadDocument),
+            ):
+                parse(**case)
+        self.assertEqual(len(parse(labels=["x" * 255] * 64).labels), 64)
+
+    def test_reason_of_a_rejection_has_a_bounded_size(self):
+        for fault in ({"state": "x" * 60_000}, {"addr": "y" * 60_000}):
+            with (
+                self.subTest(fault=[*fault]),
+                self.assertRaises(errors.BadDocument) as raised,
+            ):
+                parse(**fault)
+            self.assertLess(len(str(raised.exception)), 300)
+
     def test_entry_with_a_name_that_no_header_can_carry_is_rejected(self):
         # The name is sent in a header of each request to the executor.
         raw = json.dumps(ENTRY).encode()
