Store client: keys of any characters continue a list, pages end

What callers saw: on systems like this one, machines that read the list ended again and again or stopped following it. Here the key after which the next page starts was put into the query as it stands. A key of another writer with "&" or "#" (sent as depends_on=a for "a#b") or "%41" named another key; if it ended a page, the same page came again, without end, and all its records were kept in memory.

The query is now encoded, and a list of more than 100 pages (100 MB) means that the store is unavailable.

Both new tests failed before; the second one would not have ended.

--- a/packages/daemon/src/cardamompathd/platform/store.py
+++ b/packages/daemon/src/cardamompathd/platform/store.py
@@ -6,6 +6,7 @@
 import binascii
 import json
 import struct
+import urllib.parse
 from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
@@ -29,6 +30,9 @@
 is still stored."""
 RECORD_LENGTH = struct.Struct("!I")
 """Precedes each record."""
+MAX_PAGES = 100
+"""Largest number of pages with the newest records of a topic, of up to 500
+records or 1 MB each."""
 
 
 class Record(NamedTuple):
@@ -65,7 +69,7 @@
         records: list[Record] = []
         params = {"topic": topic, "part": 0}
         end = None
-        while True:
+        for _ in range(MAX_PAGES):
             doc = self._decode_json(
                 self._call("GET", "/v1/log-newest", params)
             )
@@ -79,6 +83,7 @@
                 return records, end
             # The next page starts after this key.
             params["depends_on"] = records[-1].key
+        raise errors.StoreUnavailable(f"newest: more than {MAX_PAGES} pages")
 
     def read(
         self, topic: str, offset: int, wait: float
@@ -140,7 +145,12 @@
         other_statuses: Sequence[int] = (),
         body: bytes | None = None,
     ):
-        query = "&".join(f"{name}={value}" for name, value in params.items())
+        # A key of another writer may have any characters.
+        query = urllib.parse.urlencode(
+            params,
+            errors="surrogatepass",
+            quote_via=urllib.parse.quote,
+        )
         try:
             response = self._pool.request(
                 method, f"{path}?{query}", body=body, timeout=TIMEOUT + wait
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -4,6 +4,7 @@
 import json
 import struct
 import unittest
+import urllib.parse
 from typing import NamedTuple
 
 import loguru
@@ -77,6 +78,25 @@
         self.assertEqual(end, 9)
         self.assertIn("depends_on=a", self.pool.calls[1][1])
 
+    def test_page_after_a_key_with_any_characters(self):
+        # A key with "&" or "#" began the same page again, without end.
+        for key in ("a&b", "a#b", "a%41", "a+b", "a b", "\xe9", "a\r\nb"):
+            self.pool.responses = [
+                newest_response((key, b"1"), more=True),
+                newest_response(("z", b"2")),
+            ]
+            self.client.read_newest("keyed.op")
+            query = urllib.parse.urlsplit(self.pool.calls[-1][1]).query
+            sent = urllib.parse.parse_qs(query, strict_parsing=True)
+            with self.subTest(key=key):
+                self.assertEqual(sent["depends_on"], [key])
+
+    def test_pages_without_end_mean_unavailable(self):
+        page = newest_response(("a", b"1"), more=True)
+        self.pool.responses = [page] * 1000
+        with self.assertRaises(errors.StoreUnavailable):
+            self.client.read_newest("keyed.op")
+
     def test_records_are_read_with_the_next_offset(self):
         self.pool.responses = [read_response(("a", b"1"), ("b", b""))]
         found, end = self.client.read("keyed.op", 4, 0.0)
