Store client: a response of any shape means that it is unavailable

What callers saw: nothing; found by a property test. A response that was nested too deeply raised RecursionError, and one whose offset or keys had another type was accepted and failed later, with a traceback in each poll, instead of counting as an outage.

Offsets, keys and values are now checked where they are decoded.

The property test and four of the examples failed before.

--- a/packages/daemon/src/cardamompathd/platform/store.py
+++ b/packages/daemon/src/cardamompathd/platform/store.py
@@ -74,10 +74,10 @@
                 self._call("GET", "/v1/log-newest", params)
             )
             try:
-                end = doc["end_offset"] if end is None else end
+                end = _parse_offset(doc["end_offset"]) if end is None else end
                 records += [_decode_item(item) for item in doc["items"]]
                 more = doc.get("has_more") and records
-            except (KeyError, TypeError, ValueError) as exc:
+            except (AttributeError, LookupError, TypeError, ValueError) as exc:
                 raise errors.StoreUnavailable(f"newest: {exc!r}") from exc
             if not more:
                 return records, end
@@ -164,7 +164,7 @@
     def _decode_json(self, response):
         try:
             return json.loads(response.data)
-        except ValueError as exc:
+        except (RecursionError, ValueError) as exc:
             raise errors.StoreUnavailable(f"response: {exc!r}") from exc
 
 
@@ -173,11 +173,20 @@
     return StoreClient(address)
 
 
+def _parse_offset(value):
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise TypeError(f"offset {value!r}")
+    return value
+
+
 def _decode_item(item):
+    key, value = item["key"], item["value"]
+    if not isinstance(key, str) or not isinstance(value, str):
+        raise TypeError(f"item with key {key!r}")
     try:
-        return Record(item["key"], base64.b64decode(item["value"]))
+        return Record(key, base64.b64decode(value))
     except binascii.Error as exc:
-        raise ValueError(f"value of {item['key']!r}: {exc}") from exc
+        raise ValueError(f"value of {key!r}: {exc}") from exc
 
 
 def _decode_records(raw):
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
@@ -5,7 +5,9 @@
 """
 
 import json
+import struct
 import unittest
+from typing import NamedTuple
 
 import hypothesis
 from hypothesis import strategies
@@ -18,6 +20,7 @@
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
 from cardamompathd.platform import executor_protocol
+from cardamompathd.platform import store
 
 RUN = pool_messages.Run("5c0e", 0, 1, 1)
 SPEC = executors.Executor(
@@ -46,6 +49,59 @@
     )
 
 
+class StoreResponse(NamedTuple):
+    """A response of the store."""
+
+    data: bytes
+    status: int = 200
+
+
+class StoreInputsTest(unittest.TestCase):
+    """Responses of the store; they mean records, or that it is unavailable."""
+
+    def read(self, raw):
+        client = store.make_client(("127.0.0.1", 1))
+        client._call = lambda *_, **__: StoreResponse(raw)
+        for read, args in (
+            (client.read_newest, ("keyed.servers",)),
+            (client.read, ("keyed.servers", 7, 0.0)),
+        ):
+            try:
+                records, end = read(*args)
+            except errors.StoreUnavailable:
+                continue
+            self.assertIs(type(end), int)
+            for key, value in records:
+                self.assertIs(type(key), str)
+                self.assertIs(type(value), bytes)
+
+    @shared.deterministic
+    @hypothesis.given(
+        documents_with("items", "end_offset", "has_more", "key", "value"),
+        strategies.binary(max_size=20),
+    )
+    def test_response_of_any_shape(self, doc, junk):
+        raw = json.dumps(doc).encode()
+        header = store.READ_HEADER.pack(9, 0)
+        length = struct.pack("!I", len(junk))
+        for text in (raw, junk, header + junk, header + length + junk):
+            self.read(text)
+
+    def test_response_with_fields_of_another_type(self):
+        # Each poll failed on them with an error that is not expected.
+        for raw in (
+            "[]",
+            '{"end_offset":1,"items":[[]]}',
+            '{"end_offset":1,"items":[{"key":7,"value":"e30="}]}',
+            '{"end_offset":1,"items":[{"key":"a","value":null}]}',
+            '{"end_offset":null,"items":[]}',
+            '{"end_offset":1.5,"items":[]}',
+            DEEP.decode(),
+        ):
+            with self.subTest(raw=raw[:60]):
+                self.read(raw.encode())
+
+
 class PlatformInputsTest(unittest.TestCase):
     def parse(self, parser, *args):
         """Run a parser, which may raise its own error only."""
