Store client: a value that is no base64 leaves the other records

What callers saw: nothing; the store encodes the values itself. One value that could not be decoded made the whole list unavailable, so that no executor was listed and no change followed. PROTOCOL.md: an entry with bytes that cannot be read names no executor; the others hold.

Such a value now stands for one that no parser accepts.

The new test failed before ("Incorrect padding" for the whole list).

--- a/packages/daemon/src/cardamompathd/platform/store.py
+++ b/packages/daemon/src/cardamompathd/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 import struct
 import urllib.parse
@@ -30,6 +29,8 @@
 is still stored."""
 RECORD_LENGTH = struct.Struct("!I")
 """Precedes each record."""
+UNREADABLE = b"\0"
+"""Stands for a value that cannot be decoded; no parser accepts it."""
 MAX_PAGES = 100
 """Largest number of pages with the newest records of a topic, of up to 500
 records or 1 MB each."""
@@ -185,8 +186,8 @@
         raise TypeError(f"item with key {key!r}")
     try:
         return Record(key, base64.b64decode(value))
-    except binascii.Error as exc:
-        raise ValueError(f"value of {key!r}: {exc}") from exc
+    except ValueError:
+        return Record(key, UNREADABLE)
 
 
 def _decode_records(raw):
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -126,6 +126,16 @@
             ):
                 self.client.read_newest("keyed.op")
 
+    def test_value_that_is_no_base64_leaves_the_other_records(self):
+        for value in ("e30", "\xe9\xe9\xe9\xe9"):
+            items = [{"key": "a", "value": value}, {"key": "b", "value": ""}]
+            doc = {"items": items, "end_offset": 2}
+            self.pool.responses = [Response(200, json.dumps(doc).encode())]
+            with self.subTest(value=value):
+                found, _ = self.client.read_newest("keyed.op")
+                self.assertEqual([record.key for record in found], ["a", "b"])
+                self.assertEqual(found[0].value, store.UNREADABLE)
+
     def test_truncated_records_mean_unavailable(self):
         whole = read_response(("a", b"123")).data
         for size in (len(whole) - 1, len(whole) - 5, 18):
