Platform: numbers in an executor's response have bounds

What callers saw: nothing; found by a property test. A clock beyond 64 bits in the response to a hold was accepted. The end of the next lease is computed from it, and could not be encoded: the hold was never sent, nor answered, and the planner renewed no lease of that executor and waited for it for good. The same holds for the number of an acknowledged end and for the attempt of an adopted run. A start time beyond 64 bits made every later entry of the executor count as older.

A response with a number out of range is now a failed hold, as one with a field of another type; the clock of a start's response is ignored.

Before, the property test failed with "Integer exceeds 64-bit range", and the six examples were accepted.

--- a/packages/daemon/src/cardamompathd/platform/executor_protocol.py
+++ b/packages/daemon/src/cardamompathd/platform/executor_protocol.py
@@ -25,6 +25,10 @@
 """Seconds for the response to a hold, in addition to the time that the
 executor may wait."""
 EXPECTED_INSTANCE_HEADER = "X-Cardamompath-Expect-Instance"
+MAX_NUMBER = (1 << 63) - 1
+"""Largest number in a response, which a later request may carry."""
+MAX_CLOCK = 1 << 53
+"""Largest time in milliseconds that a float holds exactly."""
 OCCURRENCE = 0
 """The part of a task's name that numbers the occurrences of a scheduled
 job; always 0, as scheduled jobs are not supported."""
@@ -154,7 +158,9 @@
 
 def _read_clock(doc):
     clock = doc.get("clock_ms")
-    return clock / 1000.0 if isinstance(clock, int | float) else None
+    if not isinstance(clock, int | float) or not 0 <= clock <= MAX_CLOCK:
+        return None
+    return clock / 1000.0
 
 
 def _describe(answer):
@@ -214,12 +220,15 @@
 
 
 def _read_listing(command, doc):
+    clock = _read_clock(doc)
+    if clock is None:
+        raise ValueError(f"clock_ms is {doc.get('clock_ms')!r}")
     running = tuple(
         _read_run(row[0], row[1]) for row in doc.get("running") or ()
     )
     ended = tuple(
         pool_messages.EndedRun(
-            _check_type(row[0], int),
+            _check_number(row[0]),
             _read_run(row[1], row[2]),
             _check_type(row[3], str),
         )
@@ -228,8 +237,8 @@
     return pool_messages.HoldAnswered(
         command.executor.name,
         command.token,
-        int(doc.get("born") or 0),
-        doc["clock_ms"] / 1000.0,
+        _check_number(int(doc.get("born") or 0)),
+        clock,
         running,
         ended,
     )
@@ -238,10 +247,18 @@
 def _read_run(task, attempt):
     batch, _, step, index = _check_type(task, str).rsplit(".", 3)
     return pool_messages.Run(
-        batch, int(step), int(index), _check_type(attempt, int)
+        batch, int(step), int(index), _check_number(attempt)
     )
 
 
+def _check_number(value):
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{value!r} is not an integer")
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"{value!r} is not in the range 0 to {MAX_NUMBER}")
+    return value
+
+
 def _check_type(value, expected):
     if not isinstance(value, expected):
         raise TypeError(f"{value!r} is not of type {expected.__name__}")
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
@@ -184,6 +184,46 @@
                 send = executor_protocol.decode(call, answer)
                 self.assertIsInstance(send, messages.Send)
 
+    @shared.deterministic
+    @hypothesis.given(
+        strategies.floats(width=64) | strategies.integers(),
+        strategies.integers(min_value=-(2**70), max_value=2**70),
+    )
+    def test_next_hold_after_a_listing_can_be_sent(self, clock, number):
+        # A clock beyond 64 bits could not be sent back as the end of a lease.
+        row = [number, "a.0.0.1", abs(number), "done", ""]
+        doc = {"clock_ms": clock, "born": number, "ended_runs": [row]}
+        payload = json.dumps(doc).encode()
+        call = executor_protocol.encode(COMMANDS[2], 0.0)
+        answer = types.BackendAnswer("done", 200, payload)
+        msg = executor_protocol.decode(call, answer).msg
+        if isinstance(msg, pool_messages.HoldFailed):
+            return
+        ended = msg.ended[0]
+        hold = pool_messages.HoldExecutor(
+            SPEC, msg.token, ended.number, msg.clock + 1.0, 0.0
+        )
+        run = ended.run._replace(attempt=ended.run.attempt + 1)
+        start = pool_messages.StartRun(SPEC, 7, run, "s", msg.clock + 1.0)
+        for command in (hold, start):
+            executor_protocol.encode(command, 0.0)
+
+    def test_listing_with_numbers_out_of_range(self):
+        for fields in (
+            '"clock_ms":99999999999999999999999',
+            '"clock_ms":-1',
+            '"clock_ms":1,"born":1e300',
+            '"clock_ms":1,"born":18446744073709551615',
+            '"clock_ms":1,"ended_runs":[[-1,"a.0.0.1",1,"done",""]]',
+            '"clock_ms":1,"running":[["a.0.0.1",18446744073709551615,"",1]]',
+        ):
+            payload = f"{{{fields}}}".encode()
+            call = executor_protocol.encode(COMMANDS[2], 0.0)
+            answer = types.BackendAnswer("done", 200, payload)
+            with self.subTest(payload=payload):
+                send = executor_protocol.decode(call, answer)
+                self.assertIsInstance(send.msg, pool_messages.HoldFailed)
+
     def test_listing_with_fields_of_another_type(self):
         rows = ('[[7,2,"",41]]', '[["a.0.0.1",[],"",41]]', '{"a":1}', "7")
         for row in rows:
