--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
 from cardamompath_core import batches
@@ -15,6 +16,7 @@
     "parse_configuration",
     "parse_executor",
     "parse_job",
+    "parse_member",
     "parse_resources",
     "unsupported_feature",
 ]
@@ -23,6 +25,23 @@
 """Largest number of tasks in a job; the size that the users plan for."""
 MAX_SPEC_BYTES = 4000
 """Largest size of the text that is passed to each task."""
+MAX_COUNT = (1 << 31) - 1
+"""Largest number of tasks, thousandths of a core, megabytes, accelerators or
+milliseconds; the largest that messages between instances carry for each."""
+MAX_TIMESTAMP = (1 << 63) - 1
+"""Largest time in milliseconds since 1970."""
+MAX_ENTRY_BYTES = 1 << 16
+"""Largest size of the entry of an executor; usual are some hundred bytes."""
+MAX_LABELS = 64
+"""Largest number of labels of an executor; usual are two."""
+MAX_NAME_BYTES = 255
+"""Largest size of a service, a failure domain or a label, as of a key."""
+MAX_REASON_LENGTH = 200
+"""Characters of an error that are kept; it may quote a whole document."""
+MAX_VERSION = (1 << 63) - 1
+"""Largest version of a configuration, as it is sent between instances."""
+EXECUTOR_NAME = re.compile(r"[!-~]+")
+"""Names that can be sent in a header: visible ASCII characters."""
 
 UNSUPPORTED_STEP_FIELDS = {
     "gang": "gang-scheduled tasks",
@@ -65,21 +84,22 @@
         services = [
             str(service["name"]) for service in doc.get("services", [])
         ]
-        return routes.make_table(int(doc["version"]), parsed, services)
+        version = _check_range(int(doc["version"]), MAX_VERSION)
+        return routes.make_table(version, parsed, services)
     except _INVALID as exc:
-        raise errors.BadDocument(f"configuration: {exc!r}") from exc
+        raise errors.BadDocument(_describe("configuration", exc)) from exc
 
 
 def _parse_route(doc):
     policy = batches.RoutePolicy(
         _parse_text(doc["name"]),
         _parse_text(doc["service"]),
-        int(doc.get("priority", 0)),
-        int(doc.get("max_attempts", 1)),
-        float(doc.get("stretch", 1.0)),
-        float(doc.get("target_duration_ms", 0)) / 1000.0,
+        _check_range(int(doc.get("priority", 0))),
+        _check_range(int(doc.get("max_attempts", 1))),
+        _check_range(float(doc.get("stretch", 1.0))),
+        _check_range(float(doc.get("target_duration_ms", 0))) / 1000.0,
     )
-    timeout = float(doc.get("timeout_ms", 0)) / 1000.0
+    timeout = _check_range(float(doc.get("timeout_ms", 0))) / 1000.0
     return routes.Route(
         _parse_text(doc["host"]),
         _parse_text(doc["path_prefix"]),
@@ -97,6 +117,10 @@
         If a field is missing or has a wrong type or value.
     """
     try:
+        if not EXECUTOR_NAME.fullmatch(name):
+            raise ValueError("the name cannot be sent in a header")
+        if len(raw) > MAX_ENTRY_BYTES:
+            raise ValueError(f"the entry has {len(raw)} bytes")
         doc = json.loads(raw)
         state = doc["state"]
         if state not in (executors.READY, executors.DRAINING):
@@ -104,16 +128,36 @@
         capacity = doc["capacity"]
         return executors.Executor(
             name,
-            _parse_text(doc["service"]),
-            _parse_text(doc["zone"]),
+            _parse_name(doc["service"]),
+            _parse_name(doc["zone"]),
             settings.parse_address(doc["addr"]),
-            _parse_count(doc.get("born", 0)),
+            _parse_count(doc.get("born", 0), MAX_TIMESTAMP),
             state,
             parse_resources(capacity),
-            tuple(_parse_text(label) for label in doc.get("labels", [])),
+            _parse_labels(doc.get("labels", [])),
         )
     except _INVALID as exc:
-        raise errors.BadDocument(f"executor {name!r}: {exc!r}") from exc
+        raise errors.BadDocument(_describe(f"executor {name!r}", exc)) from exc
+
+
+def parse_member(name: str, raw: bytes) -> tuple[str, int]:
+    """Parse the address under which an instance registered itself.
+
+    Raises
+    ------
+    BadDocument
+        If it is not an address.
+    """
+    try:
+        return settings.parse_address(raw.decode())
+    except ValueError as exc:
+        raise errors.BadDocument(_describe(f"member {name!r}", exc)) from exc
+
+
+def _parse_labels(labels):
+    if not isinstance(labels, list) or len(labels) > MAX_LABELS:
+        raise ValueError(f"labels is no list of at most {MAX_LABELS}")
+    return tuple(_parse_name(label) for label in labels)
 
 
 def parse_resources(doc: dict[str, Any]) -> executors.Resources:
@@ -122,7 +166,7 @@
     Raises
     ------
     TypeError, ValueError
-        If a number has another type or is negative.
+        If a number has another type, is negative or too large.
     """
     return executors.Resources(
         _parse_count(doc.get("cpu", 0)),
@@ -148,7 +192,7 @@
             raise TypeError("phases is not a non-empty list")
         steps = tuple(_parse_step(*phase) for phase in enumerate(phases))
     except _INVALID as exc:
-        raise errors.BadDocument(f"job: {exc!r}") from exc
+        raise errors.BadDocument(_describe("job", exc)) from exc
     tasks = sum(step.count for step in steps)
     if tasks > MAX_TASKS:
         reason = f"job: {tasks} tasks; at most {MAX_TASKS} are allowed"
@@ -166,6 +210,7 @@
     estimate = doc.get("est_runtime_ms", 0)
     if isinstance(estimate, bool) or not isinstance(estimate, int | float):
         raise TypeError(f"est_runtime_ms is not a number: {estimate!r}")
+    estimate = _check_range(estimate)
     return batches.Step(
         count,
         parse_resources(doc),
@@ -194,11 +239,15 @@
     return ""
 
 
-def _parse_count(value):
+def _parse_count(value, limit=MAX_COUNT):
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{value!r} is not an integer")
-    if value < 0:
-        raise ValueError(f"{value!r} is negative")
+    return _check_range(value, limit)
+
+
+def _check_range(value, limit=MAX_COUNT):
+    if not 0 <= value <= limit:
+        raise ValueError(f"{value!r} is not in the range 0 to {limit}")
     return value
 
 
@@ -208,3 +257,17 @@
     # A lone surrogate cannot be sent on to other tasks.
     value.encode()
     return value
+
+
+def _parse_name(value):
+    name = _parse_text(value)
+    if len(name.encode()) > MAX_NAME_BYTES:
+        raise ValueError(f"a name is longer than {MAX_NAME_BYTES} bytes")
+    return name
+
+
+def _describe(what, exc):
+    reason = repr(exc)
+    if len(reason) > MAX_REASON_LENGTH:
+        reason = f"{reason[:MAX_REASON_LENGTH]}..."
+    return f"{what}: {reason}"
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -13,7 +13,6 @@
 from cardamompathd import pool_messages
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
-from cardamompathd.platform import settings
 from cardamompathd.platform import store
 
 __all__ = [
@@ -201,6 +200,7 @@
             present = {entry.key for entry in records}
             absent = [name for name in self._executors if name not in present]
             records += [store.Record(name, b"") for name in absent]
+            self._invalid_keys &= present
         else:
             try:
                 records, self._offset = self._client.read(
@@ -223,17 +223,21 @@
         if not record.key:
             return
         if not record.value:
+            self._invalid_keys.discard(record.key)
             if record.key in self._executors:
                 self._missing_since.setdefault(record.key, self._clock())
             return
+        self._missing_since.pop(record.key, None)
         try:
             spec = documents.parse_executor(record.key, record.value)
         except errors.BadDocument as exc:
+            # An outage of the store is no reason to keep what it replaces.
+            self._executors.pop(record.key, None)
             if record.key not in self._invalid_keys:
                 loguru.logger.warning("store: {}", exc)
             self._invalid_keys.add(record.key)
             return
-        self._missing_since.pop(record.key, None)
+        self._invalid_keys.discard(record.key)
         self._executors[record.key] = spec
 
     def _remove_missing(self):
@@ -260,6 +264,7 @@
         self._tell = tell
         self._registered = False
         self._pause = MEMBER_INTERVAL
+        self._invalid_keys: set[str] = set()
 
     def _poll(self):
         if not self._registered:
@@ -268,13 +273,15 @@
             self._registered = True
         records, _ = self._client.read_newest(MEMBER_TOPIC)
         addresses = []
+        invalid = set()
         for record in records:
             try:
-                addresses.append(settings.parse_address(record.value.decode()))
-            except ValueError as exc:
-                loguru.logger.warning(
-                    "store: invalid member {!r}: {}", record, exc
-                )
+                addresses.append(documents.parse_member(*record))
+            except errors.BadDocument as exc:
+                invalid.add(record.key)
+                if record.key not in self._invalid_keys:
+                    loguru.logger.warning("store: {}", exc)
+        self._invalid_keys = invalid
         self._tell(pool_messages.AddressesFound(tuple(addresses), "store"))
         pause = self._pause
         self._pause = min(2.0 * pause, MAX_MEMBER_INTERVAL)
--- a/packages/daemon/src/cardamompathd/platform/settings.py
+++ b/packages/daemon/src/cardamompathd/platform/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import math
 import os
 import pathlib
 import tomllib
@@ -17,6 +19,22 @@
 
 PATH_VARIABLE = "CARDAMOMPATH_SETTINGS"
 """Environment variable with the path of the settings file."""
+MAX_THREAD_MILLICORES = 1_000_000
+"""Largest processor time of a thread, in thousandths of a core; far more
+than any machine has."""
+PORTS = range(1, 1 << 16)
+"""Valid TCP port numbers."""
+
+
+_INVALID = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""What a file of any shape can raise."""
 
 
 class Settings(NamedTuple):
@@ -60,42 +78,71 @@
         listen = raw["listen"]
         bounds = raw.get("bounds", {})
         return Settings(
-            raw["node_name"],
-            raw["zone"],
+            _parse_name(raw["node_name"]),
+            _parse_name(raw["zone"]),
             parse_address(listen["frontend"]),
             parse_address(listen["ready"]),
             parse_address(listen["control"]),
             tuple(parse_address(seed) for seed in raw.get("seeds", [])),
             parse_address(raw["platform"]["addr"]),
             _read_thread_millicores(raw.get("limits", {})),
-            float(bounds.get("remote_factor", 1.0)),
+            _parse_factor(bounds.get("remote_factor", 1.0)),
             _read_resubmit_delay(bounds),
         )
-    except (OSError, KeyError, TypeError, ValueError) as exc:
+    except (OSError, *_INVALID) as exc:
         raise errors.BadSettings(f"{path}: {exc!r}") from exc
 
 
 def _read_resubmit_delay(bounds):
     if "resend_ms" not in bounds:
         return planner_state.RESUBMIT_DELAY
-    return float(bounds["resend_ms"]) / 1000.0
+    delay = float(bounds["resend_ms"]) / 1000.0
+    if not (math.isfinite(delay) and delay > 0.0):
+        raise ValueError(f"resend_ms {bounds['resend_ms']!r} is out of range")
+    return delay
 
 
 def _read_thread_millicores(limits):
     """Return the share of a core that one thread may use, in thousandths."""
-    share = limits.get("cpu_share", 0.0)
-    return round(share * 1000.0)
+    millicores = round(limits.get("cpu_share", 0.0) * 1000.0)
+    if not 0 <= millicores <= MAX_THREAD_MILLICORES:
+        raise ValueError(f"cpu_share {limits['cpu_share']!r} is out of range")
+    return millicores
+
+
+def _parse_name(value):
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{value!r} is not a name")
+    return value
+
+
+def _parse_factor(value):
+    factor = float(value)
+    if not (math.isfinite(factor) and factor >= 0.0):
+        raise ValueError(f"remote_factor {value!r} is out of range")
+    return factor
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Return the IP address and the port of ``host:port``.
+    """Return the IPv4 address and the port of ``host:port``.
+
+    Host names are not accepted: to look one up would block the task that
+    connects to it.
 
     Raises
     ------
     ValueError
-        If the host or a numeric port is missing.
+        If the host is not an IPv4 address, or the port is missing or out
+        of range.
     """
     host, _, port = text.rpartition(":")
-    if not host:
-        raise ValueError(f"{text!r} is not an address; expected host:port")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as exc:
+        raise ValueError(
+            f"{text!r} is not an address; expected an IPv4 address and a port"
+        ) from exc
+    # `int` also accepts signs, spaces, underscores and other digits.
+    if not (port.isascii() and port.isdigit()) or int(port) not in PORTS:
+        raise ValueError(f"port of {text!r} is not in the range 1 to 65535")
     return host, int(port)
--- a/packages/daemon/src/cardamompathd/platform/store.py
+++ b/packages/daemon/src/cardamompathd/platform/store.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 import struct
+import urllib.parse
 from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
@@ -29,6 +29,11 @@
 is still stored."""
 RECORD_LENGTH = struct.Struct("!I")
 """Precedes each record."""
+UNREADABLE = b"\0"
+"""Stands for a value that cannot be decoded; no parser accepts it."""
+MAX_PAGES = 100
+"""Largest number of pages with the newest records of a topic, of up to 500
+records or 1 MB each."""
 
 
 class Record(NamedTuple):
@@ -65,20 +70,21 @@
         records: list[Record] = []
         params = {"topic": topic, "part": 0}
         end = None
-        while True:
+        for _ in range(MAX_PAGES):
             doc = self._decode_json(
                 self._call("GET", "/v1/log-newest", params)
             )
             try:
-                end = doc["end_offset"] if end is None else end
+                end = _parse_offset(doc["end_offset"]) if end is None else end
                 records += [_decode_item(item) for item in doc["items"]]
                 more = doc.get("has_more") and records
-            except (KeyError, TypeError, ValueError) as exc:
+            except (AttributeError, LookupError, TypeError, ValueError) as exc:
                 raise errors.StoreUnavailable(f"newest: {exc!r}") from exc
             if not more:
                 return records, end
             # The next page starts after this key.
             params["depends_on"] = records[-1].key
+        raise errors.StoreUnavailable(f"newest: more than {MAX_PAGES} pages")
 
     def read(
         self, topic: str, offset: int, wait: float
@@ -140,7 +146,12 @@
         other_statuses: Sequence[int] = (),
         body: bytes | None = None,
     ):
-        query = "&".join(f"{name}={value}" for name, value in params.items())
+        # A key of another writer may have any characters.
+        query = urllib.parse.urlencode(
+            params,
+            errors="surrogatepass",
+            quote_via=urllib.parse.quote,
+        )
         try:
             response = self._pool.request(
                 method, f"{path}?{query}", body=body, timeout=TIMEOUT + wait
@@ -154,7 +165,7 @@
     def _decode_json(self, response):
         try:
             return json.loads(response.data)
-        except ValueError as exc:
+        except (RecursionError, ValueError) as exc:
             raise errors.StoreUnavailable(f"response: {exc!r}") from exc
 
 
@@ -163,11 +174,20 @@
     return StoreClient(address)
 
 
+def _parse_offset(value):
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise TypeError(f"offset {value!r}")
+    return value
+
+
 def _decode_item(item):
+    key, value = item["key"], item["value"]
+    if not isinstance(key, str) or not isinstance(value, str):
+        raise TypeError(f"item with key {key!r}")
     try:
-        return Record(item["key"], base64.b64decode(item["value"]))
-    except binascii.Error as exc:
-        raise ValueError(f"value of {item['key']!r}: {exc}") from exc
+        return Record(key, base64.b64decode(value))
+    except ValueError:
+        return Record(key, UNREADABLE)
 
 
 def _decode_records(raw):
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -1,5 +1,6 @@
 """Links between instances over real sockets, and their codec."""
 
+import contextlib
 import functools
 import queue
 import socket
@@ -15,6 +16,7 @@
 from cardamompathd.peers import links
 from cardamompathd.peers import pool_codec
 from cardamompathd.runtime import clocks
+from cardamompathd.runtime import inboxes
 from cardamompathd.runtime import sockets
 
 WAIT = 10.0
@@ -78,6 +80,35 @@
         send = pool_codec.decode(pool_codec.encode(heartbeat))
         self.assertEqual(send.msg, pool_messages.HeartbeatReceived(*heartbeat))
 
+    def test_heartbeat_with_a_backlog_of_months_is_sent(self):
+        # It could not be encoded, so that the sender counted as failed.
+        member = planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700)
+        heartbeat = fleet_state.Heartbeat(member, 3, (), backlog=1e9)
+        msg = pool_codec.decode(pool_codec.encode(heartbeat)).msg
+        self.assertEqual(msg.backlog, pool_codec.MAX_BACKLOG_MS / 1000.0)
+
+    def test_heartbeat_with_an_address_out_of_range_is_rejected(self):
+        # The address was passed on to every member.
+        member = planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700)
+        for address in (
+            ("10.1.0.2", 70000),
+            ("10.1.0.2", 0),
+            ("10.1.0.2", -1),
+            ("evil.example", 7),
+            ("", 7),
+        ):
+            own = member._replace(address=address)
+            for heartbeat in (
+                fleet_state.Heartbeat(own, 3, ()),
+                fleet_state.Heartbeat(member, 3, (address,)),
+            ):
+                raw = pool_codec.encode(heartbeat)
+                with (
+                    self.subTest(heartbeat=heartbeat),
+                    self.assertRaises(errors.BadMessage),
+                ):
+                    pool_codec.decode(raw)
+
     def test_malformed_bytes_are_rejected(self):
         raw = pool_codec.encode(make_plan())
         for bad in (b"", b"\x00" * 40, raw[:20], raw[3:]):
@@ -91,11 +122,11 @@
         received = queue.SimpleQueue()
         return address, received, self.start_at(address, received)
 
-    def start_at(self, address, received):
+    def start_at(self, address, received, clock=clocks.boottime):
         ref = sockets.SocketActor.start(
             [],
             received.put,
-            clocks.boottime,
+            clock,
             [functools.partial(links.make_owner, address)],
         )
         self.addCleanup(ref.stop)
@@ -132,6 +163,30 @@
         self.assertEqual(failed.address, address)
         self.assertTrue(failed.refused)
 
+    def test_invalid_address_leaves_the_other_links(self):
+        # Each attempt to open it ended the check of all links early.
+        self.now = 100.0
+        received = queue.SimpleQueue()
+        ref = self.start_at(free_address(), received, lambda: self.now)
+        invalid = (("10.1.0.9", 70000), ("10.1.0.9", -1), ("a\0", 1))
+        address = free_address()
+        for to in (*invalid, address):
+            self.tell(ref, pool_messages.SetLink(to, True))
+            failed = self.wait_for(received, pool_messages.LinkFailed).msg
+            self.assertEqual(failed.address, to)
+        self.start_at(address, after_reopening := queue.SimpleQueue())
+        drop = pool_messages.DropBatch("b", "n-1")
+        self.tell(ref, pool_messages.SendToMember(address, drop))
+        for _ in range(2):
+            self.now += links.CONNECT_TIMEOUT + links.REOPEN_DELAY
+            ref.tell(inboxes.DeadlineReached())
+        send = None
+        while send is None:
+            self.tell(ref, pool_messages.SendToMember(address, drop))
+            with contextlib.suppress(queue.Empty):
+                send = after_reopening.get(timeout=0.1)
+        self.assertEqual(send.msg, drop)
+
     def test_broken_link_is_reopened(self):
         address, _, peer_ref = self.start()
         _, received, ref = self.start()
--- a/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
@@ -64,6 +64,62 @@
             ):
                 parse(**fault)
 
+    def test_entry_with_a_number_out_of_range_is_rejected(self):
+        # Such a capacity raised in each tick of the planner, which ended.
+        for number in (2**31, 2**63, 10**400):
+            for name in ("cpu", "mem_mb", "gpu"):
+                with (
+                    self.subTest(name=name, bits=number.bit_length()),
+                    self.assertRaises(errors.BadDocument),
+                ):
+                    parse(capacity={"cpu": 8000, "mem_mb": 64, name: number})
+        for born in (2**63, 10**400, -1):
+            with (
+                self.subTest(born=born),
+                self.assertRaises(errors.BadDocument),
+            ):
+                parse(born=born)
+
+    def test_entry_of_unusual_size_is_rejected(self):
+        # Each choice of an executor went through all of its labels.
+        cases = (
+            {"labels": ["x"] * 60_000},
+            {"labels": ["x"] * 65},
+            {"labels": "a long label"},
+            {"labels": ["x" * 256]},
+            {"service": "x" * 256},
+            {"zone": "x" * 256},
+            {"note": "x" * 65_536},
+        )
+        for case in cases:
+            with (
+                self.subTest(case=str(case)[:30]),
+                self.assertRaises(errors.BadDocument),
+            ):
+                parse(**case)
+        self.assertEqual(len(parse(labels=["x" * 255] * 64).labels), 64)
+
+    def test_reason_of_a_rejection_has_a_bounded_size(self):
+        for fault in ({"state": "x" * 60_000}, {"addr": "y" * 60_000}):
+            with (
+                self.subTest(fault=[*fault]),
+                self.assertRaises(errors.BadDocument) as raised,
+            ):
+                parse(**fault)
+            self.assertLess(len(str(raised.exception)), 300)
+
+    def test_entry_with_a_name_that_no_header_can_carry_is_rejected(self):
+        # The name is sent in a header of each request to the executor.
+        raw = json.dumps(ENTRY).encode()
+        for name in ("", "x\r\nHost: y", "x\n", "x y", "\0", "\xe9", "\ud800"):
+            with (
+                self.subTest(name=name),
+                self.assertRaises(errors.BadDocument),
+            ):
+                documents.parse_executor(name, raw)
+        name = "i-7f3a91c2"
+        self.assertEqual(documents.parse_executor(name, raw).name, name)
+
     def test_entry_that_is_no_json_object_is_rejected(self):
         for raw in (b"", b"\xff\x00", b"[]", b"7", b"{"):
             with (
@@ -95,8 +151,15 @@
             {"phases": [{"count": 841}]},
             {"phases": [{"count": 1, "cpu": -1}]},
             {"phases": [{"count": 1, "cpu": "1"}]},
+            {"phases": [{"count": 1, "cpu": 2**63}]},
+            {"phases": [{"count": 1, "gpu": 2**31}]},
+            {"phases": [{"count": 1, "max_per_server": 2**31}]},
             {"phases": [{"count": 1, "depends_on": [0]}]},
             {"phases": [{"count": 1, "est_runtime_ms": "long"}]},
+            {"phases": [{"count": 1, "est_runtime_ms": -1}]},
+            {"phases": [{"count": 1, "est_runtime_ms": 1e308}]},
+            {"phases": [{"count": 1, "est_runtime_ms": 10**400}]},
+            {"phases": [{"count": 1, "est_runtime_ms": float("nan")}]},
             {"spec": 7, "phases": [{"count": 1}]},
             {"spec": "x" * 4001, "phases": [{"count": 1}]},
         )
@@ -239,3 +302,20 @@
         for text in ("", "1.2.3.4", "1.2.3.4:x"):
             with self.subTest(text=text), self.assertRaises(ValueError):
                 settings.parse_address(text)
+
+    def test_port_out_of_range_is_an_error(self):
+        # Connecting there raised in the task that owns all sockets.
+        ports = ("0", "-1", "65536", "70000", "9" * 400, "9" * 5000)
+        for port in (*ports, "1_0", " 80", "+80", "\uff18\uff10", ""):
+            with self.subTest(port=port[:9]), self.assertRaises(ValueError):
+                settings.parse_address(f"1.2.3.4:{port}")
+        for port in (1, 65535):
+            address = settings.parse_address(f"1.2.3.4:{port}")
+            self.assertEqual(address, ("1.2.3.4", port))
+
+    def test_host_that_is_no_ipv4_address_is_an_error(self):
+        # Connecting to it would look up a name, or raise.
+        hosts = ("evil.example", "a..b", "1.2.3.4\0", "::1", "[::1]", "1.2.3")
+        for host in (*hosts, "256.1.1.1", "010.1.1.1", "\ud800", "x" * 300):
+            with self.subTest(host=host[:9]), self.assertRaises(ValueError):
+                settings.parse_address(f"{host}:80")
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -4,8 +4,10 @@
 import json
 import struct
 import unittest
+import urllib.parse
 from typing import NamedTuple
 
+import loguru
 import urllib3
 
 from cardamompathd import pool_messages
@@ -76,6 +78,25 @@
         self.assertEqual(end, 9)
         self.assertIn("depends_on=a", self.pool.calls[1][1])
 
+    def test_page_after_a_key_with_any_characters(self):
+        # A key with "&" or "#" began the same page again, without end.
+        for key in ("a&b", "a#b", "a%41", "a+b", "a b", "\xe9", "a\r\nb"):
+            self.pool.responses = [
+                newest_response((key, b"1"), more=True),
+                newest_response(("z", b"2")),
+            ]
+            self.client.read_newest("keyed.op")
+            query = urllib.parse.urlsplit(self.pool.calls[-1][1]).query
+            sent = urllib.parse.parse_qs(query, strict_parsing=True)
+            with self.subTest(key=key):
+                self.assertEqual(sent["depends_on"], [key])
+
+    def test_pages_without_end_mean_unavailable(self):
+        page = newest_response(("a", b"1"), more=True)
+        self.pool.responses = [page] * 1000
+        with self.assertRaises(errors.StoreUnavailable):
+            self.client.read_newest("keyed.op")
+
     def test_records_are_read_with_the_next_offset(self):
         self.pool.responses = [read_response(("a", b"1"), ("b", b""))]
         found, end = self.client.read("keyed.op", 4, 0.0)
@@ -105,6 +126,16 @@
             ):
                 self.client.read_newest("keyed.op")
 
+    def test_value_that_is_no_base64_leaves_the_other_records(self):
+        for value in ("e30", "\xe9\xe9\xe9\xe9"):
+            items = [{"key": "a", "value": value}, {"key": "b", "value": ""}]
+            doc = {"items": items, "end_offset": 2}
+            self.pool.responses = [Response(200, json.dumps(doc).encode())]
+            with self.subTest(value=value):
+                found, _ = self.client.read_newest("keyed.op")
+                self.assertEqual([record.key for record in found], ["a", "b"])
+                self.assertEqual(found[0].value, store.UNREADABLE)
+
     def test_truncated_records_mean_unavailable(self):
         whole = read_response(("a", b"123")).data
         for size in (len(whole) - 1, len(whole) - 5, 18):
@@ -144,6 +175,34 @@
         self.step(newest_response(("i-1", self.entry), ("i-2", b"\xff")))
         self.assertEqual(self.names(), ["i-1"])
 
+    def test_entry_that_becomes_invalid_names_no_executor(self):
+        # The executor stayed listed as it was before.
+        odd = json.dumps({**ENTRY, "addr": "10.1.0.9:70000"}).encode()
+        pages = (newest_response, read_response)
+        for later in pages:
+            self.task.set_planning(later is read_response)
+            self.task._receive(self.task._inbox.get())
+            entries = (("i-1", self.entry), ("i-2", self.entry))
+            self.step(newest_response(*entries))
+            self.assertEqual(sorted(self.names()), ["i-1", "i-2"])
+            self.step(later(("i-1", odd), ("i-2", self.entry)))
+            self.assertEqual(self.names(), ["i-2"])
+            self.step(later(("i-1", self.entry), ("i-2", self.entry)))
+            self.assertEqual(sorted(self.names()), ["i-1", "i-2"])
+            self.task._offset = None
+
+    def test_invalid_entry_is_logged_once_while_it_is_there(self):
+        lines = []
+        sink = loguru.logger.add(lines.append, level="WARNING")
+        self.addCleanup(loguru.logger.remove, sink)
+        for _ in range(3):
+            self.step(newest_response(("i-1", self.entry), ("i-2", b"\xff")))
+        self.assertEqual(len(lines), 1)
+        for between in ((("i-2", self.entry),), ()):
+            self.step(newest_response(*between))
+            self.step(newest_response(("i-2", b"7")))
+        self.assertEqual(len(lines), 3)
+
     def test_new_planner_gets_the_present_listing(self):
         self.step(newest_response(("i-1", self.entry)))
         self.task._receive(True)
@@ -165,6 +224,29 @@
         self.assertEqual(self.names(), [])
 
 
+class MemberFollowerTest(unittest.TestCase):
+    def test_invalid_member_is_ignored_and_logged_once(self):
+        # Each read logged it again, with the whole of its value.
+        client, pool = make_client()
+        sent = []
+        task = followers.MemberFollower(
+            client, "n-1", ("10.1.0.1", 8166), sent.append
+        )
+        lines = []
+        sink = loguru.logger.add(lines.append, level="WARNING")
+        self.addCleanup(loguru.logger.remove, sink)
+        values = (b"10.1.0.3:70000", b"evil.example:1", b"\xff" * 9000, b"7")
+        records = [(f"x{i}", value) for i, value in enumerate(values)]
+        page = newest_response(*records, ("n-2", b"10.1.0.2:8166"))
+        pool.responses = [Response(200), page, page, page]
+        for _ in range(3):
+            task._poll()
+        found = pool_messages.AddressesFound((("10.1.0.2", 8166),), "store")
+        self.assertEqual(sent, [found] * 3)
+        self.assertEqual(len(lines), len(values))
+        self.assertLess(max(len(line) for line in lines), 500)
+
+
 class UnexpectedErrorTest(unittest.TestCase):
     def test_unexpected_error_costs_one_poll(self):
         # Any error but that of the client ended the task; no later version
