--- a/packages/proof/src/cardamompath_proof/proxy.py
+++ b/packages/proof/src/cardamompath_proof/proxy.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import random
 import threading
 
 __all__ = [
@@ -21,6 +22,16 @@
 SLOW_DELAY = 0.3
 """Seconds by which a slow proxy delays each chunk."""
 
+LATE_DELAYS = (2.0, 12.0)
+"""Range in seconds of the delays of requests that arrive late."""
+
+LATE_SHARE = 0.5
+"""Share of the requests that arrive late, and of these the share whose
+connection is reset; the others get no answer."""
+
+LATE_ANSWER_TIMEOUT = 3.0
+"""Seconds for the answer to a late request, which nobody gets."""
+
 CALL_TIMEOUT = 5.0
 """Seconds that another thread waits for the loop to run its call."""
 
@@ -43,6 +54,9 @@
         self._target = target
         self._is_cut = False
         self._mode = ""
+        self._rng = random.Random()
+        self._late_delays = LATE_DELAYS
+        self._late_requests: set[asyncio.Task] = set()
         self._stalled: set[asyncio.StreamWriter] = set()
         """Writers of connections that forward nothing any more."""
         self._server: asyncio.Server | None = None
@@ -81,6 +95,19 @@
         """
         self._call(self._set_mode(mode))
 
+    def delay_requests(
+        self, rng: random.Random, delays: tuple[float, float] = LATE_DELAYS
+    ) -> None:
+        """Deliver some requests late, until `clear_disturbance`.
+
+        A chunk counts as a request.  It is delivered on a connection of its
+        own, to the process that then listens there; the client gets no
+        answer on the connection from which it was taken.
+        """
+        self._rng = rng
+        self._late_delays = delays
+        self._call(self._set_mode("late"))
+
     def clear_disturbance(self) -> None:
         """End the disturbance; abort connections that may have lost bytes."""
         self._call(self._set_mode(""))
@@ -120,6 +147,8 @@
         if self._server is not None:
             self._server.close()
         await self._set_cut(True)
+        for request in self._late_requests:
+            request.cancel()
         current = asyncio.current_task()
         tasks = [task for task in asyncio.all_tasks() if task is not current]
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -152,12 +181,39 @@
                 continue
             if self._mode == "one way" and not is_request:
                 continue
+            if self._mode == "late" and is_request and self._draw_late():
+                self._take_request(raw, writer)
+                continue
             if self._mode == "slow":
                 await asyncio.sleep(SLOW_DELAY)
             writer.write(raw)
             await writer.drain()
         writer.close()
 
+    def _draw_late(self):
+        return self._rng.random() < LATE_SHARE
+
+    def _take_request(self, raw, upstream):
+        request = asyncio.create_task(self._deliver_late(raw))
+        self._late_requests.add(request)
+        request.add_done_callback(self._late_requests.discard)
+        self._stalled.add(upstream)
+        if self._draw_late():
+            upstream.transport.abort()
+
+    async def _deliver_late(self, raw):
+        await asyncio.sleep(self._rng.uniform(*self._late_delays))
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self._target
+            )
+            try:
+                writer.write(raw)
+                async with asyncio.timeout(LATE_ANSWER_TIMEOUT):
+                    await reader.read(CHUNK_SIZE)
+            finally:
+                writer.transport.abort()
+
 
 def start(port: int, target: int) -> Proxy:
     """Start a proxy on `port` in front of `target`.
--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -22,9 +22,9 @@
     "run",
 ]
 
-SETTLE_TIME = 7.0
-"""Seconds after the last fault for open requests and restarts to end; a
-shutdown takes 6 s."""
+SETTLE_TIME = 20.0
+"""Seconds after the last fault; its end and `checks.RECOVERY_BOUND` lie
+within, and requests that follow."""
 SIZES = {
     "small": rigs.Size(),
     "usual": rigs.Size(3, 2, 4),
@@ -42,6 +42,7 @@
     args=(),
     keep: str = "",
     kinds: Sequence[str] = (),
+    series_share: float = faults.SERIES_SHARE,
 ) -> tuple[list[str], checks.Counts, collections.Counter]:
     """Run one soak.
 
@@ -61,14 +62,17 @@
         Folder for the logs; none are kept when empty.
     kinds : sequence of str
         Kinds of fault; all when empty.
+    series_share : float
+        Share of the faults that a series of faults follows.
 
     Returns
     -------
     list of str, Counts, Counter
         Violations found, what was checked, and the faults by kind.
     """
-    plan = faults.draw(seed, count, length, kinds)
-    with rigs.run_rig(SIZES[size], program, args, keep) as rig:
+    plan = faults.draw(seed, count, length, kinds, series_share)
+    guarded = seed % 2 == 0
+    with rigs.run_rig(SIZES[size], program, args, keep, guarded) as rig:
         submitters = 3 * len(rig.instances)
         records, stop_clients = clients.start(rig, seed, submitters)
         faults.inject(rig, plan, length + SETTLE_TIME)
--- a/packages/proof/src/cardamompath_proof/soak/checks.py
+++ b/packages/proof/src/cardamompath_proof/soak/checks.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from cardamompath_proof.soak import clients
+from cardamompath_proof.soak import rig as rigs
 
 __all__ = [
     "Counts",
@@ -36,6 +37,20 @@
 """Seconds after which a request counts as read by the instance."""
 SHUTDOWN_TIME = 6.0
 """Seconds from SIGTERM to the exit of a process."""
+CAPACITY_TIME = 3.0 + rigs.HEARTBEAT_INTERVAL
+"""Seconds for which a capacity counts after it has shrunk."""
+MAX_FAILURES = 3
+"""Ends as failed after which a job is given up."""
+MAX_CRASHES = 2
+"""Crashed executors after which a job may be given up."""
+COUNTED_CRASHES = 3
+"""Crashed executors after which `MAX_STARTS` holds."""
+MAX_STARTS = 2
+"""Maximum number of starts after so many crashes."""
+RECOVERY_BOUND = 12.0
+"""Seconds after the last fault until jobs are served as usual."""
+MIN_SERVED_SHARE = 0.25
+"""Share of the jobs that has to be served then."""
 
 
 class Run(NamedTuple):
@@ -47,7 +62,12 @@
     began: float
     ended: float
     state: str
-    """Empty if the executor was killed before the run ended."""
+    """As the executor ended it; "crashed" if it crashed the executor, empty
+    if the executor ended for another cause."""
+    load: int = 0
+    """CPU share of all runs on the executor when it began, with its own."""
+    capacity: float = math.inf
+    """Capacity that counted then."""
 
 
 class Counts(NamedTuple):
@@ -84,23 +104,43 @@
 
 
 def _read_log(name, path, ended):
+    lines = path.read_text().splitlines()
+    docs = [json.loads(line) for line in lines if line.startswith("{")]
+    capacities = [(-math.inf, rigs.CAPACITY)]
     open_runs = {}
     runs = []
-    for line in path.read_text().splitlines():
-        if not line.startswith("{"):
-            continue
-        doc = json.loads(line)
-        key = (doc["task"], doc["attempt"])
-        if doc["event"] == "start":
-            open_runs[key] = doc["at"]
-        elif key in open_runs:
-            began = open_runs.pop(key)
-            runs.append(Run(*key, name, began, doc["at"], doc["how"]))
-    for key, began in open_runs.items():
-        runs.append(Run(*key, name, began, ended, ""))
+    for doc in docs:
+        at = doc["at"]
+        key = (doc.get("task"), doc.get("attempt"))
+        if doc["event"] == "capacity":
+            capacities.append((at, doc["cpu"]))
+        elif doc["event"] == "start":
+            load = doc["cpu"] + sum(load for _, load, _ in open_runs.values())
+            open_runs[key] = (at, doc["cpu"], (load, _counted(capacities, at)))
+        elif doc["event"] == "end" and key in open_runs:
+            began, _, use = open_runs.pop(key)
+            runs.append(Run(*key, name, began, at, doc["how"], *use))
+        elif doc["event"] in ("crash", "exit"):
+            ended = at
+            if key in open_runs:
+                began, _, use = open_runs.pop(key)
+                runs.append(Run(*key, name, began, at, "crashed", *use))
+            break
+    for key, (began, _, use) in open_runs.items():
+        runs.append(Run(*key, name, began, ended, "", *use))
     return runs
 
 
+def _counted(capacities, at):
+    """Return the largest capacity of the last `CAPACITY_TIME` seconds."""
+    until = [since for since, _ in capacities[1:]] + [math.inf]
+    return max(
+        cpu
+        for (_, cpu), end in zip(capacities, until, strict=True)
+        if end > at - CAPACITY_TIME
+    )
+
+
 def check_all(
     submissions: Sequence[clients.Submission],
     queries: Sequence[clients.RouteQuery],
@@ -109,7 +149,12 @@
 ) -> list[str]:
     """Return the violations that all checks found."""
     return [
+        *rig.violations,
         *check_concurrent_runs(runs),
+        *check_crashes(runs),
+        *check_capacity(runs),
+        *check_failed(submissions, runs),
+        *check_recovery(submissions, rig.last_fault_at),
         *check_submitted(submissions, runs),
         *check_answers(submissions, runs),
         *check_refusals(submissions, runs),
@@ -135,6 +180,70 @@
     return violations
 
 
+def check_crashes(runs: Sequence[Run]) -> list[str]:
+    """Find tasks that were started too often after they crashed executors."""
+    by_task = collections.defaultdict(list)
+    for run in runs:
+        by_task[run.task].append(run)
+    violations = []
+    for task, task_runs in by_task.items():
+        crashes = sorted(
+            run.ended for run in task_runs if run.state == "crashed"
+        )
+        if len(crashes) < COUNTED_CRASHES:
+            continue
+        counted_from = crashes[COUNTED_CRASHES - 1]
+        starts = sum(run.began > counted_from for run in task_runs)
+        if starts > MAX_STARTS:
+            violations.append(
+                f"{starts} starts of {task} after {COUNTED_CRASHES} crashes"
+            )
+    return violations
+
+
+def check_capacity(runs: Sequence[Run]) -> list[str]:
+    """Find starts that brought an executor over its capacity."""
+    return [
+        f"started over the capacity: {run!r}"
+        for run in runs
+        if run.load > run.capacity
+    ]
+
+
+def check_failed(
+    submissions: Sequence[clients.Submission], runs: Sequence[Run]
+) -> list[str]:
+    """Find answers that are neither complete nor failed for a cause."""
+    ends = collections.Counter(
+        (run.task, run.state or "crashed") for run in runs
+    )
+    failed = {
+        task.rsplit(".", 3)[0]
+        for (task, state), count in ends.items()
+        if (state == "failed" and count >= MAX_FAILURES)
+        or (state == "crashed" and count >= MAX_CRASHES)
+    }
+    return [
+        f"neither complete nor failed for a cause: {sub!r}"
+        for sub in submissions
+        if sub.status == 200
+        and sub.state != "complete"
+        and not (sub.state == "failed" and sub.job in failed)
+    ]
+
+
+def check_recovery(
+    submissions: Sequence[clients.Submission], last_fault_at: float
+) -> list[str]:
+    """Find that too few jobs are served long after the last fault."""
+    since = last_fault_at + RECOVERY_BOUND
+    late = [sub for sub in submissions if sub.began > since]
+    served = sum(sub.state == "complete" for sub in late)
+    if served >= MIN_SERVED_SHARE * len(late):
+        return []
+    return [f"{served} of {len(late)} jobs served after the last fault"]
+
+
 def check_submitted(
     submissions: Sequence[clients.Submission], runs: Sequence[Run]
 ) -> list[str]:
@@ -194,13 +303,12 @@
 
     Instances that were frozen during the request are exempt.
     """
-    limit = clients.CLIENT_TIMEOUT_MS / 1000.0 + ANSWER_TOLERANCE
     freezes = {inst.name: inst.freezes for inst in rig.instances}
     return [
         f"answered late: {sub!r}"
         for sub in submissions
         if sub.status
-        and sub.ended - sub.began > limit
+        and sub.ended - sub.began > sub.timeout + ANSWER_TOLERANCE
         and not any(
             began < sub.ended and until > sub.began
             for began, until in freezes[sub.instance]
@@ -220,6 +328,8 @@
     for sub in submissions:
         if sub.status or sub.ended - sub.began < MIN_REQUEST_TIME:
             continue
+        if _gave_up(sub):
+            continue
         terminations = rig.terminations.get(sub.instance, [])
         other_disturbances = disturbances[sub.instance]
         if any(
@@ -234,6 +344,14 @@
     return violations
 
 
+def _gave_up(sub):
+    """Return whether the client left as soon as its timeout had passed."""
+    return (
+        sub.error.startswith("TimeoutError")
+        and sub.ended - sub.began < sub.timeout + ANSWER_TOLERANCE
+    )
+
+
 def check_routes(queries: Sequence[clients.RouteQuery], rig: Any) -> list[str]:
     """Find answers that no version in force at that time explains."""
     violations = []
--- a/packages/proof/src/cardamompath_proof/soak/clients.py
+++ b/packages/proof/src/cardamompath_proof/soak/clients.py
@@ -25,19 +25,31 @@
     "start",
 ]
 
-CLIENT_TIMEOUT_MS = 3000
+CLIENT_TIMEOUTS_MS = (900, 3000, 3000)
 """Milliseconds that a client waits, as its request header says."""
-ANSWER_MARGIN = 2.0
+ANSWER_MARGINS = (0.1, 2.0)
 """Seconds beyond the timeout after which a client gives up."""
+WORK_TIMES_MS = (30, 60, 150, 400, 1200)
+CPU_SHARES = (1000, 2000, 3000)
+"""Thousandths of a core."""
+CRASH_TIMES_MS = (0, 50, 400)
+"""Milliseconds after which a task crashes its executor."""
 RETRY_DELAY = 1.3
 """Seconds until a job whose answer was lost is submitted again."""
 MAX_SUBMISSIONS = 3
 """Maximum number of submissions of a job."""
 MAX_PAUSE = 0.05
 """Seconds between two jobs of a client."""
+QUERY_TIMEOUT_MS = 3000
+"""Milliseconds that a client waits for the answer about a route."""
 QUERY_INTERVAL = 0.25
 """Seconds between two requests for a route."""
 
+STOP_TIMEOUT = (
+    CLIENT_TIMEOUTS_MS[-1] / 1000.0 + ANSWER_MARGINS[-1] + RETRY_DELAY
+)
+"""Seconds in which a client stops."""
+
 
 class Submission(NamedTuple):
     """One request that submitted a job, and its answer."""
@@ -51,6 +63,8 @@
     """0 when no answer came."""
     state: str
     error: str
+    timeout: float = CLIENT_TIMEOUTS_MS[-1] / 1000.0
+    """Seconds that the client asked for."""
 
 
 class RouteQuery(NamedTuple):
@@ -73,18 +87,21 @@
         self._conn = None
         self._instance = None
 
-    def _request(self, method, path, body=None):
+    def _request(self, method, path, timeout_ms, body=None):
         """Return status, document and error; reuse the connection."""
         if self._conn is None:
             self._instance = self._rng.choice(self._rig.instances)
             self._conn = http.HTTPConnection(
                 self._instance.address,
                 fixtures.FRONTEND_PORT,
-                timeout=CLIENT_TIMEOUT_MS / 1000.0 + ANSWER_MARGIN,
             )
-        wait = None if body is None else CLIENT_TIMEOUT_MS
+        wait = None if body is None else timeout_ms
         headers = fixtures.make_headers(rigs.HOST, wait)
+        limit = timeout_ms / 1000.0 + self._rng.choice(ANSWER_MARGINS)
+        self._conn.timeout = limit
         try:
+            if self._conn.sock is not None:
+                self._conn.sock.settimeout(limit)
             self._conn.request(method, path, body, headers)
             reply = self._conn.getresponse()
             raw = reply.read()
@@ -108,12 +125,17 @@
 
     def _submit(self, job):
         tasks = self._rng.choice((1, 2, 3, 6))
-        work = self._rng.choice((30, 60, 150, 400, 1200))
-        body = fixtures.make_job(tasks, work, 2000)
+        work = self._rng.choice(WORK_TIMES_MS)
+        cpu = self._rng.choice(CPU_SHARES)
+        timeout_ms = self._rng.choice(CLIENT_TIMEOUTS_MS)
+        crash_ms = None
+        if self._rng.random() < self._rig.crash_share:
+            tasks, crash_ms = 1, self._rng.choice(CRASH_TIMES_MS)
+        body = fixtures.make_job(tasks, work, cpu, crash_ms)
         for _ in range(MAX_SUBMISSIONS):
             began = clocks.boottime()
             status, doc, error = self._request(
-                "POST", f"{rigs.PREFIX}{job}", body
+                "POST", f"{rigs.PREFIX}{job}", timeout_ms, body
             )
             self._records.put(
                 Submission(
@@ -125,11 +147,15 @@
                     status,
                     str(doc.get("state", "")),
                     error,
+                    timeout_ms / 1000.0,
                 )
             )
             if status not in (0, 502, 504) or self._stop_event.is_set():
                 return
             time.sleep(RETRY_DELAY)
+            # The job may reach any instance.
+            if self._conn is not None:
+                self._close()
 
 
 class _RouteQuerier(_Client):
@@ -142,7 +168,7 @@
             }
             route = self._rng.choice(sorted(names))
             began = clocks.boottime()
-            status = self._request("GET", f"/{route}/")[0]
+            status = self._request("GET", f"/{route}/", QUERY_TIMEOUT_MS)[0]
             self._records.put(
                 RouteQuery(
                     route,
@@ -191,8 +217,6 @@
     def stop() -> None:
         stop_event.set()
         for thread in threads:
-            thread.join(
-                CLIENT_TIMEOUT_MS / 1000.0 + ANSWER_MARGIN + RETRY_DELAY
-            )
+            thread.join(STOP_TIMEOUT)
 
     return records, stop
--- a/packages/proof/src/cardamompath_proof/soak/faults.py
+++ b/packages/proof/src/cardamompath_proof/soak/faults.py
@@ -22,12 +22,44 @@
 
 RESTART_DELAY = 0.6
 """Seconds until a killed process is started again."""
+CRASH_DELAYS = (0.4, 1.2, 3.0)
+"""Seconds until an executor that ended by itself is started again."""
 SHUTDOWN_TIME = 6.5
 """Seconds from SIGTERM until an instance is expected to have exited."""
-DRAIN_TIME = 2.5
-"""Seconds from SIGTERM until an executor is expected to have drained."""
-EXIT_TIMEOUT = 30.0
-"""Seconds to wait for the exit of a process."""
+WATCH_INTERVAL = 0.05
+"""Seconds between two looks for processes that have ended."""
+SHRINK_TIME = 4.0
+"""Seconds by which a smaller capacity lasts longer than other faults."""
+CRASH_SHARE = 0.1
+"""Share of the jobs whose task crashes its executor, while there are any."""
+SERIES_SHARE = 0.3
+"""Share of the faults that a series of faults follows."""
+SERIES_GAP = 0.5
+"""Longest time in seconds between two faults of a series."""
+
+
+NESTING = 50_000
+_ENTRY = (
+    b'{"service":"desk","addr":"127.0.0.1:%s","zone":"d0","version":"v1",'
+    b'"slots":%s,"state":"ready","cold_left_ms":0,"seq_no":1,'
+    b'"capacity":{"cpu":%s,"mem_mb":32768,"gpu":0},'
+    b'"labels":%s,"born":%s}'
+)
+_BORN = b"1700000000000"
+ODD_ENTRIES = (
+    _ENTRY % (b"99999", b"8", b"8000", b"[]", _BORN),
+    _ENTRY % (b"0", b"8", b"8000", b"[]", _BORN),
+    _ENTRY % (b"-1", b"8", b"8000", b"[]", _BORN),
+    _ENTRY % (b"9" * 5000, b"8", b"8000", b"[]", _BORN),
+    _ENTRY % (b"1", b"8", b"9" * 5000, b"[]", _BORN),
+    _ENTRY % (b"1", b"1e999", b"1e999", b"[]", _BORN),
+    _ENTRY % (b"1", b"8", b"9" * 40, b"[]", b"9" * 40),
+    _ENTRY % (b"1", b"8", b"8000", b"[" * NESTING + b"]" * NESTING, _BORN),
+    b"[" * NESTING,
+    b'{"a":' * NESTING,
+    b"\xff\xfe\x00",
+)
+"""Entries of another writer that name no executor."""
 
 
 class Fault(NamedTuple):
@@ -43,7 +75,11 @@
 
 
 def draw(
-    seed: int, count: int, length: float, kinds: Sequence[str] = ()
+    seed: int,
+    count: int,
+    length: float,
+    kinds: Sequence[str] = (),
+    series_share: float = SERIES_SHARE,
 ) -> list[Fault]:
     """Draw the faults of a soak; some of them overlap.
 
@@ -57,6 +93,8 @@
         Seconds over which they are injected.
     kinds : sequence of str
         Keys of `KINDS`; all when empty.
+    series_share : float
+        Share of the faults that a series follows.
     """
     rng = random.Random(f"faults/{seed}")
     faults = []
@@ -69,22 +107,80 @@
         kind = rng.choice(sorted(kinds or KINDS))
         duration = rng.choice((0.3, 0.8, 1.5, 3.0))
         faults.append(Fault(at, kind, rng.randrange(1000), duration))
-    return [fault for fault in faults if fault.at < length]
+    series = [
+        each
+        for number, fault in enumerate(faults)
+        for each in _draw_series(
+            fault,
+            random.Random(f"series/{seed}/{number}"),
+            kinds or KINDS,
+            series_share,
+        )
+    ]
+    return [fault for fault in sorted(faults + series) if fault.at < length]
+
+
+def _draw_series(first, rng, kinds, share):
+    """Draw faults of the same family that follow a fault closely."""
+    if rng.random() >= share:
+        return []
+    (family,) = (family for family in FAMILIES if first.kind in family)
+    at = first.at
+    series = []
+    for _ in range(rng.randint(2, 4)):
+        at += rng.uniform(0.0, SERIES_GAP)
+        kind = rng.choice([kind for kind in family if kind in kinds])
+        target = first.target + rng.choice((0, 0, 1))
+        series.append(Fault(at, kind, target, first.duration))
+    return series
 
 
 def inject(rig: Any, faults: list[Fault], length: float) -> None:
-    """Inject each fault at its time, and undo it after its duration."""
+    """Inject each fault at its time, and undo it after its duration.
+
+    Processes that end meanwhile are started again, for `length` seconds.
+    """
     schedule = sched.scheduler(time.monotonic, time.sleep)
     for fault in faults:
         schedule.enter(fault.at, 0, _inject, (rig, schedule, fault))
-    schedule.enter(length, 1, lambda: None)
+    end = time.monotonic() + length
+    _watch(rig, schedule, random.Random(len(faults)), end)
     schedule.run()
 
 
 def _inject(rig, schedule, fault):
-    undo = KINDS[fault.kind](rig, fault)
-    for delay, action in undo:
-        schedule.enter(delay, 0, action)
+    rig.last_fault_at = clocks.boottime()
+    for delay, action in KINDS[fault.kind](rig, fault):
+        schedule.enter(delay, 0, _undo, (rig, action))
+
+
+def _undo(rig, action):
+    action()
+    rig.last_fault_at = clocks.boottime()
+
+
+def _watch(rig, schedule, rng, end):
+    """Start the processes again that have ended, at each interval."""
+    for executor in filter(rig.note_exit, rig.executors):
+        delay = rng.choice(CRASH_DELAYS)
+        schedule.enter(delay, 0, _undo, (rig, _restart(rig, executor)))
+    for instance in filter(rig.note_exit, rig.instances):
+        if not instance.is_terminating:
+            status = instance.process.popen.returncode
+            rig.violations.append(
+                f"{instance.name} ended by itself, status {status}"
+            )
+            _record_disturbance(instance, RESTART_DELAY)
+        action = _restart(rig, instance)
+        schedule.enter(RESTART_DELAY, 0, _undo, (rig, action))
+    if time.monotonic() < end:
+        args = (rig, schedule, rng, end)
+        schedule.enter(WATCH_INTERVAL, 1, _watch, args)
+
+
+def _restart(rig, target):
+    """Return an action that starts the next incarnation, if none runs."""
+    return lambda: rig.restart(target)
 
 
 def _target_instance(rig, fault):
@@ -105,13 +201,6 @@
     return target.process.popen.poll() is None
 
 
-def _restart_process(start, target, process):
-    """Start the next incarnation, unless another fault has done so."""
-    if target.process.popen is process:
-        process.wait(EXIT_TIMEOUT)
-        start(target)
-
-
 Undo = list[tuple[float, Callable[[], None]]]
 """Actions that undo a fault, each after a delay in seconds."""
 
@@ -122,7 +211,7 @@
         return []
     _record_disturbance(instance, RESTART_DELAY + fault.duration)
     rig.kill(instance)
-    return [(RESTART_DELAY, lambda: rig.start_instance(instance))]
+    return [(RESTART_DELAY, _restart(rig, instance))]
 
 
 def _kill_all(rig, fault) -> Undo:
@@ -134,19 +223,19 @@
         if _is_alive(instance):
             _record_disturbance(instance, RESTART_DELAY + fault.duration)
             rig.kill(instance)
-            undo.append(
-                (
-                    RESTART_DELAY,
-                    lambda instance=instance: rig.start_instance(instance),
-                )
-            )
+            action = _restart(rig, instance)
+            undo.append((RESTART_DELAY, action))
     return undo
 
 
 def _terminate_instance(rig, fault) -> Undo:
+    """Send SIGTERM, and SIGKILL if the process does not end in time."""
     instance = _target_instance(rig, fault)
     if not _is_alive(instance):
         return []
+    if instance.is_terminating:
+        rig.signal(instance, signal.SIGTERM)
+        return []
     undisturbed_since = max(
         [0.0, *(until for _, until in instance.disturbances)]
     )
@@ -155,15 +244,17 @@
     rig.terminations.setdefault(instance.name, []).append(
         (began, undisturbed_since)
     )
+    instance.is_terminating = True
     rig.signal(instance, signal.SIGTERM)
-
     process = instance.process.popen
-    return [
-        (
-            SHUTDOWN_TIME,
-            lambda: _restart_process(rig.start_instance, instance, process),
-        )
-    ]
+
+    def kill():
+        if instance.process.popen is process and process.poll() is None:
+            if all(until < began for _, until in instance.freezes):
+                rig.violations.append(f"{instance.name} ignored SIGTERM")
+            process.kill()
+
+    return [(SHUTDOWN_TIME, kill)]
 
 
 def _freeze_instance(rig, fault) -> Undo:
@@ -189,41 +280,73 @@
     if not _is_alive(executor):
         return []
     rig.kill(executor)
-    return [(fault.duration, lambda: rig.start_executor(executor))]
+    return [(fault.duration, _restart(rig, executor))]
 
 
 def _drain_executor(rig, fault) -> Undo:
     executor = _target_executor(rig, fault)
-    if not _is_alive(executor):
-        return []
-    rig.signal(executor, signal.SIGTERM)
+    if _is_alive(executor):
+        rig.signal(executor, signal.SIGTERM)
+    return []
 
-    process = executor.process.popen
 
-    def replace():
-        if executor.process.popen is process:
-            process.wait(EXIT_TIMEOUT)
-            executor.end_times.append(clocks.boottime())
-        _restart_process(rig.start_executor, executor, process)
+def _spoil_executor(rig, fault) -> Undo:
+    """Let an executor fail tasks, stall or lose answers."""
+    choices = ({"fail": True}, {"stall": True}, {"mute": 3})
+    fields = choices[fault.target % 3]
+    return _set_faults(rig, fault, fault.duration, **fields)
 
-    return [(DRAIN_TIME, replace)]
 
+def _resize_executor(rig, fault) -> Undo:
+    """Shrink the capacity of an executor, and let it grow again."""
+    cpu = (0, 2000, 5000)[fault.target % 3]
+    return _set_faults(rig, fault, fault.duration + SHRINK_TIME, cpu=cpu)
 
-def _spoil_executor(rig, fault) -> Undo:
-    """Let an executor fail tasks, stall or lose answers."""
+
+def _set_faults(rig, fault, duration, **fields) -> Undo:
     executor = _target_executor(rig, fault)
-    choices = ({"fail": True}, {"stall": True}, {"mute": 3})
-    url = f"http://127.0.0.1:{executor.port}"
     if not _is_alive(executor):
         return []
-    fields = choices[fault.target % 3]
+    url = executor.faults_url
     rig.call_later(lambda: rig.set_faults(url, **fields))
 
     def clear():
         if _is_alive(executor):
             rig.call_later(lambda: rig.set_faults(url))
 
-    return [(fault.duration, clear)]
+    return [(duration, clear)]
+
+
+def _crash_executors(rig, fault) -> Undo:
+    """Let some jobs crash each executor that starts their task."""
+    rig.crash_share = CRASH_SHARE
+
+    def stop():
+        rig.crash_share = 0.0
+
+    return [(fault.duration, stop)]
+
+
+def _delay_orders(rig, fault) -> Undo:
+    """Deliver some requests late, to one executor or to a domain's."""
+    first = _target_executor(rig, fault)
+    undo = []
+    for executor in rig.executors:
+        if executor is first or (
+            fault.target % 2 and executor.domain == first.domain
+        ):
+            rng = random.Random(f"{executor.name}/{fault.target}")
+            executor.proxy.delay_requests(rng)
+            undo.append((fault.duration, executor.proxy.clear_disturbance))
+    return undo
+
+
+def _write_odd_entry(rig, fault) -> Undo:
+    """Let another writer add an entry among those of the executors."""
+    name = f"odd{fault.target % len(ODD_ENTRIES)}"
+    entry = ODD_ENTRIES[fault.target % len(ODD_ENTRIES)]
+    rig.call_later(lambda: rig.write_entry(name, entry))
+    return []
 
 
 def _disturb_executor(rig, fault) -> Undo:
@@ -274,18 +397,29 @@
     return []
 
 
-KINDS: dict[str, Callable[[Any, Fault], Undo]] = {
+INSTANCE_KINDS: dict[str, Callable[[Any, Fault], Undo]] = {
     "kill all": _kill_all,
     "kill instance": _kill_instance,
     "terminate instance": _terminate_instance,
     "freeze instance": _freeze_instance,
     "reload instance": _reload_instance,
+}
+EXECUTOR_KINDS: dict[str, Callable[[Any, Fault], Undo]] = {
     "kill executor": _kill_executor,
     "drain executor": _drain_executor,
     "spoil executor": _spoil_executor,
     "disturb executor": _disturb_executor,
+    "resize executor": _resize_executor,
+    "crash executors": _crash_executors,
+    "delay orders": _delay_orders,
+}
+STORE_KINDS: dict[str, Callable[[Any, Fault], Undo]] = {
     "disturb store": _disturb_store,
     "store down": _store_down,
     "publish": _publish,
+    "odd entry": _write_odd_entry,
 }
+FAMILIES = (INSTANCE_KINDS, EXECUTOR_KINDS, STORE_KINDS)
+"""Kinds of fault that occur in series."""
+KINDS = INSTANCE_KINDS | EXECUTOR_KINDS | STORE_KINDS
 """Functions that inject a fault, by its kind."""
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -41,8 +41,11 @@
 """Seconds between heartbeats of executors; short, so that registry entries
 expire and return within a soak."""
 PROGRAM = "cardamompathd.platform"
+CAPACITY = 8000
+"""Thousandths of a core of an executor."""
 CALL_TIMEOUT = 10.0
 """Seconds that a call to a stand-in may take, which may be paused."""
+ENTRY_PATH = "/v1/log-append?topic=keyed.servers&part=0"
 
 
 class Size(NamedTuple):
@@ -91,6 +94,11 @@
         self.end_times: list[float] = []
         """End of each incarnation; the last one may be alive and have none."""
 
+    @property
+    def faults_url(self) -> str:
+        """URL of the executor itself, not of its proxy."""
+        return f"http://127.0.0.1:{self.port}"
+
 
 class Instance:
     """An instance, its proxy to the store, and its incarnations."""
@@ -106,6 +114,10 @@
         self.freezes: list[tuple[float, float]] = []
         """Spans in which its process was stopped by SIGSTOP."""
         self.incarnations: list[Incarnation] = []
+        self.end_times: list[float] = []
+        """As those of an executor."""
+        self.is_terminating = False
+        """Whether its process got SIGTERM."""
 
 
 class Rig:
@@ -121,12 +133,23 @@
         Module that instances run.
     args : sequence of str
         Its arguments.
+    enforces_capacity : bool
+        Whether executors refuse what exceeds their capacity.
     """
 
-    def __init__(self, folder, size, program=PROGRAM, args=()):
+    def __init__(
+        self, folder, size, program=PROGRAM, args=(), enforces_capacity=True
+    ):
         self.folder = folder
         self.program = program
         self.args = args
+        self.enforces_capacity = enforces_capacity
+        self.violations: list[str] = []
+        """Violations found while the soak runs."""
+        self.crash_share = 0.0
+        """Share of the jobs whose task crashes its executor."""
+        self.last_fault_at = 0.0
+        """When a fault was last injected or undone."""
         self.version = 0
         self.published: list[publications.Publication] = []
         self.terminations: dict[str, list[tuple[float, float]]] = {}
@@ -188,7 +211,11 @@
         self.version += random.Random(self.version).randrange(1, 9)
         prefixes = {route: f"/{route}/" for route in routes}
         record = fixtures.make_configuration(
-            self.version, SERVICE, HOST, {"main": PREFIX, **prefixes}
+            self.version,
+            SERVICE,
+            HOST,
+            {"main": PREFIX, **prefixes},
+            self.enforces_capacity,
         )
         publication = self._publish(self.version, routes, record)
         if publication is not None:
@@ -199,6 +226,12 @@
         body = json.dumps(fields).encode()
         self.http.request("PUT", f"{url}/standin/faults", body=body)
 
+    def write_entry(self, name: str, entry: bytes) -> None:
+        """Write an entry among those of the executors."""
+        record = store.encode_keyed_record(name, entry)
+        url = f"{self.store_url}{ENTRY_PATH}"
+        self.http.request("POST", url, body=record)
+
     def start_executor(self, executor: Executor) -> None:
         """Start the next incarnation of an executor."""
         args = ["--name", executor.name, "--service", SERVICE]
@@ -208,8 +241,12 @@
             str(executor.port),
             "--ping",
             str(HEARTBEAT_INTERVAL),
+            "--cpu",
+            str(CAPACITY),
         ]
         args += ["--announce", f"127.0.0.1:{executor.proxy.port}"]
+        if not self.enforces_capacity:
+            args.append("--unguarded")
         log = self.folder / f"{executor.name}-{len(executor.incarnations)}.log"
         with open(log, "wb") as out:
             executor.process = processes.start(
@@ -238,18 +275,38 @@
             instance.process = processes.start(
                 instance.name, self.program, self.args, out, env
             )
+        instance.is_terminating = False
         instance.incarnations.append(Incarnation(clocks.boottime(), log))
 
     def signal(self, target: Executor | Instance, number: int) -> None:
         """Send a signal to the process of an executor or instance."""
-        os.kill(target.process.popen.pid, number)
+        target.process.popen.send_signal(number)
 
     def kill(self, target: Executor | Instance) -> None:
         """Kill the process of an executor or instance; wait for its exit."""
         target.process.popen.kill()
         target.process.popen.wait()
+        target.end_times.append(clocks.boottime())
+
+    def is_down(self, target: Executor | Instance) -> bool:
+        """Return whether the last process is known to have ended."""
+        return len(target.end_times) == len(target.incarnations)
+
+    def restart(self, target: Executor | Instance) -> None:
+        """Start the next incarnation, unless the last one runs."""
+        if not self.is_down(target):
+            return
         if isinstance(target, Executor):
-            target.end_times.append(clocks.boottime())
+            self.start_executor(target)
+        else:
+            self.start_instance(target)
+
+    def note_exit(self, target: Executor | Instance) -> bool:
+        """Return whether a process has ended since the last call."""
+        if self.is_down(target) or target.process.popen.poll() is None:
+            return False
+        target.end_times.append(clocks.boottime())
+        return True
 
     def await_ready(self) -> None:
         """Wait until every instance is ready for callers."""
@@ -276,7 +333,11 @@
 
 @contextlib.contextmanager
 def run_rig(
-    size: Size, program: str = PROGRAM, args=(), keep: str = ""
+    size: Size,
+    program: str = PROGRAM,
+    args=(),
+    keep: str = "",
+    enforces_capacity: bool = True,
 ) -> Iterator[Rig]:
     """Start the processes of a soak, and kill them afterwards.
 
@@ -288,11 +349,13 @@
         Module that instances run, and its arguments.
     keep : str
         Folder for the logs; a temporary one when empty.
+    enforces_capacity : bool
+        Whether executors refuse what exceeds their capacity.
     """
     with tempfile.TemporaryDirectory() as temporary:
         folder = pathlib.Path(keep or temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        rig = Rig(folder, size, program, args)
+        rig = Rig(folder, size, program, args, enforces_capacity)
         try:
             rig.await_ready()
             time.sleep(1.0)
--- a/packages/proof/src/cardamompath_proof/tests/test_soak.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_soak.py
@@ -1,6 +1,8 @@
 """The checks of the soak on hand-made records, and its draws of faults."""
 
 import json
+import pathlib
+import tempfile
 import types
 import unittest
 
@@ -39,6 +41,8 @@
         instances=[instance],
         terminations={"i00": list(terminations)},
         published=list(published),
+        violations=[],
+        last_fault_at=0.0,
     )
 
 
@@ -155,6 +159,89 @@
                     checks.check_routes([query], rig), count
                 )
 
+    def test_start_after_the_executor_was_full(self):
+        runs = [
+            make_run()._replace(load=8000, capacity=8000),
+            make_run("j.0.0.1")._replace(load=9000, capacity=8000),
+        ]
+        self.assert_violations(checks.check_capacity(runs))
+
+    def test_third_start_after_three_crashes(self):
+        crashes = [
+            make_run(began=at, ended=at + 0.5, state="crashed")
+            for at in (1.0, 2.0, 3.0)
+        ]
+        later = [make_run(began=at) for at in (4.0, 5.0, 6.0)]
+        self.assert_violations(checks.check_crashes(crashes + later[:2]), 0)
+        self.assert_violations(checks.check_crashes(crashes + later), 1)
+
+    def test_failed_without_a_cause(self):
+        failed = make_submission(state="failed")
+        ends = [make_run(state="failed")] * 3
+        crashes = [make_run(state="crashed"), make_run(state="")]
+        for runs, count in ((ends, 0), (crashes, 0), (ends[:2], 1)):
+            found = checks.check_failed([failed], runs)
+            self.assert_violations(found, count)
+
+    def test_answer_that_is_neither_complete_nor_failed(self):
+        partial = make_submission(state="active")
+        self.assert_violations(checks.check_failed([partial], []))
+
+    def test_few_jobs_served_long_after_the_last_fault(self):
+        served = make_submission(began=30.0)
+        refused = [make_submission(began=30.0, status=503)] * 4
+        found = checks.check_recovery([served, *refused], 17.9)
+        self.assert_violations(found, 1)
+        for since, subs in ((18.0, refused), (17.0, [served, *refused[:3]])):
+            self.assert_violations(checks.check_recovery(subs, since), 0)
+
+    def test_client_that_leaves_at_its_timeout_was_not_dropped(self):
+        rig = make_rig(terminations=[(10.2, 0.0)])
+        left = make_submission(
+            status=0, began=10.0, ended=11.0, timeout=0.9, error="TimeoutError"
+        )
+        reset = left._replace(error="ConnectionResetError")
+        waited = left._replace(ended=12.0)
+        for sub, count in ((left, 0), (reset, 1), (waited, 1)):
+            found = checks.check_shutdown([sub], rig)
+            self.assert_violations(found, count)
+
+
+class ReadingTest(unittest.TestCase):
+    def read(self, *events):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        log = pathlib.Path(folder.name, "x0.log")
+        log.write_text("\n".join(json.dumps(event) for event in events))
+        incarnation = types.SimpleNamespace(log=log)
+        executor = types.SimpleNamespace(
+            name="x0", incarnations=[incarnation], end_times=[]
+        )
+        return checks.read_runs([executor], 20.0)
+
+    def make_event(self, kind, at, index=0, **fields):
+        task = {"task": f"j.0.0.{index}", "attempt": 1}
+        return {"event": kind, "at": at, **task, **fields}
+
+    def test_crash_ends_every_run(self):
+        runs = self.read(
+            self.make_event("start", 1.0, 0, cpu=1000),
+            self.make_event("start", 2.0, 1, cpu=1000),
+            self.make_event("crash", 3.0, 1),
+        )
+        found = {(run.task, run.ended, run.state) for run in runs}
+        expected = {("j.0.0.0", 3.0, ""), ("j.0.0.1", 3.0, "crashed")}
+        self.assertEqual(found, expected)
+
+    def test_smaller_capacity_counts_later(self):
+        runs = self.read(
+            {"event": "capacity", "at": 1.0, "cpu": 2000},
+            self.make_event("start", 4.7, 0, cpu=1000),
+            self.make_event("start", 4.9, 1, cpu=1500),
+        )
+        use = [(run.load, run.capacity) for run in runs]
+        self.assertEqual(use, [(1000, 8000), (2500, 2000)])
+
 
 class PublicationTest(unittest.TestCase):
     def setUp(self):
@@ -221,6 +308,13 @@
         }
         self.assertEqual(drawn, set(faults.KINDS))
 
+    def test_series_overlap_and_stay_in_their_family(self):
+        plain = faults.draw(3, 14, 20.0, series_share=0.0)
+        drawn = faults.draw(3, 14, 20.0, series_share=1.0)
+        self.assertGreaterEqual(len(drawn), 2 * len(plain))
+        self.assertLessEqual(set(plain), set(drawn))
+        self.assertEqual(drawn, sorted(drawn))
+
     def test_kinds_can_be_chosen(self):
         drawn = faults.draw(1, 9, 20.0, ["publish"])
         self.assertEqual({fault.kind for fault in drawn}, {"publish"})
--- a/packages/standins/src/cardamompath_standins/executor.py
+++ b/packages/standins/src/cardamompath_standins/executor.py
@@ -3,7 +3,8 @@
 One controller owns the runs.  Each start and end of a run is written to
 standard output as a JSON line, so that a check can read them after the
 process was killed.  The ``spec`` of a task gives its run time in
-milliseconds, as in ``{"ms": 120}``.
+milliseconds and its CPU share, as in ``{"ms": 120, "cpu": 2000}``; with
+``crash_ms`` the executor crashes that long after the start.
 """
 
 from __future__ import annotations
@@ -34,6 +35,7 @@
 __all__ = [
     "Command",
     "ExecutorState",
+    "Incarnation",
     "make_controller",
     "start",
 ]
@@ -70,12 +72,32 @@
     cpu: int
 
 
+class Incarnation(NamedTuple):
+    """Properties of one process of an executor."""
+
+    cpu: int
+    """Thousandths of a core; each task uses the share in its ``spec``."""
+    born: int
+    """Start of the process, in milliseconds since 1970."""
+    write: Callable[[dict], None]
+    """Records the fields of an event."""
+    enforces_capacity: bool = True
+    """Whether a start beyond the capacity is refused."""
+    clock_start: float = 0.0
+    """Time at which the clock of the executor shows 0."""
+    announce: Callable[[int], None] = lambda cpu: None
+    """Registers another capacity."""
+    crash: Callable[[], None] = lambda: None
+    """Ends the process at once."""
+
+
 class ExecutorState:
     """State of one incarnation of an executor."""
 
-    def __init__(self, cpu: int, born: int, write: Callable[[dict], None]):
-        self.cpu = cpu
-        self.write = write
+    def __init__(self, incarnation: Incarnation):
+        self.incarnation = incarnation
+        self.cpu = incarnation.cpu
+        self.write = incarnation.write
         self.highest_token = 0
         self.runs: dict[tuple[str, int], TaskRun] = {}
         self.ended_runs: list[list] = []
@@ -84,24 +106,11 @@
         self.lease_end = 0.0
         self.waiting_holds: list[Command] = []
         self.faults: dict[str, Any] = {}
-        self.born = born
-
-
-def make_controller(
-    cpu: int, born: int, write: Callable[[dict], None]
-) -> messages.Controller:
-    """Make the controller of an executor.
-
-    Parameters
-    ----------
-    cpu : int
-        Thousandths of a core; each task uses the share in its ``spec``.
-    born : int
-        Start of this incarnation, in milliseconds since 1970.
-    write : callable
-        Records the fields of each start and end of a run.
-    """
-    state = ExecutorState(cpu, born, write)
+
+
+def make_controller(incarnation: Incarnation) -> messages.Controller:
+    """Make the controller of an executor."""
+    state = ExecutorState(incarnation)
 
     def receive(msg, now):
         if isinstance(msg, messages.TimerFired):
@@ -113,7 +122,8 @@
 
 
 def _reply(state, msg, status, now, **fields):
-    doc = {"clock_ms": int(now * 1000.0), "born": state.born, **fields}
+    clock = int((now - state.incarnation.clock_start) * 1000.0)
+    doc = {"clock_ms": clock, "born": state.incarnation.born, **fields}
     answer = messages.Reply(msg.reply_to, listener.Response(status, doc))
     return messages.Send(messages.CALLERS, answer)
 
@@ -146,7 +156,7 @@
         return _refuse(state, msg, "fence", now)
     task, attempt = doc["task"], doc["attempt"]
     spec = json.loads(doc["spec"])
-    expires_at = doc["expires_ms"] / 1000.0
+    expires_at = _expiry(state, doc)
     if (task, attempt) in state.runs:
         return [_reply(state, msg, 200, now)]
     if expires_at <= now:
@@ -155,10 +165,16 @@
     if attempt <= state.highest_attempts.get(task, 0):
         return [*sends, *_refuse(state, msg, "old", now)]
     cpu = spec.get("cpu", 1000)
-    if sum(run.cpu for run in state.runs.values()) + cpu > state.cpu:
+    used = sum(run.cpu for run in state.runs.values())
+    if state.incarnation.enforces_capacity and used + cpu > state.cpu:
         return [*sends, *_refuse(state, msg, "room", now)]
     state.runs[task, attempt] = TaskRun(task, attempt, cpu)
-    state.write({"event": "start", "task": task, "attempt": attempt})
+    state.write(
+        {"event": "start", "task": task, "attempt": attempt, "cpu": cpu}
+    )
+    if "crash_ms" in spec:
+        crash_at = now + spec["crash_ms"] / 1000.0
+        sends.append(_set_timer(crash_at, "crash", (task, attempt)))
     if not state.faults.get("stall"):
         end_state = "failed" if state.faults.get("fail") else "done"
         end_at = now + spec["ms"] / 1000.0
@@ -170,6 +186,19 @@
     return [*sends, _reply(state, msg, 200, now)]
 
 
+def _expiry(state, doc):
+    return state.incarnation.clock_start + doc["expires_ms"] / 1000.0
+
+
+def _crash(state, key, now):
+    if key not in state.runs:
+        return []
+    task, attempt = key
+    state.write({"event": "crash", "task": task, "attempt": attempt})
+    state.incarnation.crash()
+    return []
+
+
 def _extend_lease(state, expires_at, now):
     until = min(expires_at, now + MAX_LEASE)
     state.lease_end = max(state.lease_end, until)
@@ -222,7 +251,7 @@
     ]
     sends = []
     if "expires_ms" in msg.doc:
-        sends += _extend_lease(state, msg.doc["expires_ms"] / 1000.0, now)
+        sends += _extend_lease(state, _expiry(state, msg.doc), now)
     wait = msg.doc.get("wait_ms", 0) / 1000.0
     if state.ended_runs or wait <= 0.0:
         return [*sends, _list_runs(state, msg, now)]
@@ -245,6 +274,11 @@
 
 def _set_faults(state, msg, now):
     state.faults = dict(msg.doc)
+    cpu = state.faults.get("cpu", state.incarnation.cpu)
+    if cpu != state.cpu:
+        state.cpu = cpu
+        state.write({"event": "capacity", "cpu": cpu})
+        state.incarnation.announce(cpu)
     return [_reply(state, msg, 200, now)]
 
 
@@ -254,21 +288,23 @@
     "/v1/hold": _hold,
     "/standin/faults": _set_faults,
 }
-_TIMERS = {"end": _end_run, "lapse": _expire_lease, "answer": _answer_hold}
+_TIMERS = {
+    "end": _end_run,
+    "lapse": _expire_lease,
+    "answer": _answer_hold,
+    "crash": _crash,
+}
 
 
 def start(
-    cpu: int,
-    born: int,
-    write: Callable[[dict], None],
-    name: str,
-    port: int = 0,
+    incarnation: Incarnation, name: str, port: int = 0
 ) -> listener.Listener:
     """Start an executor that accepts only commands addressed to `name`.
 
     ``PUT /standin/faults`` sets faults: ``fail`` (runs that start end as
     failed), ``stall`` (runs that start do not end by themselves),
-    ``mute`` (drop the responses to that many starts).
+    ``mute`` (drop the responses to that many starts), ``cpu`` (another
+    capacity).
 
     Raises
     ------
@@ -276,7 +312,7 @@
         If the port cannot be bound.
     """
     ref = actors.ControllerActor.start(
-        [make_controller(cpu, born, write)], _resolve_future, clocks.boottime
+        [make_controller(incarnation)], _resolve_future, clocks.boottime
     )
     ask = asking.make_ask(actors.make_tell(ref, EXECUTOR))
 
@@ -309,11 +345,11 @@
         self._entry = entry
         self._ping_interval = ping_interval
         self._pool = urllib3.PoolManager(retries=False, timeout=1.0)
-        self._states: queue.SimpleQueue = queue.SimpleQueue()
+        self._changes: queue.SimpleQueue = queue.SimpleQueue()
 
-    def set_state(self, state: str) -> None:
-        """Register another state at once."""
-        self._states.put(state)
+    def change(self, **fields: Any) -> None:
+        """Register other values of fields at once."""
+        self._changes.put(fields)
 
     def run(self) -> None:
         for number in itertools.count(1):
@@ -326,13 +362,15 @@
             except urllib3.exceptions.HTTPError as exc:
                 print(f"store: registration failed: {exc!r}", file=sys.stderr)
             try:
-                self._entry["state"] = self._states.get(
-                    timeout=self._ping_interval
-                )
+                self._entry |= self._changes.get(timeout=self._ping_interval)
             except queue.Empty:
                 continue
 
 
+def _capacity(cpu):
+    return {"cpu": cpu, "mem_mb": 32768, "gpu": 0}
+
+
 def _write_line(fields):
     line = json.dumps({"at": clocks.boottime(), **fields})
     sys.stdout.write(line + "\n")
@@ -350,11 +388,13 @@
     parser.add_argument("--announce", required=True, help="host:port")
     parser.add_argument("--cpu", type=int, default=8000)
     parser.add_argument("--ping", type=float, default=1.5)
+    parser.add_argument(
+        "--unguarded", action="store_true", help="do not enforce the capacity"
+    )
     args = parser.parse_args()
     signals = (signal.SIGTERM, signal.SIGINT)
     signal.pthread_sigmask(signal.SIG_BLOCK, signals)
     born = int(time.time() * 1000.0)
-    start(args.cpu, born, _write_line, args.name, args.port)
     entry = {
         "service": args.service,
         "addr": args.announce,
@@ -363,15 +403,26 @@
         "slots": 8,
         "state": "ready",
         "cold_left_ms": 0,
-        "capacity": {"cpu": args.cpu, "mem_mb": 32768, "gpu": 0},
+        "capacity": _capacity(args.cpu),
         "labels": ["a", f"r-{args.domain}"],
         "born": born,
     }
     registration = _Registration(args.store, args.name, entry, args.ping)
+    incarnation = Incarnation(
+        args.cpu,
+        born,
+        _write_line,
+        not args.unguarded,
+        clocks.boottime(),
+        lambda cpu: registration.change(capacity=_capacity(cpu)),
+        lambda: os.kill(os.getpid(), signal.SIGKILL),
+    )
+    start(incarnation, args.name, args.port)
     registration.start()
     signal.sigwait(signals)
-    registration.set_state("draining")
+    registration.change(state="draining")
     time.sleep(DRAIN_TIME)
+    _write_line({"event": "exit"})
     # Threads that still handle a request would keep the process alive.
     os._exit(0)
 
--- a/packages/standins/src/cardamompath_standins/fixtures.py
+++ b/packages/standins/src/cardamompath_standins/fixtures.py
@@ -72,7 +72,11 @@
 
 
 def make_configuration(
-    version: int, service: str, host: str, prefixes: dict[str, str]
+    version: int,
+    service: str,
+    host: str,
+    prefixes: dict[str, str],
+    enforces_capacity: bool = True,
 ) -> bytes:
     """Return the record with which the operator publishes a configuration.
 
@@ -84,6 +88,8 @@
         Service and host of every route.
     prefixes : dict
         Path prefix of each route, by the name of the route.
+    enforces_capacity : bool
+        Whether executors refuse what exceeds their capacity.
     """
     doc = {
         "version": version,
@@ -99,13 +105,20 @@
             }
             for name, prefix in prefixes.items()
         ],
-        "services": [{"name": service, "enforces_capacity": True}],
+        "services": [
+            {"name": service, "enforces_capacity": enforces_capacity}
+        ],
         "limits": {},
     }
     return store.encode_keyed_record("config", json.dumps(doc).encode())
 
 
-def make_job(task_count: int, work_ms: int, cpu_millicores: int) -> bytes:
+def make_job(
+    task_count: int,
+    work_ms: int,
+    cpu_millicores: int,
+    crash_ms: int | None = None,
+) -> bytes:
     """Return the request body of a job with a single step.
 
     Parameters
@@ -116,10 +129,15 @@
         Run time of each task, in milliseconds.
     cpu_millicores : int
         Processor share of each task, in thousandths of a core.
+    crash_ms : int, optional
+        Milliseconds after which each task crashes its executor.
     """
+    spec = {"ms": work_ms, "cpu": cpu_millicores}
+    if crash_ms is not None:
+        spec["crash_ms"] = crash_ms
     step = {"count": task_count, "cpu": cpu_millicores, "mem_mb": 16}
     doc: dict[str, Any] = {
-        "spec": json.dumps({"ms": work_ms, "cpu": cpu_millicores}),
+        "spec": json.dumps(spec),
         "best_effort": True,
         "phases": [{**step, "est_runtime_ms": work_ms}],
     }
--- a/packages/standins/src/cardamompath_standins/tests/test_executor.py
+++ b/packages/standins/src/cardamompath_standins/tests/test_executor.py
@@ -18,7 +18,11 @@
         self.answers = {}
         self.timers = []
         self.order = itertools.count()
-        controller = executor.make_controller(4000, BORN, self.lines.append)
+        self.make_executor()
+
+    def make_executor(self, **fields):
+        incarnation = executor.Incarnation(4000, BORN, self.lines.append)
+        controller = executor.make_controller(incarnation._replace(**fields))
         self.receive = controller.receive
 
     def deliver(self, msg):
@@ -40,12 +44,14 @@
         self.deliver(executor.Command(path, doc, reply_to))
         return reply_to
 
-    def start(self, task="j.0.0.0", attempt=1, token=5, ms=300, lease=1.0):
+    def start(
+        self, task="j.0.0.0", attempt=1, token=5, ms=300, lease=1.0, **spec
+    ):
         reply_to = self.call(
             "/v1/run-start",
             task=task,
             attempt=attempt,
-            spec=json.dumps({"ms": ms, "cpu": 2000}),
+            spec=json.dumps({"ms": ms, "cpu": 2000, **spec}),
             expires_ms=int((self.now + lease) * 1000),
             fencing_token=token,
         )
@@ -125,3 +131,44 @@
         self.call("/standin/faults", mute=1)
         self.assertIsNone(self.start().status)
         self.assertEqual(len(self.lines), 1)
+
+    def test_refused_start_extends_every_lease(self):
+        self.start("j.0.0.0", ms=2000)
+        self.run_until(10.8)
+        self.start("j.0.0.1", ms=3000)
+        self.run_until(11.6)
+        self.assertEqual(self.start("j.0.0.2").body["reason"], "room")
+        self.run_until(12.5)
+        self.assertEqual(self.end_states(), ["done"])
+
+    def test_task_crashes_its_executor(self):
+        crashes = []
+        self.make_executor(crash=lambda: crashes.append(self.now))
+        self.start(crash_ms=200)
+        self.run_until(10.25)
+        self.assertEqual(crashes, [10.2])
+        self.assertEqual(self.lines[-1]["event"], "crash")
+
+    def test_capacity_shrinks_and_grows(self):
+        announced = []
+        self.make_executor(announce=announced.append)
+        self.call("/standin/faults", cpu=1000)
+        self.assertEqual(self.start().body["reason"], "room")
+        self.call("/standin/faults")
+        self.assertEqual(self.start().status, 200)
+        self.assertEqual(announced, [1000, 4000])
+
+    def test_executor_without_a_guard_exceeds_its_capacity(self):
+        self.make_executor(enforces_capacity=False)
+        for index in range(3):
+            answer = self.start(f"j.0.0.{index}")
+            self.assertEqual(answer.status, 200)
+
+    def test_clock_starts_anew_with_the_process(self):
+        self.make_executor(clock_start=9.0)
+        answer = self.call("/v1/hold", ack_index=0)
+        self.assertEqual(self.answers[answer].body["clock_ms"], 1000)
+        # By the clock of a former process it ends in 11 s; it lasts 1 s.
+        self.start(ms=3000, lease=2.0)
+        self.run_until(11.1)
+        self.assertEqual(self.end_states(), ["lapsed"])
