--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -4,11 +4,11 @@
 
 import argparse
 import collections
+import pathlib
 import queue
 import signal
 import sys
 import time
-from collections.abc import Sequence
 
 from cardamompath_proof.soak import checks
 from cardamompath_proof.soak import clients
@@ -34,48 +34,36 @@
 
 
 def run(
-    seed: int,
-    size: str = "usual",
-    length: float = 20.0,
-    count: int = 14,
+    case: regressions.Case,
     program: str = rigs.PROGRAM,
     args=(),
     keep: str = "",
-    kinds: Sequence[str] = (),
-    series_share: float = faults.SERIES_SHARE,
 ) -> tuple[list[str], checks.Counts, collections.Counter]:
     """Run one soak.
 
     Parameters
     ----------
-    seed : int
-        Seed of the faults and of the jobs.
-    size : {"small", "usual", "large"}
-        Number of processes.
-    length : float
-        Seconds over which faults are injected.
-    count : int
-        Number of faults to draw; those after `length` are left out.
+    case : Case
+        What to draw, and the number of processes.
     program, args : str and sequence of str
         Module that instances run, and its arguments.
     keep : str
         Folder for the logs; none are kept when empty.
-    kinds : sequence of str
-        Kinds of fault; all when empty.
-    series_share : float
-        Share of the faults that a series of faults follows.
 
     Returns
     -------
     list of str, Counts, Counter
         Violations found, what was checked, and the faults by kind.
     """
-    plan = faults.draw(seed, count, length, kinds, series_share)
-    guarded = seed % 2 == 0
-    with rigs.run_rig(SIZES[size], program, args, keep, guarded) as rig:
+    plan = faults.draw(
+        case.seed, case.count, case.length, case.kinds, case.series_share
+    )
+    guarded = case.seed % 2 == 0
+    size = SIZES[case.size]
+    with rigs.run_rig(size, program, args, keep, guarded) as rig:
         submitters = 3 * len(rig.instances)
-        records, stop_clients = clients.start(rig, seed, submitters)
-        faults.inject(rig, plan, length + SETTLE_TIME)
+        records, stop_clients = clients.start(rig, case.seed, submitters)
+        faults.inject(rig, plan, case.length + SETTLE_TIME)
         stop_clients()
         end = clocks.boottime()
         submissions, queries = _drain_records(records)
@@ -129,31 +117,36 @@
     signal.signal(signal.SIGTERM, _exit_on_signal)
     signal.signal(signal.SIGINT, _exit_on_signal)
     failed = 0
-    seeds = range(args.seed, args.seed + args.many)
-    if args.regressions:
-        seeds = sorted(regressions.SEEDS)
-    for seed in seeds:
-        began = time.monotonic()
-        violations, counts, by_kind = run(
+    cases = [
+        regressions.Case(
             seed,
+            "",
             args.size,
             args.length,
             args.faults,
-            args.program,
-            args.arg,
-            args.keep,
-            args.only,
+            tuple(args.only),
+            faults.SERIES_SHARE,
+        )
+        for seed in range(args.seed, args.seed + args.many)
+    ]
+    if args.regressions:
+        cases = regressions.CASES
+    for case in cases:
+        began = time.monotonic()
+        keep = args.keep and str(
+            pathlib.Path(args.keep, f"{case.size}-{case.seed}")
         )
+        violations, counts, by_kind = run(case, args.program, args.arg, keep)
         elapsed = time.monotonic() - began
         print(
-            f"seed {seed}: {len(violations)} violations, {elapsed:.0f} s, "
-            f"{counts}"
+            f"seed {case.seed}: {len(violations)} violations, "
+            f"{elapsed:.0f} s, {counts}"
         )
         print(f"  faults: {dict(by_kind)}", flush=True)
         for line in violations[:5]:
             print(f"  {line}", flush=True)
         failed += bool(violations)
-    print(f"{len(seeds) - failed} seeds passed, {failed} failed")
+    print(f"{len(cases) - failed} seeds passed, {failed} failed")
     return 1 if failed else 0
 
 
--- a/packages/proof/src/cardamompath_proof/tests/test_soak.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_soak.py
@@ -2,17 +2,21 @@
 
 import json
 import pathlib
+import socket
 import tempfile
 import types
 import unittest
 
 import urllib3
 
+from cardamompath_proof import processes
+from cardamompath_proof import proxy
 from cardamompath_proof.soak import broken
 from cardamompath_proof.soak import checks
 from cardamompath_proof.soak import clients
 from cardamompath_proof.soak import faults
 from cardamompath_proof.soak import publications
+from cardamompath_proof.soak import regressions
 from cardamompath_standins import fixtures
 from cardamompath_standins import store
 
@@ -274,6 +278,31 @@
         self.assertIsNone(self.publish(3, ("r",), self.make_record(3)))
 
 
+class ProxyTest(unittest.TestCase):
+    def test_late_request_reaches_the_process_but_is_not_answered(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        listener.settimeout(5.0)
+        link = proxy.start(processes.free_port(), listener.getsockname()[1])
+        self.addCleanup(link.stop)
+        # Draws below the share that arrives late, then above that of resets.
+        draws = iter((0.0, 0.9))
+        rng = types.SimpleNamespace(
+            random=lambda: next(draws), uniform=lambda first, last: first
+        )
+        link.delay_requests(rng, (0.0, 0.0))
+        client = socket.create_connection(("127.0.0.1", link.port))
+        self.addCleanup(client.close)
+        first = listener.accept()[0]
+        self.addCleanup(first.close)
+        client.sendall(b"POST /v1/run-start")
+        second = listener.accept()[0]
+        self.addCleanup(second.close)
+        self.assertEqual(second.recv(100), b"POST /v1/run-start")
+        client.setblocking(False)
+        self.assertRaises(BlockingIOError, client.recv, 1)
+
+
 class FaultTest(unittest.TestCase):
     def test_kill_is_noted_before_the_process_is_gone(self):
         # A client saw its connection end before the kill was noted, which
@@ -315,6 +344,10 @@
         self.assertLessEqual(set(plain), set(drawn))
         self.assertEqual(drawn, sorted(drawn))
 
+    def test_regressions_draw_kinds_that_exist(self):
+        for case in regressions.CASES:
+            self.assertLessEqual(set(case.kinds), set(faults.KINDS))
+
     def test_kinds_can_be_chosen(self):
         drawn = faults.draw(1, 9, 20.0, ["publish"])
         self.assertEqual({fault.kind for fault in drawn}, {"publish"})
