--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -33,6 +33,8 @@
 }
 """The size "large" has two planners in each failure domain; "huge" takes
 about 8 GB of memory for 211 processes."""
+MAX_SUBMITTERS = 45
+"""Clients that submit jobs; there are fewer in small runs."""
 
 
 def run(
@@ -63,7 +65,7 @@
     guarded = case.seed % 2 == 0
     size = SIZES[case.size]
     with rigs.run_rig(size, program, args, keep, guarded) as rig:
-        submitters = 3 * len(rig.instances)
+        submitters = min(3 * len(rig.instances), MAX_SUBMITTERS)
         records, stop_clients = clients.start(rig, case.seed, submitters)
         faults.inject(rig, plan, case.length + SETTLE_TIME)
         stop_clients()
--- a/packages/standins/src/cardamompath_standins/listener.py
+++ b/packages/standins/src/cardamompath_standins/listener.py
@@ -24,6 +24,10 @@
 ]
 
 
+MAX_PENDING_CONNECTIONS = 1024
+"""Connections that may wait until the listener accepts them."""
+
+
 class Request(NamedTuple):
     """A request to a stand-in; header names are in lower case."""
 
@@ -92,6 +96,7 @@
 
     server = StandinServer((host, port), application, numthreads=threads)
     server.keep_alive_conn_limit = 1024
+    server.request_queue_size = MAX_PENDING_CONNECTIONS
     server.error_log = lambda *args, **kwargs: None
     server.prepare()
     thread = threading.Thread(target=server.serve, daemon=True)
