Soak: an executor that is not scheduled in time ends runs at their times

Runs and leases now end at their times whenever the process gets to it; a lease that has lapsed is not extended any more by a hold that is handled before its timer. The driver reports the longest time for which it was not scheduled.

--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -8,6 +8,7 @@
 import queue
 import signal
 import sys
+import threading
 import time
 
 from cardamompath_proof.soak import checks
@@ -33,6 +34,8 @@
 }
 """The size "large" has two planners in each failure domain; "huge" takes
 about 8 GB of memory for 211 processes."""
+STALL_INTERVAL = 0.02
+"""Seconds for which the thread that watches for stalls sleeps."""
 MAX_SUBMITTERS = 45
 """Clients that submit jobs; there are fewer in small runs."""
 
@@ -66,9 +69,11 @@
     size = SIZES[case.size]
     with rigs.run_rig(size, program, args, keep, guarded) as rig:
         submitters = min(3 * len(rig.instances), MAX_SUBMITTERS)
+        stop_watch = _watch_stalls()
         records, stop_clients = clients.start(rig, case.seed, submitters)
         faults.inject(rig, plan, case.length + SETTLE_TIME)
         stop_clients()
+        longest_stall = stop_watch()
         end = clocks.boottime()
         submissions, queries = _drain_records(records)
         runs = checks.read_runs(rig.executors, end)
@@ -80,10 +85,38 @@
         sum(sub.status == 503 for sub in submissions),
         len(runs),
         len(queries),
+        round(longest_stall, 2),
     )
     return violations, counts, collections.Counter(f.kind for f in plan)
 
 
+def _watch_stalls():
+    """Start to watch how late a thread wakes up; return a function.
+
+    The function stops the thread and returns the longest delay, which shows
+    whether the processes of a failed run were short of processor time.
+    """
+    stop_event = threading.Event()
+    delays = [0.0]
+
+    def watch():
+        while not stop_event.is_set():
+            began = time.monotonic()
+            time.sleep(STALL_INTERVAL)
+            delay = time.monotonic() - began - STALL_INTERVAL
+            delays[0] = max(delays[0], delay)
+
+    thread = threading.Thread(target=watch, daemon=True)
+    thread.start()
+
+    def stop():
+        stop_event.set()
+        thread.join()
+        return delays[0]
+
+    return stop
+
+
 def _drain_records(records):
     submissions, queries = [], []
     while True:
--- a/packages/proof/src/cardamompath_proof/soak/checks.py
+++ b/packages/proof/src/cardamompath_proof/soak/checks.py
@@ -79,6 +79,8 @@
     refused: int
     starts: int
     route_queries: int
+    longest_stall: float
+    """Longest time in seconds for which a thread of the driver woke late."""
 
 
 def read_runs(executors: Iterable[Any], end: float) -> list[Run]:
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -285,8 +285,8 @@
     def kill(self, target: Executor | Instance) -> None:
         """Kill the process of an executor or instance; wait for its exit."""
         target.process.popen.kill()
-        target.process.popen.wait()
         target.end_times.append(clocks.boottime())
+        target.process.popen.wait()
 
     def is_down(self, target: Executor | Instance) -> bool:
         """Return whether the last process is known to have ended."""
--- a/packages/standins/src/cardamompath_standins/executor.py
+++ b/packages/standins/src/cardamompath_standins/executor.py
@@ -12,6 +12,7 @@
 import argparse
 import itertools
 import json
+import math
 import os
 import queue
 import signal
@@ -52,6 +53,8 @@
 """Seconds for the reply of the controller, in addition to the wait."""
 DRAIN_TIME = 2.0
 """Seconds for which an executor runs on after it registered as draining."""
+CRASH = "crash"
+"""End state of a run that crashes its executor."""
 MAX_ENDED_LISTED = 500
 """Largest number of ended runs in one response."""
 
@@ -70,6 +73,9 @@
     task: str
     attempt: int
     cpu: int
+    end_at: float
+    end_state: str
+    """How it ends then, unless its lease lapses before."""
 
 
 class Incarnation(NamedTuple):
@@ -113,10 +119,11 @@
     state = ExecutorState(incarnation)
 
     def receive(msg, now):
+        sends = _end_due_runs(state, now)
         if isinstance(msg, messages.TimerFired):
-            kind, key = msg.key
-            return _TIMERS[kind](state, key, now)
-        return _HANDLERS.get(msg.path, _reply_unknown_path)(state, msg, now)
+            return sends + _answer_hold(state, msg.key, now)
+        handler = _HANDLERS.get(msg.path, _reply_unknown_path)
+        return sends + handler(state, msg, now)
 
     return messages.Controller(EXECUTOR, receive)
 
@@ -136,8 +143,8 @@
     return [_reply(state, msg, 404, now)]
 
 
-def _set_timer(at, kind, key):
-    timer = messages.SetTimer(at, EXECUTOR, (kind, key))
+def _set_timer(at, hold=None):
+    timer = messages.SetTimer(at, EXECUTOR, hold)
     return messages.Send(messages.TIMERS, timer)
 
 
@@ -168,17 +175,11 @@
     used = sum(run.cpu for run in state.runs.values())
     if state.incarnation.enforces_capacity and used + cpu > state.cpu:
         return [*sends, *_refuse(state, msg, "room", now)]
-    state.runs[task, attempt] = TaskRun(task, attempt, cpu)
-    state.write(
-        {"event": "start", "task": task, "attempt": attempt, "cpu": cpu}
-    )
-    if "crash_ms" in spec:
-        crash_at = now + spec["crash_ms"] / 1000.0
-        sends.append(_set_timer(crash_at, "crash", (task, attempt)))
-    if not state.faults.get("stall"):
-        end_state = "failed" if state.faults.get("fail") else "done"
-        end_at = now + spec["ms"] / 1000.0
-        sends.append(_set_timer(end_at, "end", (task, attempt, end_state)))
+    end_at, end_state = _expected_end(state, spec, now)
+    state.runs[task, attempt] = TaskRun(task, attempt, cpu, end_at, end_state)
+    _write_event(state, "start", state.runs[task, attempt], cpu=cpu)
+    if end_at < math.inf:
+        sends.append(_set_timer(end_at))
     if state.faults.get("mute", 0) > 0:
         state.faults["mute"] -= 1
         no_response = messages.Reply(msg.reply_to, listener.Response(None))
@@ -190,45 +191,62 @@
     return state.incarnation.clock_start + doc["expires_ms"] / 1000.0
 
 
-def _crash(state, key, now):
-    if key not in state.runs:
-        return []
-    task, attempt = key
-    state.write({"event": "crash", "task": task, "attempt": attempt})
-    state.incarnation.crash()
-    return []
+def _expected_end(state, spec, now):
+    if "crash_ms" in spec:
+        return now + spec["crash_ms"] / 1000.0, CRASH
+    if state.faults.get("stall"):
+        return math.inf, ""
+    end_state = "failed" if state.faults.get("fail") else "done"
+    return now + spec["ms"] / 1000.0, end_state
 
 
 def _extend_lease(state, expires_at, now):
     until = min(expires_at, now + MAX_LEASE)
     state.lease_end = max(state.lease_end, until)
-    return [_set_timer(state.lease_end, "lapse", None)]
+    return [_set_timer(state.lease_end)]
+
 
+def _end_due_runs(state, now):
+    """End the runs that were due by now, at their times.
 
-def _expire_lease(state, _, now):
-    if now < state.lease_end:
+    A process that was not scheduled in time ends them late; neither a lease
+    nor a run lasts longer for that.
+    """
+    ended = False
+    for run in sorted(state.runs.values(), key=lambda run: run.end_at):
+        at = min(run.end_at, state.lease_end)
+        if at > now:
+            break
+        ended = True
+        if run.end_at > state.lease_end:
+            _end_run(state, run, at, "lapsed")
+        elif run.end_state != CRASH:
+            _end_run(state, run, at, run.end_state)
+        else:
+            _write_event(state, "crash", run, at=at)
+            state.runs.clear()
+            state.incarnation.crash()
+            return []
+    if not ended:
         return []
-    sends = []
-    for task, attempt in list(state.runs):
-        sends += _end_run(state, (task, attempt, "lapsed"), now)
-    return sends
+    holds, state.waiting_holds = state.waiting_holds, []
+    return [_list_runs(state, hold, now) for hold in holds]
 
 
-def _end_run(state, key, now):
-    task, attempt, end_state = key
-    if state.runs.pop((task, attempt), None) is None:
-        return []
-    state.write(
-        {"event": "end", "task": task, "attempt": attempt, "how": end_state}
-    )
-    state.highest_attempts[task] = max(
-        state.highest_attempts.get(task, 0), attempt
+def _write_event(state, event, run, **fields):
+    doc = {"event": event, "task": run.task, "attempt": run.attempt}
+    state.write({**doc, **fields})
+
+
+def _end_run(state, run, at, end_state):
+    del state.runs[run.task, run.attempt]
+    _write_event(state, "end", run, at=at, how=end_state)
+    state.highest_attempts[run.task] = max(
+        state.highest_attempts.get(run.task, 0), run.attempt
     )
     state.ended_runs.append(
-        [next(state.end_indexes), task, attempt, end_state, ""]
+        [next(state.end_indexes), run.task, run.attempt, end_state, ""]
     )
-    holds, state.waiting_holds = state.waiting_holds, []
-    return [_list_runs(state, hold, now) for hold in holds]
 
 
 def _stop_run(state, msg, now):
@@ -238,8 +256,13 @@
     state.highest_attempts[task] = max(
         state.highest_attempts.get(task, 0), attempt
     )
-    stopped = _set_timer(now + STOP_TIME, "end", (task, attempt, "stopped"))
-    return [stopped, _reply(state, msg, 200, now)]
+    stop_at = now + STOP_TIME
+    run = state.runs.get((task, attempt))
+    if run is not None and run.end_at > stop_at:
+        state.runs[task, attempt] = run._replace(
+            end_at=stop_at, end_state="stopped"
+        )
+    return [_set_timer(stop_at), _reply(state, msg, 200, now)]
 
 
 def _hold(state, msg, now):
@@ -256,7 +279,7 @@
     if state.ended_runs or wait <= 0.0:
         return [*sends, _list_runs(state, msg, now)]
     state.waiting_holds.append(msg)
-    return [*sends, _set_timer(now + min(wait, MAX_HOLD_WAIT), "answer", msg)]
+    return [*sends, _set_timer(now + min(wait, MAX_HOLD_WAIT), msg)]
 
 
 def _answer_hold(state, msg, now):
@@ -288,12 +311,6 @@
     "/v1/hold": _hold,
     "/standin/faults": _set_faults,
 }
-_TIMERS = {
-    "end": _end_run,
-    "lapse": _expire_lease,
-    "answer": _answer_hold,
-    "crash": _crash,
-}
 
 
 def start(
--- a/packages/standins/src/cardamompath_standins/tests/test_executor.py
+++ b/packages/standins/src/cardamompath_standins/tests/test_executor.py
@@ -76,6 +76,16 @@
         self.run_until(11.1)
         self.assertEqual(self.end_states(), ["lapsed"])
 
+    def test_lease_that_lapsed_unnoticed_is_not_extended(self):
+        # A process that is not scheduled for a while handles its timers late.
+        self.start("j.0.0.0", ms=3000)
+        self.start("j.0.0.1", ms=300)
+        self.now = 11.4
+        self.hold(expires_ms=12_400)
+        self.assertEqual(self.end_states(), ["done", "lapsed"])
+        times = [line["at"] for line in self.lines if "how" in line]
+        self.assertEqual(times, [10.3, 11.0])
+
     def test_hold_extends_every_lease(self):
         self.start(ms=1500)
         self.run_until(10.8)
