--- a/packages/proof/src/cardamompath_proof/proxy.py
+++ b/packages/proof/src/cardamompath_proof/proxy.py
@@ -156,9 +156,13 @@
         await asyncio.sleep(0)
 
     async def _serve(self, reader, writer):
-        if self._is_cut:
+        try:
+            if not self._is_cut:
+                await self._connect(reader, writer)
+        finally:
             writer.transport.abort()
-            return
+
+    async def _connect(self, reader, writer):
         with contextlib.suppress(OSError):
             upstream = await asyncio.open_connection("127.0.0.1", self._target)
             writers = {writer, upstream[1]}
@@ -173,8 +177,7 @@
             finally:
                 self._writers -= writers
                 self._stalled -= writers
-                for open_writer in writers:
-                    open_writer.transport.abort()
+                upstream[1].transport.abort()
 
     async def _forward(self, reader, writer, is_request):
         while raw := await reader.read(CHUNK_SIZE):
--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -23,9 +23,9 @@
     "run",
 ]
 
-SETTLE_TIME = 20.0
-"""Seconds after the last fault; its end and `checks.RECOVERY_BOUND` lie
-within, and requests that follow."""
+SETTLE_TIME = checks.RECOVERY_BOUND + 3.0
+"""Seconds after the last fault was undone; requests of the last 3 s show
+whether jobs are served again."""
 SIZES = {
     "small": rigs.Size(),
     "usual": rigs.Size(3, 2, 4),
@@ -71,13 +71,14 @@
         submitters = min(3 * len(rig.instances), MAX_SUBMITTERS)
         stop_watch = _watch_stalls()
         records, stop_clients = clients.start(rig, case.seed, submitters)
-        faults.inject(rig, plan, case.length + SETTLE_TIME)
+        faults.inject(rig, plan, SETTLE_TIME)
         stop_clients()
         longest_stall = stop_watch()
         end = clocks.boottime()
         submissions, queries = _drain_records(records)
         runs = checks.read_runs(rig.executors, end)
         violations = checks.check_all(submissions, queries, runs, rig)
+        _write_records(rig, [*submissions, *queries])
     counts = checks.Counts(
         len({sub.job for sub in submissions}),
         len(submissions),
@@ -90,6 +91,12 @@
     return violations, counts, collections.Counter(f.kind for f in plan)
 
 
+def _write_records(rig, records):
+    """Write the records of the clients beside the logs."""
+    with open(rig.folder / "clients.log", "w") as out:
+        out.writelines(f"{record!r}\n" for record in records)
+
+
 def _watch_stalls():
     """Start to watch how late a thread wakes up; return a function.
 
--- a/packages/proof/src/cardamompath_proof/soak/faults.py
+++ b/packages/proof/src/cardamompath_proof/soak/faults.py
@@ -135,31 +135,32 @@
     return series
 
 
-def inject(rig: Any, faults: list[Fault], length: float) -> None:
+def inject(rig: Any, faults: list[Fault], settle_time: float) -> None:
     """Inject each fault at its time, and undo it after its duration.
 
-    Processes that end meanwhile are started again, for `length` seconds.
+    Processes that end meanwhile are started again, until `settle_time`
+    seconds after the last fault.
     """
     schedule = sched.scheduler(time.monotonic, time.sleep)
     for fault in faults:
         schedule.enter(fault.at, 0, _inject, (rig, schedule, fault))
-    end = time.monotonic() + length
-    _watch(rig, schedule, random.Random(len(faults)), end)
+    last = max((fault.at for fault in faults), default=0.0)
+    rig.last_fault_at = clocks.boottime() + last
+    _watch(rig, schedule, random.Random(len(faults)), settle_time)
     schedule.run()
 
 
 def _inject(rig, schedule, fault):
-    rig.last_fault_at = clocks.boottime()
     for delay, action in KINDS[fault.kind](rig, fault):
         schedule.enter(delay, 0, _undo, (rig, action))
 
 
 def _undo(rig, action):
     action()
-    rig.last_fault_at = clocks.boottime()
+    rig.last_fault_at = max(rig.last_fault_at, clocks.boottime())
 
 
-def _watch(rig, schedule, rng, end):
+def _watch(rig, schedule, rng, settle_time):
     """Start the processes again that have ended, at each interval."""
     for executor in filter(rig.note_exit, rig.executors):
         delay = rng.choice(CRASH_DELAYS)
@@ -173,8 +174,8 @@
             _record_disturbance(instance, RESTART_DELAY)
         action = _restart(rig, instance)
         schedule.enter(RESTART_DELAY, 0, _undo, (rig, action))
-    if time.monotonic() < end:
-        args = (rig, schedule, rng, end)
+    if clocks.boottime() < rig.last_fault_at + settle_time:
+        args = (rig, schedule, rng, settle_time)
         schedule.enter(WATCH_INTERVAL, 1, _watch, args)
 
 
--- a/packages/standins/src/cardamompath_standins/executor.py
+++ b/packages/standins/src/cardamompath_standins/executor.py
@@ -219,9 +219,9 @@
             break
         ended = True
         if run.end_at > state.lease_end:
-            _end_run(state, run, at, "lapsed")
+            _end_run(state, run, at, "lapsed", now)
         elif run.end_state != CRASH:
-            _end_run(state, run, at, run.end_state)
+            _end_run(state, run, at, run.end_state, now)
         else:
             _write_event(state, "crash", run, at=at)
             state.runs.clear()
@@ -238,9 +238,9 @@
     state.write({**doc, **fields})
 
 
-def _end_run(state, run, at, end_state):
+def _end_run(state, run, at, end_state, now):
     del state.runs[run.task, run.attempt]
-    _write_event(state, "end", run, at=at, how=end_state)
+    _write_event(state, "end", run, at=at, how=end_state, noted_at=now)
     state.highest_attempts[run.task] = max(
         state.highest_attempts.get(run.task, 0), run.attempt
     )
