Gateway: answer every caller before a shutdown ends

Cause: the time limit of a request was the caller's alone. Now it ends 4.9 s after the SIGTERM at the latest, with the usual answer for a time limit; a request that comes later is refused. The three tests fail without the change (the message had no such field).

--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -32,6 +32,8 @@
 NO_ROUTES_RETRY_AFTER = 1.0
 """Seconds after which a caller may retry if no configuration has been read
 yet."""
+STOPPING_RETRY_AFTER = 0.1
+"""Seconds after which a caller may retry at another instance."""
 OFFER_INTERVAL = 0.5
 """Minimum number of seconds between two offers of the configuration to a
 member."""
@@ -40,6 +42,9 @@
 _UNCONFIGURED = batches.Outcome(
     batches.REFUSED, "no configuration yet", NO_ROUTES_RETRY_AFTER
 )
+_STOPPING = batches.Outcome(
+    batches.REFUSED, "shutting down", STOPPING_RETRY_AFTER
+)
 
 
 class _PendingBatch:
@@ -104,6 +109,8 @@
         self.backlogs: dict[str, float] = {}
         """Backlog in seconds by the name of the planner."""
         self.leaving = False
+        self.answer_by = math.inf
+        """When every caller has to have an answer, as the instance stops."""
         self.timer_set = False
         """Whether a timer is set that sends batches again."""
 
@@ -133,6 +140,9 @@
         return _refuse(
             msg, batches.Outcome(batches.UNKNOWN_ROUTE, "no such route")
         )
+    timeout = min(msg.timeout, state.answer_by - now)
+    if timeout <= 0.0:
+        return _refuse(msg, _STOPPING)
     name = msg.path[len(route.prefix) :]
     state.batch_by_waiter[msg.reply_to] = name
     existing = state.pending.get(name)
@@ -140,7 +150,6 @@
         existing.waiters.append(msg.reply_to)
         return ()
     batch = batches.Batch(name, msg.spec, msg.steps, route.policy)
-    timeout = msg.timeout
     pending = state.pending[name] = _PendingBatch(
         batch, msg.reply_to, timeout, now
     )
@@ -246,9 +255,15 @@
     return [messages.Send(messages.CALLERS, reply)]
 
 
-def _leave(state, _, now):
+def _leave(state, msg, now):
     state.leaving = True
-    return ()
+    state.answer_by = now + msg.time_left
+    sends = []
+    for name, pending in state.pending.items():
+        if pending.deadline > state.answer_by:
+            pending.deadline = state.answer_by
+            sends.append(_make_timer(pending.deadline, name))
+    return sends
 
 
 def _planner_name(planner):
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -49,6 +49,9 @@
 DRAIN_TIME = 3.0
 """Seconds after a stop signal in which new callers still arrive: two
 failed readiness probes, a second apart, and a margin."""
+ANSWER_TIME = 4.9
+"""Seconds after a stop signal in which every caller gets an answer, before
+`STOP_TIME`."""
 STOP_TIME = 5.2
 """Seconds after a stop signal at which the process ends at the latest; the
 platform kills it after 6."""
@@ -234,7 +237,7 @@
 def _stop(running):
     """Leave the fleet, answer the waiting callers, and stop the tasks."""
     started_at = clocks.boottime()
-    running.app.leave()
+    running.app.leave(ANSWER_TIME)
     for listener in running.listeners:
         listener.drain()
     time.sleep(DRAIN_TIME)
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -52,8 +52,9 @@
     platform adapter adds those of its own tasks."""
     controllers: dict[str, Callable[[Any], None]]
     """Functions that send a message to a controller, by its address."""
-    leave: Callable[[], None]
-    """Hands over the work before a shutdown."""
+    leave: Callable[[float], None]
+    """Hands over the work before a shutdown, and answers the callers within
+    that many seconds."""
     stop: Callable[[], None]
     """Stops the tasks."""
     scrape: Callable[[], str]
@@ -143,9 +144,10 @@
     for name in (pool_messages.FLEET, pool_messages.PLANNER):
         controllers[name](messages.TimerFired("start"))
 
-    def leave():
-        controllers[pool_messages.FLEET](pool_messages.Leave())
-        controllers[pool_messages.GATEWAY](pool_messages.Leave())
+    def leave(time_left):
+        msg = pool_messages.Leave(time_left)
+        controllers[pool_messages.FLEET](msg)
+        controllers[pool_messages.GATEWAY](msg)
 
     def stop():
         actor_ref.stop(block=False)
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 from typing import Literal
 from typing import NamedTuple
@@ -252,6 +253,9 @@
 class Leave(NamedTuple):
     """The instance shuts down; hand over its work."""
 
+    time_left: float = math.inf
+    """Seconds within which its callers have to be answered."""
+
 
 class FleetChanged(NamedTuple):
     """The view of the fleet changed."""
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -82,6 +82,43 @@
             sent = self.tell(kind(pool_simulation.HOST, "/jobs/x", "r"))
             self.assertEqual(self.answers(sent)[0].state, batches.REFUSED)
 
+    def test_shutdown_leaves_no_caller_without_an_answer(self):
+        # In the soak a process exited while its callers waited.
+        self.configure()
+        self.update_fleet(self.members)
+        self.submit("j1")
+        self.tell(pool_messages.Leave(2.0))
+        self.submit("j2")
+        sent = self.tell(messages.TimerFired("j1"), 2.0)
+        sent += self.tell(messages.TimerFired("j2"))
+        states = [answer.state for answer in self.answers(sent)]
+        self.assertEqual(states, [batches.TIMED_OUT] * 2)
+
+    def test_timers_answer_the_callers_of_a_shutdown(self):
+        self.configure()
+        self.update_fleet(self.members)
+        self.submit("j1")
+        sent = self.tell(pool_messages.Leave(2.0))
+        timer = messages.SetTimer(12.0, pool_messages.GATEWAY, "j1")
+        self.assertIn((messages.TIMERS, timer), sent)
+
+    def test_request_at_the_end_of_a_shutdown_is_refused(self):
+        self.configure()
+        self.update_fleet(self.members)
+        self.tell(pool_messages.Leave(2.0))
+        self.now += 2.0
+        msg = pool_messages.SubmitBatch(
+            pool_simulation.HOST,
+            "/jobs/j1",
+            "s",
+            pool_simulation.make_steps(),
+            5.0,
+            "j1",
+        )
+        self.assertEqual(
+            self.answers(self.tell(msg))[0].state, batches.REFUSED
+        )
+
     def test_batch_goes_to_a_planner_of_its_own_domain(self):
         self.configure()
         self.update_fleet(self.members)
