--- a/packages/daemon/src/cardamompathd/controllers/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet_state.py
@@ -41,6 +41,9 @@
     heartbeat late can thereby tell."""
     planner_term: int = 0
     """Number of the term that this extends, see `FleetChanged`."""
+    planner_confirmed_at: float = 0.0
+    """When the receiver sent the last heartbeat that had arrived before, in
+    seconds of its clock."""
 
 
 class Peer:
@@ -103,6 +106,10 @@
         self.intervals: dict[tuple[str, int], float] = {}
         """Seconds between heartbeats to each address; empty if they have to
         be computed again."""
-        self.remote_planners: dict[str, float] = {}
+        self.drops_pending: dict[str, float] = {}
+        """Planners that have yet to acknowledge a drop, and the time of the
+        last heartbeat that each had sent before, in seconds of its clock."""
+        self.remote_peers: dict[str, float] = {}
         """Planners in other failure domains that have batches of this
-        instance, and until when."""
+        instance, and members there of which it has batches, and until
+        when."""
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -55,6 +55,15 @@
             and send.to == pool_messages.PLANNER
         ]
 
+    def confirmed_to(self, address):
+        """Return the time that the last heartbeat to an address confirms."""
+        return [
+            send.msg.msg.planner_confirmed_at
+            for send in self.sent
+            if isinstance(send.msg, pool_messages.SendToMembers)
+            and address in send.msg.addresses
+        ][-1]
+
     def count_heartbeats(self):
         """Return the number of heartbeats sent to each address."""
         counts = {}
@@ -112,10 +121,32 @@
     def test_remote_planner_with_batches_gets_more_heartbeats(self):
         members = make_members()
         harness = self.start(members[9], members)
-        harness.tell(pool_messages.RemotePlannerUsed("b-0", harness.now + 5.0))
+        harness.tell(pool_messages.RemotePeerUsed("b-0", harness.now + 5.0))
         harness.advance(4.0)
         self.assertGreaterEqual(harness.count_heartbeats()["b-0", 1], 18)
 
+    def test_nothing_later_is_confirmed_while_a_drop_is_pending(self):
+        members = make_members()
+        harness = self.start(members[9], members)
+        confirmed = []
+        for pending in (False, True, True, False):
+            harness.tell(pool_messages.DropsPending("a-0", pending))
+            harness.sent.clear()
+            harness.now += 0.5
+            harness.receive_heartbeats(members[:1], sent_at=harness.now)
+            harness.tell(messages.TimerFired("heartbeat"))
+            confirmed.append(harness.confirmed_to(members[0].address))
+        self.assertEqual(confirmed, [101.5, 101.5, 101.5, 103.0])
+
+    def test_planner_asks_often_whether_a_remote_origin_lives(self):
+        members = make_members(24)
+        harness = self.start(members[0], members)
+        harness.tell(pool_messages.RemotePeerUsed("b-9", harness.now + 5.0))
+        harness.advance(4.0)
+        counts = harness.count_heartbeats()
+        self.assertGreaterEqual(counts["b-9", 1], 18)
+        self.assertLessEqual(counts["b-8", 1], 8)
+
     def test_successor_is_heard_often_enough_to_be_missed(self):
         # The third member of a domain takes the next free shard.
         members = make_members()
