Planner: a capacity that is small for now fails no batch

The store had been away for 3 s and all entries of executors had expired; the first that was listed again was one whose capacity had shrunk to 0 for a while. Cause: whether a batch can ever run was judged by the capacities listed at that moment, though entries return and capacities grow again. Now it is judged by the largest ones seen. The test fails without the change.

--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -138,6 +138,10 @@
 def _update_listing(state, msg, now):
     previous = state.listed
     state.listed = {entry.name: entry for entry in msg.executors}
+    for spec in msg.executors:
+        known = state.largest_capacities[spec.service]
+        if not any(executors.fits(spec.capacity, each) for each in known):
+            known.append(spec.capacity)
     for name, spec in previous.items():
         if name not in state.listed and spec.state == executors.READY:
             state.unlisted[name] = (now, spec)
@@ -292,16 +296,12 @@
 
 def _unfit_reason(state, plan):
     """Return why no executor can ever run a batch; empty if one can."""
-    specs = [
-        spec
-        for spec in state.listed.values()
-        if spec.service == plan.batch.policy.service
-    ]
-    if not specs:
+    capacities = state.largest_capacities[plan.batch.policy.service]
+    if not capacities:
         return ""
     for number, step in enumerate(plan.batch.steps):
         has_fitting = any(
-            executors.fits(step.resources, spec.capacity) for spec in specs
+            executors.fits(step.resources, each) for each in capacities
         )
         if not has_fitting:
             return (
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -305,6 +305,12 @@
         self.reviewed_at = -math.inf
         """When the executors and the estimates were last reviewed."""
         self.listed: dict[str, executors.Executor] = {}
+        self.largest_capacities: dict[str, list[executors.Resources]] = (
+            collections.defaultdict(list)
+        )
+        """Capacities that executors of each service have had, but for those
+        within another.  One that has shrunk may grow again, and entries may
+        be missing for a while."""
         self.listed_at: float | None = None
         """When the executors were last listed."""
         self.unlisted: dict[str, tuple[float, executors.Executor]] = {}
--- a/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
@@ -76,6 +76,25 @@
             if isinstance(msg, pool_messages.BacklogMeasured)
         ]
 
+    def failed_batches(self):
+        return [
+            msg.name
+            for msg in self.sent
+            if isinstance(msg, pool_messages.BatchEnded)
+            and msg.outcome.state == batches.FAILED
+        ]
+
+    def test_shrunken_capacity_fails_no_batch(self):
+        self.list_executors(make_executor("x1"), make_executor("x2"))
+        self.list_executors(make_executor("x1", cpu=0))
+        self.plan_batch()
+        self.assertEqual(self.failed_batches(), [])
+
+    def test_batch_that_never_fitted_fails(self):
+        self.list_executors(make_executor("x1"), make_executor("x2", cpu=0))
+        self.plan_batch(cpu=9000)
+        self.assertIn("j", self.failed_batches())
+
     def test_task_starts_on_the_rack_of_its_data(self):
         self.list_executors(
             make_executor("x1", "r1"), make_executor("x2", "r2")
