--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -4,11 +4,12 @@
 
 import argparse
 import collections
+import pathlib
 import queue
 import signal
 import sys
+import threading
 import time
-from collections.abc import Sequence
 
 from cardamompath_proof.soak import checks
 from cardamompath_proof.soak import clients
@@ -22,61 +23,62 @@
     "run",
 ]
 
-SETTLE_TIME = 7.0
-"""Seconds after the last fault for open requests and restarts to end; a
-shutdown takes 6 s."""
+SETTLE_TIME = checks.RECOVERY_BOUND + 3.0
+"""Seconds after the last fault was undone; requests of the last 3 s show
+whether jobs are served again."""
 SIZES = {
     "small": rigs.Size(),
     "usual": rigs.Size(3, 2, 4),
     "large": rigs.Size(5, 9, 12),
+    "huge": rigs.Size(5, 18, 24),
 }
-"""The size "large" has two planners in each failure domain."""
+"""The size "large" has two planners in each failure domain; "huge" takes
+about 8 GB of memory for 211 processes."""
+STALL_INTERVAL = 0.02
+"""Seconds for which the thread that watches for stalls sleeps."""
+MAX_SUBMITTERS = 45
+"""Clients that submit jobs; there are fewer in small runs."""
 
 
 def run(
-    seed: int,
-    size: str = "usual",
-    length: float = 20.0,
-    count: int = 14,
+    case: regressions.Case,
     program: str = rigs.PROGRAM,
     args=(),
     keep: str = "",
-    kinds: Sequence[str] = (),
 ) -> tuple[list[str], checks.Counts, collections.Counter]:
     """Run one soak.
 
     Parameters
     ----------
-    seed : int
-        Seed of the faults and of the jobs.
-    size : {"small", "usual", "large"}
-        Number of processes.
-    length : float
-        Seconds over which faults are injected.
-    count : int
-        Number of faults to draw; those after `length` are left out.
+    case : Case
+        What to draw, and the number of processes.
     program, args : str and sequence of str
         Module that instances run, and its arguments.
     keep : str
         Folder for the logs; none are kept when empty.
-    kinds : sequence of str
-        Kinds of fault; all when empty.
 
     Returns
     -------
     list of str, Counts, Counter
         Violations found, what was checked, and the faults by kind.
     """
-    plan = faults.draw(seed, count, length, kinds)
-    with rigs.run_rig(SIZES[size], program, args, keep) as rig:
-        submitters = 3 * len(rig.instances)
-        records, stop_clients = clients.start(rig, seed, submitters)
-        faults.inject(rig, plan, length + SETTLE_TIME)
+    plan = faults.draw(
+        case.seed, case.count, case.length, case.kinds, case.series_share
+    )
+    guarded = case.seed % 2 == 0
+    size = SIZES[case.size]
+    with rigs.run_rig(size, program, args, keep, guarded) as rig:
+        submitters = min(3 * len(rig.instances), MAX_SUBMITTERS)
+        stop_watch = _watch_stalls()
+        records, stop_clients = clients.start(rig, case.seed, submitters)
+        faults.inject(rig, plan, SETTLE_TIME)
         stop_clients()
+        longest_stall = stop_watch()
         end = clocks.boottime()
         submissions, queries = _drain_records(records)
         runs = checks.read_runs(rig.executors, end)
         violations = checks.check_all(submissions, queries, runs, rig)
+        _write_records(rig, [*submissions, *queries])
     counts = checks.Counts(
         len({sub.job for sub in submissions}),
         len(submissions),
@@ -84,10 +86,44 @@
         sum(sub.status == 503 for sub in submissions),
         len(runs),
         len(queries),
+        round(longest_stall, 2),
     )
     return violations, counts, collections.Counter(f.kind for f in plan)
 
 
+def _write_records(rig, records):
+    """Write the records of the clients beside the logs."""
+    with open(rig.folder / "clients.log", "w") as out:
+        out.writelines(f"{record!r}\n" for record in records)
+
+
+def _watch_stalls():
+    """Start to watch how late a thread wakes up; return a function.
+
+    The function stops the thread and returns the longest delay, which shows
+    whether the processes of a failed run were short of processor time.
+    """
+    stop_event = threading.Event()
+    delays = [0.0]
+
+    def watch():
+        while not stop_event.is_set():
+            began = time.monotonic()
+            time.sleep(STALL_INTERVAL)
+            delay = time.monotonic() - began - STALL_INTERVAL
+            delays[0] = max(delays[0], delay)
+
+    thread = threading.Thread(target=watch, daemon=True)
+    thread.start()
+
+    def stop():
+        stop_event.set()
+        thread.join()
+        return delays[0]
+
+    return stop
+
+
 def _drain_records(records):
     submissions, queries = [], []
     while True:
@@ -125,31 +161,36 @@
     signal.signal(signal.SIGTERM, _exit_on_signal)
     signal.signal(signal.SIGINT, _exit_on_signal)
     failed = 0
-    seeds = range(args.seed, args.seed + args.many)
-    if args.regressions:
-        seeds = sorted(regressions.SEEDS)
-    for seed in seeds:
-        began = time.monotonic()
-        violations, counts, by_kind = run(
+    cases = [
+        regressions.Case(
             seed,
+            "",
             args.size,
             args.length,
             args.faults,
-            args.program,
-            args.arg,
-            args.keep,
-            args.only,
+            tuple(args.only),
+            faults.SERIES_SHARE,
+        )
+        for seed in range(args.seed, args.seed + args.many)
+    ]
+    if args.regressions:
+        cases = regressions.CASES
+    for case in cases:
+        began = time.monotonic()
+        keep = args.keep and str(
+            pathlib.Path(args.keep, f"{case.size}-{case.seed}")
         )
+        violations, counts, by_kind = run(case, args.program, args.arg, keep)
         elapsed = time.monotonic() - began
         print(
-            f"seed {seed}: {len(violations)} violations, {elapsed:.0f} s, "
-            f"{counts}"
+            f"seed {case.seed}: {len(violations)} violations, "
+            f"{elapsed:.0f} s, {counts}"
         )
         print(f"  faults: {dict(by_kind)}", flush=True)
         for line in violations[:5]:
             print(f"  {line}", flush=True)
         failed += bool(violations)
-    print(f"{len(seeds) - failed} seeds passed, {failed} failed")
+    print(f"{len(cases) - failed} seeds passed, {failed} failed")
     return 1 if failed else 0
 
 
