Planner: run a batch for the process that sent it, not for its name

Callers saw a task run twice at the same time. A planner knew the origin of a batch by the name of the instance. An instance that is killed and starts again at once under its name counts its terms from 1 again; its heartbeats permitted the batches of its former process, and the view of the fleet, too, was compared by name only. Nobody waits for those batches any more: their callers submit them again elsewhere. The other way round, a batch of the new process was dropped if the former one had sent it in a later term, and a late withdrawal of the former process dropped it.

Origins are now the name and the start time of a process, in batches, withdrawals, permissions, views of the fleet and outcomes.

--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -87,6 +87,8 @@
     def __init__(self, name: str, domain: str):
         self.name = name
         self.domain = domain
+        self.started = 0
+        """Start time of this process, in milliseconds since 1970."""
         self.route_table: routes.RouteTable | None = None
         self.document = b""
         """The configuration in force, as it was published."""
@@ -275,8 +277,7 @@
         gateway_planners.is_same_incarnation(planner, pending.planner)
         for planner in planners
     ):
-        drop = pool_messages.DropBatch(pending.batch.name, state.name)
-        sends.append(gateway_planners.send_to(state, pending.planner, drop))
+        sends.append(gateway_planners.send_drop(state, pending))
     return sends
 
 
@@ -311,8 +312,7 @@
     fields = {"planner": _planner_name(pending.planner)}
     fields["age_ms"] = round((now - pending.submitted_at) * 1000.0)
     # The batch may have been sent to that planner once more meanwhile.
-    drop = pool_messages.DropBatch(pending.batch.name, state.name)
-    dropped = gateway_planners.send_to(state, pending.planner, drop)
+    dropped = gateway_planners.send_drop(state, pending)
     pending.refused_by.add(pending.planner.name)
     pending.planner = None
     pending.shard = None
@@ -340,6 +340,7 @@
 
 
 def _update_fleet(state, msg, now):
+    state.started = msg.own_member.started
     state.alive = msg.alive
     state.missing = msg.missing
     state.assignment = msg.assignment
--- a/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
@@ -13,6 +13,7 @@
     "can_retry_elsewhere",
     "hand_over",
     "is_same_incarnation",
+    "send_drop",
     "send_to",
 ]
 
@@ -57,6 +58,7 @@
         max(0.0, pending.permitted_until - now),
         state.planner_terms.get((planner.name, planner.started), 0),
         pending.ended_planner,
+        state.started,
     )
     return [*sends, send_to(state, planner, msg)]
 
@@ -125,8 +127,15 @@
         is_same_incarnation(member, pending.planner) for member in state.alive
     ):
         return []
-    drop = pool_messages.DropBatch(pending.batch.name, state.name)
-    return [send_to(state, pending.planner, drop)]
+    return [send_drop(state, pending)]
+
+
+def send_drop(state, pending):
+    """Return the message that drops a batch at its planner."""
+    drop = pool_messages.DropBatch(
+        pending.batch.name, state.name, state.started
+    )
+    return send_to(state, pending.planner, drop)
 
 
 def _choose_planner(state, pending):
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -114,9 +114,13 @@
             state.healed_at = now
     state.fleet = msg
     state.idle_members &= planner_roles.idle_members(msg)
-    alive = {member.name for member in msg.alive}
-    for name in [name for name in state.permissions if name not in alive]:
-        del state.permissions[name]
+    alive = {
+        pool_messages.Origin(member.name, member.started)
+        for member in msg.alive
+    }
+    for name, given in list(state.permissions.items()):
+        if (name, given.started) not in alive:
+            del state.permissions[name]
     state.assignment = msg.assignment
     if state.active_since is None:
         return []
@@ -145,16 +149,16 @@
 def _plan_batch(state, msg, now):
     name = msg.batch.name
     ended_outcome = state.ended_outcomes.get(name)
+    origin = state.origin_of(msg)
     if ended_outcome is not None:
-        ended = pool_messages.BatchEnded(
-            name, msg.origin, ended_outcome, state.name
-        )
-        return [planner_runs.send_to_member(state, msg.origin, ended)]
+        return [
+            planner_runs.report_outcome(state, name, origin, ended_outcome)
+        ]
     plan = state.plans.get(name)
     sends = []
     if plan is not None:
-        if plan.origins.get(msg.origin, msg.term) >= msg.term:
-            _add_origin(plan, msg, now)
+        if plan.origins.get(origin, msg.term) >= msg.term:
+            _add_origin(plan, origin, msg, now)
             return []
         # The sender gave this planner up meanwhile; another one may have run
         # tasks of the batch since.
@@ -170,18 +174,15 @@
             "this instance is cut off from the others",
             planner_roles.PASSIVE_TIME,
         )
-        refused = pool_messages.BatchEnded(
-            name, msg.origin, outcome, state.name
-        )
-        return [planner_runs.send_to_member(state, msg.origin, refused)]
+        return [planner_runs.report_outcome(state, name, origin, outcome)]
     state.early_batches[name] = (msg, now)
     return []
 
 
-def _add_origin(plan, msg, now):
+def _add_origin(plan, origin, msg, now):
     """Add an instance that also answers a caller of a batch."""
-    if msg.origin not in plan.origins:
-        plan.origins[msg.origin] = msg.term
+    if origin not in plan.origins:
+        plan.origins[origin] = msg.term
         plan.round = max(plan.round, msg.round)
         plan.shard_changed |= msg.shard_changed
         plan.permitted_until = max(
@@ -212,7 +213,7 @@
         round=msg.round + state.dropped_counts.get(msg.batch.name, 0)
     )
     first_attempt = msg.round * planner_runs.ATTEMPT_SKIP
-    plan = planner_state.Plan(msg, first_attempt, now)
+    plan = planner_state.Plan(msg, state.origin_of(msg), first_attempt, now)
     if msg.ended_planner in state.idle_members:
         plan.claims_since = state.began_at
     reason = _unfit_reason(state, plan)
@@ -296,7 +297,7 @@
     plan = state.plans.get(msg.name)
     if plan is None:
         return []
-    plan.origins.pop(msg.origin, None)
+    plan.origins.pop(state.origin_of(msg), None)
     if plan.origins:
         return []
     decision = planner_log.decision(
--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
@@ -52,10 +52,14 @@
 
 
 def _leaves_batch(state, origin, term, now):
-    if origin == state.name:
+    if origin.name == state.name:
         return True
-    given = state.permissions.get(origin)
-    return given is not None and given.term == term and given.until > now
+    given = state.permissions.get(origin.name)
+    return (
+        given is not None
+        and (given.started, given.term) == (origin.started, term)
+        and given.until > now
+    )
 
 
 def may_renew(state, executor, now):
@@ -92,7 +96,7 @@
             decision = planner_log.decision(
                 "permission lapsed",
                 plan.name,
-                origins=sorted(plan.origins),
+                origins=sorted(origin.name for origin in plan.origins),
                 lapsed_ms=round((now - plan.unpermitted_since) * 1000.0),
             )
             sends += [decision, *planner_runs.drop_plan(state, plan)]
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -25,6 +25,7 @@
     "lose_runs",
     "release_run",
     "renew_leases",
+    "report_outcome",
     "resources_of",
     "send_start",
     "send_stop",
@@ -323,10 +324,7 @@
         )
     ]
     for origin in plan.origins:
-        ended = pool_messages.BatchEnded(
-            plan.name, origin, outcome, state.name
-        )
-        sends.append(send_to_member(state, origin, ended))
+        sends.append(report_outcome(state, plan.name, origin, outcome))
     return sends + drop_plan(state, plan)
 
 
@@ -345,15 +343,18 @@
     return sends
 
 
-def send_to_member(state, name, msg):
-    """Return a message to the instance with a name."""
-    if name == state.name:
+def report_outcome(state, name, origin, outcome):
+    """Return the message that tells an origin how its batch ended."""
+    msg = pool_messages.BatchEnded(name, origin.name, outcome, state.name)
+    if origin.name == state.name:
         return messages.Send(pool_messages.GATEWAY, msg)
     for member in state.fleet.alive:
-        if member.name == name:
+        if (member.name, member.started) == origin:
             to_member = pool_messages.SendToMember(member.address, msg)
             return messages.Send(pool_messages.LINKS, to_member)
-    return planner_log.decision("origin is not alive", msg.name, origin=name)
+    return planner_log.decision(
+        "origin is not alive", name, origin=origin.name
+    )
 
 
 def lose_runs(state, executor, reason, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -115,12 +115,16 @@
     )
 
     def __init__(
-        self, msg: pool_messages.PlanBatch, first_attempt: int, now: float
+        self,
+        msg: pool_messages.PlanBatch,
+        origin: pool_messages.Origin,
+        first_attempt: int,
+        now: float,
     ):
         self.batch = msg.batch
-        self.origins = {msg.origin: msg.term}
-        """Names of the instances that answer the callers, and the term of
-        this planner in which each sent the batch."""
+        self.origins = {origin: msg.term}
+        """The instances that answer the callers, and the term of this planner
+        in which each sent the batch."""
         self.received_at = now
         self.submitted_at = now - msg.age
         self.deadline = now + msg.time_left
@@ -339,6 +343,22 @@
         self.healed_at: float | None = None
         """When a missing member was last heard again."""
 
+    def origin_of(
+        self, msg: pool_messages.PlanBatch | pool_messages.DropBatch
+    ) -> pool_messages.Origin:
+        """Return the process that sent a message about a batch.
+
+        If it does not tell its start time, it is the one heard last.
+        """
+        started = msg.origin_started
+        if not started and msg.origin in self.permissions:
+            started = self.permissions[msg.origin].started
+        elif not started and self.fleet is not None:
+            for member in self.fleet.alive:
+                if member.name == msg.origin:
+                    started = member.started
+        return pool_messages.Origin(msg.origin, started)
+
     def new_token(self, executor: str, step: int) -> int:
         """Return a new token for an executor.
 
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -77,6 +77,7 @@
     permitted_us: int = 0
     term: int = 0
     ended_planner: str = ""
+    origin_started: int = 0
 
 
 class DropFields(NamedTuple):
@@ -84,6 +85,7 @@
 
     name: str
     origin: str
+    origin_started: int = 0
 
 
 class EndedFields(NamedTuple):
@@ -156,8 +158,9 @@
     wire.I64,
     wire.I64,
     wire.TEXT,
+    wire.I64,
 )
-wire.declare(DropFields, wire.TEXT, wire.TEXT)
+wire.declare(DropFields, wire.TEXT, wire.TEXT, wire.I64)
 wire.declare(
     EndedFields,
     wire.TEXT,
@@ -272,6 +275,7 @@
         _to_micros(msg.permitted_time),
         msg.term,
         msg.ended_planner,
+        msg.origin_started,
     )
 
 
@@ -318,11 +322,12 @@
         fields.permitted_us / 1e6,
         fields.term,
         fields.ended_planner,
+        fields.origin_started,
     )
 
 
 def _decode_drop(fields):
-    return pool_messages.DropBatch(fields.name, fields.origin)
+    return pool_messages.DropBatch(*fields)
 
 
 def _encode_ended(msg):
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -41,6 +41,7 @@
     "Leave",
     "LinkFailed",
     "OfferConfiguration",
+    "Origin",
     "PLANNER",
     "PlanBatch",
     "PlanningPermitted",
@@ -155,6 +156,15 @@
     reply_to: Any
 
 
+class Origin(NamedTuple):
+    """The process of an instance at which the caller of a batch waits."""
+
+    name: str
+    """Name of the instance."""
+    started: int
+    """Start time of the process, in milliseconds since 1970."""
+
+
 class PlanBatch(NamedTuple):
     """Ask a planner to run a batch."""
 
@@ -177,6 +187,9 @@
     ended_planner: str = ""
     """Name of the only earlier planner, if it told that it no longer plans;
     otherwise empty."""
+    origin_started: int = 0
+    """Start time of the origin's process, in milliseconds since 1970; 0 if
+    the origin does not tell."""
 
 
 class DropBatch(NamedTuple):
@@ -184,6 +197,9 @@
 
     name: str
     origin: str
+    origin_started: int = 0
+    """Start time of the origin's process, in milliseconds since 1970; 0 if
+    the origin does not tell."""
 
 
 class BatchEnded(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -4,6 +4,7 @@
 import queue
 import socket
 import unittest
+from typing import NamedTuple
 
 from cardamompath_core import batches
 from cardamompath_core import executors
@@ -14,6 +15,7 @@
 from cardamompathd.peers import errors
 from cardamompathd.peers import links
 from cardamompathd.peers import pool_codec
+from cardamompathd.peers import wire
 from cardamompathd.runtime import clocks
 from cardamompathd.runtime import sockets
 
@@ -36,6 +38,16 @@
     return pool_messages.PlanBatch(batch, "n-1", 0.25, 1.5, 2)
 
 
+class OldDropFields(NamedTuple):
+    """A dropped batch, as instances without start times send it."""
+
+    name: str
+    origin: str
+
+
+wire.declare(OldDropFields, wire.TEXT, wire.TEXT)
+
+
 class CodecTest(unittest.TestCase):
     def assert_same(self, msg, to):
         send = pool_codec.decode(pool_codec.encode(msg))
@@ -43,9 +55,15 @@
 
     def test_messages_survive_a_round_trip(self):
         self.assert_same(make_plan(), pool_messages.PLANNER)
+        self.assert_same(
+            make_plan()._replace(origin_started=1700), pool_messages.PLANNER
+        )
         self.assert_same(
             pool_messages.DropBatch("5c0e", "n-1"), pool_messages.PLANNER
         )
+        self.assert_same(
+            pool_messages.DropBatch("5c0e", "n-1", 1700), pool_messages.PLANNER
+        )
         outcome = batches.Outcome(batches.REFUSED, "full", 1.0)
         self.assert_same(
             pool_messages.BatchEnded("5c0e", "n-1", outcome, "n-2"),
@@ -56,6 +74,15 @@
             pool_messages.CONFIGURATIONS,
         )
 
+    def test_versions_with_and_without_start_times_understand_another(self):
+        method = wire.Method("drop", OldDropFields, OldDropFields)
+        old = OldDropFields("5c0e", "n-1")
+        send = pool_codec.decode(wire.encode_call(method, old))
+        self.assertEqual(send.msg, pool_messages.DropBatch(*old))
+        new = pool_codec.encode(pool_messages.DropBatch(*old, 1700))
+        _, fields = wire.decode_call(new, {"drop": method})
+        self.assertEqual(fields, old)
+
     def test_heartbeat_is_decoded_as_received_heartbeat(self):
         member = planner_election.Member(
             "n-1", "a", ("10.1.0.1", 7), 1700, True, 645, 1
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -192,6 +192,52 @@
         self.answer_hold()
         self.assertIsNone(self.hold.expires)
 
+    def restart_origin(self):
+        """Have the instance heard after a restart."""
+        own = make_member("n-a", 1000)
+        restarted = make_member("n-b", ORIGIN_STARTED + 1)
+        return self.tell(fleet_views.make_view(own, (own, restarted), ()))
+
+    def test_permission_of_a_restarted_instance_is_for_no_former_batch(self):
+        self.permit(0.4)
+        self.running = tuple(self.started(self.plan(count=3)))
+        self.answer_hold()
+        self.permit(9.0, started=ORIGIN_STARTED + 1)
+        self.now += 0.5
+        self.answer_hold()
+        self.assertIsNone(self.hold.expires)
+        self.ended = (pool_messages.EndedRun(1, self.running[0], "done"),)
+        self.running = self.running[1:]
+        self.assertEqual(self.started(self.answer_hold()), [])
+
+    def test_runs_for_a_restarted_instance_are_stopped(self):
+        self.permit(9.0)
+        self.running = tuple(self.started(self.plan()))
+        self.answer_hold()
+        sent = self.restart_origin()
+        stopped = self.kinds(sent, pool_messages.StopRun)
+        self.assertEqual([msg.run for msg in stopped], list(self.running))
+
+    def test_batch_of_a_restarted_instance_runs_in_its_first_term(self):
+        self.permit(9.0, term=5)
+        self.running = tuple(self.started(self.plan(term=5)))
+        self.answer_hold()
+        started = ORIGIN_STARTED + 1
+        self.permit(9.0, term=1, started=started)
+        self.plan(term=1, origin_started=started)
+        sent = self.restart_origin() + self.tick(0.7)
+        self.assertEqual(self.kinds(sent, pool_messages.StopRun), [])
+        self.answer_hold()
+        self.assertIsNotNone(self.hold.expires)
+
+    def test_withdrawal_of_a_former_process_drops_no_batch_of_the_next(self):
+        self.permit(9.0, started=ORIGIN_STARTED + 1)
+        self.plan(origin_started=ORIGIN_STARTED + 1)
+        drop = pool_messages.DropBatch("j", "n-b", ORIGIN_STARTED)
+        self.assertEqual(
+            self.kinds(self.tell(drop), pool_messages.StopRun), []
+        )
+
     def plan_own(self):
         """Plan a batch whose caller waits at the planner's instance."""
         own = make_batch()._replace(name="k")
--- a/packages/daemon/src/cardamompathd/tests/test_resubmissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_resubmissions.py
@@ -65,6 +65,15 @@
         self.simulation.restart_instance("n-a5", 60.0)
         self.simulation.advance(6.0)
 
+    def test_runs_of_a_restarted_instance_end_before_its_job_comes_again(self):
+        for down_time in (0.05, 0.3, 1.0):
+            with self.subTest(down_time=down_time):
+                self.setUp()
+                self.call()
+                self.simulation.restart_instance("n-a5", down_time)
+                self.simulation.advance(6.0)
+                self.assertEqual(self.simulation.duplicate_runs, [])
+
     def test_runs_of_a_dead_instance_end_though_their_stops_are_lost(self):
         self.call()
         self.lose_stops()
