--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -94,6 +94,8 @@
     def __init__(self, name: str, domain: str):
         self.name = name
         self.domain = domain
+        self.started = 0
+        """Start time of this process, in milliseconds since 1970."""
         self.route_table: routes.RouteTable | None = None
         self.document = b""
         """The configuration in force, as it was published."""
@@ -367,6 +369,7 @@
 
 
 def _update_fleet(state, msg, now):
+    state.started = msg.own_member.started
     state.alive = msg.alive
     state.missing = msg.missing
     state.assignment = msg.assignment
--- a/packages/daemon/src/cardamompathd/controllers/gateway_drops.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_drops.py
@@ -42,8 +42,7 @@
 
 def drop(state, planner, name, now):
     """Drop a batch at its planner; return the messages."""
-    msg = pool_messages.DropBatch(name, state.name)
-    sends = [gateway_planners.send_to(state, planner, msg)]
+    sends = [gateway_planners.send_drop(state, planner, name)]
     if planner.name == state.name:
         return sends
     if not _has_pending(state, planner.name):
@@ -92,8 +91,9 @@
     sends = []
     for name, pending in state.drops.items():
         if now >= pending.sent_at + RESEND_INTERVAL:
-            msg = pool_messages.DropBatch(name, state.name)
-            sends.append(gateway_planners.send_to(state, pending.planner, msg))
+            sends.append(
+                gateway_planners.send_drop(state, pending.planner, name)
+            )
             state.drops[name] = pending._replace(sent_at=now)
     if state.drops:
         sends.append(_make_timer(now))
--- a/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
@@ -107,7 +107,8 @@
     for plan, losses in lost.items():
         note_losses(state, plan.name, losses, now)
         if executor.aborted:
-            sends += _report(state, plan.name, losses, plan.origins)
+            origins = {origin.name for origin in plan.origins}
+            sends += _report(state, plan.name, losses, origins)
     return sends
 
 
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -102,6 +102,7 @@
     term: int = 0
     ended_planner: str = ""
     losses: list[LossFields] = []
+    origin_started: int = 0
 
 
 class DropFields(NamedTuple):
@@ -109,6 +110,7 @@
 
     name: str
     origin: str
+    origin_started: int = 0
 
 
 class EndedFields(NamedTuple):
@@ -203,9 +205,10 @@
     wire.I64,
     wire.TEXT,
     _LOSSES,
+    wire.I64,
 )
 wire.declare(LossesFields, wire.TEXT, _LOSSES)
-wire.declare(DropFields, wire.TEXT, wire.TEXT)
+wire.declare(DropFields, wire.TEXT, wire.TEXT, wire.I64)
 wire.declare(
     EndedFields,
     wire.TEXT,
@@ -339,6 +342,7 @@
         msg.term,
         msg.ended_planner,
         [LossFields(*loss) for loss in msg.losses],
+        msg.origin_started,
     )
 
 
@@ -386,6 +390,7 @@
         fields.term,
         fields.ended_planner,
         _decode_losses(fields.losses),
+        fields.origin_started,
     )
 
 
@@ -417,7 +422,7 @@
 
 
 def _decode_drop(fields):
-    return pool_messages.DropBatch(fields.name, fields.origin)
+    return pool_messages.DropBatch(*fields)
 
 
 def _encode_ended(msg):
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -44,6 +44,7 @@
     "LinkFailed",
     "LossesReported",
     "OfferConfiguration",
+    "Origin",
     "PLANNER",
     "PlanBatch",
     "PlanningPermitted",
@@ -177,6 +178,15 @@
     reply_to: Any
 
 
+class Origin(NamedTuple):
+    """The process of an instance at which the caller of a batch waits."""
+
+    name: str
+    """Name of the instance."""
+    started: int
+    """Start time of the process, in milliseconds since 1970."""
+
+
 class PlanBatch(NamedTuple):
     """Ask a planner to run a batch."""
 
@@ -201,6 +211,9 @@
     otherwise empty."""
     losses: tuple[RunLoss, ...] = ()
     """Its runs that were lost with their executors, as far as known."""
+    origin_started: int = 0
+    """Start time of the origin's process, in milliseconds since 1970; 0 if
+    the origin does not tell."""
 
 
 class DropBatch(NamedTuple):
@@ -211,6 +224,9 @@
 
     name: str
     origin: str
+    origin_started: int = 0
+    """Start time of the origin's process, in milliseconds since 1970; 0 if
+    the origin does not tell."""
 
 
 class BatchEnded(NamedTuple):
