--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
@@ -78,10 +78,10 @@
 
 def may_start(state, executor, now):
     """Return whether a run on an executor can get a lease of some length."""
-    if may_renew(state, executor, now):
-        return True
+    if executor.orphans:
+        return False
     time_left = executor.lease_end - executor.executor_clock(now)
-    return not executor.orphans and time_left >= MIN_START_LEASE
+    return time_left >= MIN_START_LEASE or may_renew(state, executor, now)
 
 
 def drop_unpermitted(state, now):
