Tests: random troubles with several planners

Late orders, restarts of executors and instances, lags, cuts and callers that submit again, in a pool with two planners and in a large fleet.

--- a/packages/daemon/src/cardamompathd/tests/test_late_orders.py
+++ b/packages/daemon/src/cardamompathd/tests/test_late_orders.py
@@ -4,6 +4,8 @@
 
 from cardamompathd import pool_messages
 from cardamompathd.tests import pool_simulation
+from cardamompathd.tests import test_large_fleet
+from cardamompathd.tests import test_slow_planners
 
 LENGTH = 5.0
 """Seconds of trouble in each run."""
@@ -126,6 +128,27 @@
                 simulation = pool_simulation.Simulation(seed=seed)
                 self.play(simulation, names[1:], names)
 
+    def play_pool(self, seed):
+        simulation = test_slow_planners.make_pool()
+        simulation.rng.seed(seed)
+        planners = ("n-a", "n-b", "n-c", "n-a1", "n-b1")
+        origins = ("n-a2", "n-b2", "n-c2")
+        self.play(simulation, origins, (*planners, "n-a2", "n-c2"))
+
+    def test_no_task_runs_twice_in_a_pool(self):
+        for seed in (3, 23, 73, *range(90, 102)):
+            with self.subTest(seed=seed):
+                self.play_pool(seed)
+
+    def test_no_task_runs_twice_in_a_large_fleet(self):
+        for seed in (25, 39, 50, 51):
+            with self.subTest(seed=seed):
+                simulation = test_large_fleet.make_simulation()
+                simulation.rng.seed(seed)
+                planners = ("n-a", "n-a1", "n-b", "n-b1")
+                origins = ("n-a5", "n-a6", "n-b5", "n-b6")
+                self.play(simulation, origins, (*planners, "n-a5", "n-b5"))
+
 
 if __name__ == "__main__":
     unittest.main()
