--- a/packages/daemon/src/cardamompathd/tests/test_late_orders.py
+++ b/packages/daemon/src/cardamompathd/tests/test_late_orders.py
@@ -140,6 +140,9 @@
             with self.subTest(seed=seed):
                 self.play_pool(seed)
 
+    def test_no_task_runs_twice_though_a_withdrawal_is_read_late(self):
+        self.play_pool(107)
+
     def test_no_task_runs_twice_in_a_large_fleet(self):
         for seed in (25, 39, 50, 51):
             with self.subTest(seed=seed):
