Drops: revoke a numbered hand-over, and those before it

A PlanBatch that was under way on a broken link, or was read late, arrived after the drop of its batch. The planner had acknowledged the drop and planned the batch anew, by the permission of an instance that had long answered the caller, who submitted the job elsewhere.

Hand-overs are now numbered at their origin; a drop names the one that it revokes, and the planner starts nothing for that one or an earlier one, nor drops a later one. An acknowledgment names it too, so that one of an older drop ends no newer one. Drops of a batch at two planners are tracked apart: the second made the origin forget the first, whose planner then got no lease allowed any more. Repetitions come less and less often, as an instance of the landed version never acknowledges; its own drops are not answered, as it would take that for the outcome; and a permission without the time it rests on counts from the shortest timeout.

--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -55,6 +55,7 @@
         "deadline",
         "ended_planner",
         "handed_over",
+        "handover",
         "permitted_until",
         "planner",
         "refused_by",
@@ -81,6 +82,8 @@
         self.round = 0
         """Number of earlier planners that may have started tasks of it."""
         self.handed_over = False
+        self.handover = 0
+        """Number of its last hand-over to another planner."""
         self.permitted_until = 0.0
         """Until when one of its former planners may start tasks of it."""
         self.ended_planner = ""
@@ -112,8 +115,11 @@
         """Number of the term of each planner, by its name and start time."""
         self.backlogs: dict[str, float] = {}
         """Backlog in seconds by the name of the planner."""
-        self.drops: dict[str, gateway_drops.PendingDrop] = {}
-        """Drops that were not acknowledged, by the name of the batch."""
+        self.last_handover = 0
+        """Number of the last hand-over of any batch."""
+        self.drops: dict[tuple[str, str, int], gateway_drops.PendingDrop] = {}
+        """Drops that were not acknowledged, by the batch and by the name and
+        the start time of the planner."""
         self.losses = run_losses.LossMemory()
         """Losses that planners reported, also of batches of other instances,
         which may be submitted here next."""
@@ -301,7 +307,7 @@
         for planner in planners
     ):
         sends += gateway_drops.drop(
-            state, pending.planner, pending.batch.name, now
+            state, pending.planner, pending.batch.name, pending.handover, now
         )
     return sends
 
@@ -317,7 +323,7 @@
 def _handle_end(state, msg, now):
     outcome = msg.outcome
     if outcome.state == batches.CANCELLED:
-        return gateway_drops.acknowledge(state, msg.name, msg.planner)
+        return gateway_drops.acknowledge(state, msg)
     pending = state.pending.get(msg.name)
     if pending is None:
         return ()
@@ -340,7 +346,7 @@
     fields["age_ms"] = round((now - pending.submitted_at) * 1000.0)
     # The batch may have been sent to that planner once more meanwhile.
     dropped = gateway_drops.drop(
-        state, pending.planner, pending.batch.name, now
+        state, pending.planner, pending.batch.name, pending.handover, now
     )
     pending.refused_by.add(pending.planner.name)
     pending.planner = None
--- a/packages/daemon/src/cardamompathd/controllers/gateway_drops.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_drops.py
@@ -26,8 +26,10 @@
 ]
 
 RESEND_INTERVAL = 0.1
-"""Seconds after which a drop is repeated; a broken link is open again by
-then."""
+"""Seconds after which a drop is repeated, doubled each time; a broken link is
+open again by then."""
+MAX_RESEND_INTERVAL = 1.6
+"""Maximum number of seconds until a drop is repeated."""
 TIMER_KEY = ("drops",)
 """Key of the timer of the next repetition; names of batches are strings."""
 
@@ -36,39 +38,47 @@
     """A drop that was not acknowledged."""
 
     planner: planner_election.Member
-    sent_at: float
-    """When it was last sent."""
+    handover: int
+    """Number of the hand-over that it revokes."""
+    resend_at: float
+    interval: float
+    """Seconds from its last repetition to the next one."""
 
 
-def drop(state, planner, name, now):
+def drop(state, planner, name, handover, now):
     """Drop a batch at its planner; return the messages."""
-    sends = [gateway_planners.send_drop(state, planner, name)]
+    sends = [gateway_planners.send_drop(state, planner, name, handover)]
     if planner.name == state.name:
         return sends
-    if not _has_pending(state, planner.name):
-        sends.append(_report(planner.name, True))
+    if not _has_pending(state, planner):
+        sends.append(_report(planner, True))
     if not state.drops:
         sends.append(_make_timer(now))
-    state.drops[name] = PendingDrop(planner, now)
+    state.drops[name, planner.name, planner.started] = PendingDrop(
+        planner, handover, now + RESEND_INTERVAL, RESEND_INTERVAL
+    )
     return sends
 
 
-def acknowledge(state, name, planner_name):
+def acknowledge(state, msg):
     """Process that a planner no longer runs a batch."""
-    pending = state.drops.get(name)
-    if pending is None or pending.planner.name != planner_name:
-        return []
-    return _remove(state, name)
+    return _remove(
+        state,
+        [
+            key
+            for key, pending in state.drops.items()
+            if key[:2] == (msg.name, msg.planner)
+            and pending.handover == msg.handover
+        ],
+    )
 
 
 def cancel(state, name, planner):
     """Forget the drop of a batch that is handed to the same planner again."""
-    pending = state.drops.get(name)
-    if pending is None or not gateway_planners.is_same_incarnation(
-        pending.planner, planner
-    ):
+    if planner is None:
         return []
-    return _remove(state, name)
+    key = (name, planner.name, planner.started)
+    return _remove(state, [key] if key in state.drops else [])
 
 
 def forget_former_planners(state):
@@ -76,46 +86,54 @@
 
     Their permissions are not extended any more.
     """
-    sends = []
-    for name, pending in list(state.drops.items()):
-        if not any(
-            gateway_planners.is_same_incarnation(planner, pending.planner)
-            for planner in state.assignment.planners
-        ):
-            sends += _remove(state, name)
-    return sends
+    return _remove(
+        state,
+        [
+            key
+            for key, pending in state.drops.items()
+            if not any(
+                gateway_planners.is_same_incarnation(planner, pending.planner)
+                for planner in state.assignment.planners
+            )
+        ],
+    )
 
 
 def resend(state, now):
     """Repeat the drops that were not acknowledged."""
     sends = []
-    for name, pending in state.drops.items():
-        if now >= pending.sent_at + RESEND_INTERVAL:
-            sends.append(
-                gateway_planners.send_drop(state, pending.planner, name)
+    for key, pending in state.drops.items():
+        if now < pending.resend_at:
+            continue
+        sends.append(
+            gateway_planners.send_drop(
+                state, pending.planner, key[0], pending.handover
             )
-            state.drops[name] = pending._replace(sent_at=now)
+        )
+        interval = min(2.0 * pending.interval, MAX_RESEND_INTERVAL)
+        state.drops[key] = pending._replace(
+            resend_at=now + interval, interval=interval
+        )
     if state.drops:
         sends.append(_make_timer(now))
     return sends
 
 
-def _remove(state, name):
-    planner = state.drops.pop(name).planner
-    if _has_pending(state, planner.name):
-        return []
-    return [_report(planner.name, False)]
+def _remove(state, keys):
+    sends = []
+    for key in keys:
+        planner = state.drops.pop(key).planner
+        if not _has_pending(state, planner):
+            sends.append(_report(planner, False))
+    return sends
 
 
-def _has_pending(state, planner_name):
-    return any(
-        pending.planner.name == planner_name
-        for pending in state.drops.values()
-    )
+def _has_pending(state, planner):
+    return any(key[1] == planner.name for key in state.drops)
 
 
-def _report(planner_name, pending):
-    msg = pool_messages.DropsPending(planner_name, pending)
+def _report(planner, pending):
+    msg = pool_messages.DropsPending(planner.name, pending)
     return messages.Send(pool_messages.FLEET, msg)
 
 
--- a/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
@@ -45,6 +45,8 @@
             pending.shard_changed |= shard is None or shard != pending.shard
         pending.shard = shard
         pending.resend_at = now + RESEND_INTERVAL
+        state.last_handover += 1
+        pending.handover = state.last_handover
     pending.planner = planner
     pending.handed_over = True
     sends += _report_remote_planner(state, pending)
@@ -60,6 +62,7 @@
         pending.ended_planner,
         state.losses.of_batch(pending.batch.name),
         state.started,
+        pending.handover,
     )
     return [*sends, send_to(state, planner, msg)]
 
@@ -126,12 +129,13 @@
         is_same_incarnation(member, pending.planner) for member in state.alive
     ):
         return []
-    return [send_drop(state, pending.planner, pending.batch.name)]
+    name = pending.batch.name
+    return [send_drop(state, pending.planner, name, pending.handover)]
 
 
-def send_drop(state, planner, name):
+def send_drop(state, planner, name, handover):
     """Return the message that drops a batch at a planner."""
-    drop = pool_messages.DropBatch(name, state.name, state.started)
+    drop = pool_messages.DropBatch(name, state.name, state.started, handover)
     return send_to(state, planner, drop)
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -173,8 +173,17 @@
     ]
 
 
+def _is_revoked(state, msg):
+    """Return whether a drop has revoked a hand-over, or a later one."""
+    key = (state.origin_of(msg), msg.batch.name)
+    return msg.handover <= state.revoked_handovers.get(key, -1)
+
+
 def _plan_batch(state, msg, now):
     name = msg.batch.name
+    if msg.handover and _is_revoked(state, msg):
+        # It was under way on a broken link, and the drop on the next one.
+        return []
     planner_crashes.note_losses(state, name, msg.losses, now)
     ended_outcome = state.ended_outcomes.get(name)
     origin = state.origin_of(msg)
@@ -209,6 +218,7 @@
 
 def _add_origin(plan, origin, msg, now):
     """Add an instance that also answers a caller of a batch."""
+    plan.handovers[origin] = max(plan.handovers.get(origin, 0), msg.handover)
     if origin not in plan.origins:
         plan.origins[origin] = msg.term
         plan.round = max(plan.round, msg.round)
@@ -333,22 +343,27 @@
 
 def _handle_drop(state, msg, now):
     sends = _drop_batch(state, msg, now)
-    if state.fleet is None:
+    # An origin that sends no number takes this for the end of the batch.
+    if state.fleet is None or not msg.handover:
         return sends
     outcome = batches.Outcome(batches.CANCELLED, "dropped by its origin")
     origin = state.origin_of(msg)
-    return [
-        *sends,
-        planner_runs.report_outcome(state, msg.name, origin, outcome),
-    ]
+    ended = planner_runs.report_outcome(
+        state, msg.name, origin, outcome, msg.handover
+    )
+    return [*sends, ended]
 
 
 def _drop_batch(state, msg, now):
-    state.early_batches.pop(msg.name, None)
+    origin = state.origin_of(msg)
+    state.remember_drop(origin, msg.name, msg.handover)
+    early = state.early_batches.get(msg.name)
+    if early is not None and _is_revoked(state, early[0]):
+        del state.early_batches[msg.name]
     plan = state.plans.get(msg.name)
-    if plan is None:
+    if plan is None or plan.handovers.get(origin, 0) > msg.handover:
         return []
-    plan.origins.pop(state.origin_of(msg), None)
+    plan.origins.pop(origin, None)
     if plan.origins:
         return []
     decision = planner_log.decision(
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -346,9 +346,11 @@
     return sends
 
 
-def report_outcome(state, name, origin, outcome):
+def report_outcome(state, name, origin, outcome, handover=0):
     """Return the message that tells an origin how its batch ended."""
-    msg = pool_messages.BatchEnded(name, origin.name, outcome, state.name)
+    msg = pool_messages.BatchEnded(
+        name, origin.name, outcome, state.name, handover
+    )
     if origin.name == state.name:
         return messages.Send(pool_messages.GATEWAY, msg)
     for member in state.fleet.alive:
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -105,6 +105,7 @@
         "deadline",
         "done_count",
         "expected_time",
+        "handovers",
         "log_size",
         "may_have_started",
         "min_cpu",
@@ -131,6 +132,8 @@
     ):
         self.batch = msg.batch
         self.origins = {origin: msg.term}
+        self.handovers = {origin: msg.handover}
+        """Number of the last hand-over by each origin."""
         """The instances that answer the callers, and the term of this planner
         in which each sent the batch."""
         self.received_at = now
@@ -351,6 +354,10 @@
             collections.OrderedDict()
         )
         """How often each batch was dropped after it may have started."""
+        self.revoked_handovers: collections.OrderedDict[
+            tuple[pool_messages.Origin, str], int
+        ] = collections.OrderedDict()
+        """The last hand-over of a batch that each origin has revoked."""
         self.losses = run_losses.LossMemory()
         self.lost_boots: dict[tuple[str, int], Any] = {}
         """Executors that were lost with runs and of which it is not known
@@ -407,6 +414,16 @@
             self.tokens.popitem(last=False)
         return token
 
+    def remember_drop(
+        self, origin: pool_messages.Origin, name: str, handover: int
+    ) -> None:
+        """Keep that an origin revoked its hand-overs of a batch so far."""
+        key = (origin, name)
+        last = self.revoked_handovers.pop(key, -1)
+        self.revoked_handovers[key] = max(last, handover)
+        while len(self.revoked_handovers) > MAX_REMEMBERED:
+            self.revoked_handovers.popitem(last=False)
+
     def remember_dropped_batch(self, name: str) -> None:
         """Count that a batch was dropped, in case it comes again."""
         self.dropped_counts[name] = self.dropped_counts.get(name, 0) + 1
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -103,6 +103,7 @@
     ended_planner: str = ""
     losses: list[LossFields] = []
     origin_started: int = 0
+    handover: int = 0
 
 
 class DropFields(NamedTuple):
@@ -111,6 +112,7 @@
     name: str
     origin: str
     origin_started: int = 0
+    handover: int = 0
 
 
 class EndedFields(NamedTuple):
@@ -122,6 +124,7 @@
     reason: str
     retry_after_us: int
     planner: str
+    handover: int = 0
 
 
 class LossesFields(NamedTuple):
@@ -206,9 +209,10 @@
     wire.TEXT,
     _LOSSES,
     wire.I64,
+    wire.I64,
 )
 wire.declare(LossesFields, wire.TEXT, _LOSSES)
-wire.declare(DropFields, wire.TEXT, wire.TEXT, wire.I64)
+wire.declare(DropFields, wire.TEXT, wire.TEXT, wire.I64, wire.I64)
 wire.declare(
     EndedFields,
     wire.TEXT,
@@ -217,6 +221,7 @@
     wire.TEXT,
     wire.I64,
     wire.TEXT,
+    wire.I64,
 )
 wire.declare(ConfigurationFields, wire.I64, wire.BINARY)
 
@@ -308,7 +313,7 @@
         fields.sent_ms / 1000.0,
         fields.planner_until_ms / 1000.0,
         fields.planner_term,
-        fields.planner_confirmed_ms / 1000.0,
+        _confirmed_ms(fields) / 1000.0,
     )
 
 
@@ -320,6 +325,13 @@
     return host, port
 
 
+def _confirmed_ms(fields):
+    """Return what a permission rests on; earlier versions do not tell it."""
+    if fields.planner_confirmed_ms or not fields.planner_until_ms:
+        return fields.planner_confirmed_ms
+    return fields.planner_until_ms - int(fleet_state.HEARTBEAT_TIMEOUT * 1e3)
+
+
 def _encode_plan(msg):
     batch = msg.batch
     policy = batch.policy
@@ -343,6 +355,7 @@
         msg.ended_planner,
         [LossFields(*loss) for loss in msg.losses],
         msg.origin_started,
+        msg.handover,
     )
 
 
@@ -391,6 +404,7 @@
         fields.ended_planner,
         _decode_losses(fields.losses),
         fields.origin_started,
+        fields.handover,
     )
 
 
@@ -434,6 +448,7 @@
         outcome.reason,
         _to_micros(outcome.retry_after),
         msg.planner,
+        msg.handover,
     )
 
 
@@ -442,7 +457,11 @@
         fields.state, fields.reason, fields.retry_after_us / 1e6
     )
     return pool_messages.BatchEnded(
-        fields.name, fields.origin, outcome, fields.planner
+        fields.name,
+        fields.origin,
+        outcome,
+        fields.planner,
+        fields.handover,
     )
 
 
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -214,12 +214,16 @@
     origin_started: int = 0
     """Start time of the origin's process, in milliseconds since 1970; 0 if
     the origin does not tell."""
+    handover: int = 0
+    """Number of the hand-over at the origin; it grows with each change of the
+    planner.  0 if the origin does not tell."""
 
 
 class DropBatch(NamedTuple):
     """Tell a planner that its origin no longer needs a batch.
 
-    The planner acknowledges it with a `BatchEnded` that says ``cancelled``.
+    The planner acknowledges it with a `BatchEnded` that says ``cancelled``,
+    and starts nothing for an earlier hand-over that arrives later.
     """
 
     name: str
@@ -227,6 +231,8 @@
     origin_started: int = 0
     """Start time of the origin's process, in milliseconds since 1970; 0 if
     the origin does not tell."""
+    handover: int = 0
+    """The hand-over that it revokes, with all earlier ones of the batch."""
 
 
 class BatchEnded(NamedTuple):
@@ -237,6 +243,8 @@
     outcome: batches.Outcome
     planner: str
     """Name of the instance that planned the batch."""
+    handover: int = 0
+    """The hand-over whose drop it acknowledges; 0 otherwise."""
 
 
 class LossesReported(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -98,9 +98,15 @@
             if isinstance(msg, pool_messages.DropsPending)
         ]
 
-    def pass_drop_interval(self):
+    def pass_drop_interval(self, seconds=gateway_drops.RESEND_INTERVAL):
         fired = messages.TimerFired(gateway_drops.TIMER_KEY)
-        return self.tell(fired, gateway_drops.RESEND_INTERVAL)
+        return self.tell(fired, seconds)
+
+    def acknowledge(self, address, handover):
+        outcome = batches.Outcome(batches.CANCELLED, "")
+        planner = f"{address[0]}-{address[1:]}"
+        msg = pool_messages.BatchEnded("j1", "a-8", outcome, planner, handover)
+        return self.tell(msg)
 
     def test_drop_that_a_broken_link_lost_is_repeated(self):
         self.configure()
@@ -109,13 +115,37 @@
         sent = self.withdraw()
         self.assertEqual(self.drops(sent), [(address, "j1")])
         self.assertEqual(self.reports(sent), [True])
-        for _ in range(2):
+        for seconds in (0.1, 0.2, 0.4):
             self.assertEqual(
-                self.drops(self.pass_drop_interval()), [(address, "j1")]
+                self.drops(self.pass_drop_interval(seconds)), [(address, "j1")]
             )
-        sent = self.end_batch(batches.CANCELLED, address)
+        sent = self.acknowledge(address, 1)
         self.assertEqual(self.reports(sent), [False])
-        self.assertEqual(self.drops(self.pass_drop_interval()), [])
+        self.assertEqual(self.drops(self.pass_drop_interval(2.0)), [])
+
+    def test_acknowledgment_of_an_older_drop_ends_no_later_one(self):
+        self.configure()
+        self.update_fleet(self.members)
+        address = self.submit()[0][0]
+        self.withdraw()
+        self.submit()
+        self.withdraw()
+        self.assertEqual(self.reports(self.acknowledge(address, 1)), [])
+        self.assertEqual(self.reports(self.acknowledge(address, 2)), [False])
+
+    def test_drops_of_a_batch_at_two_planners_are_both_repeated(self):
+        self.configure()
+        self.update_fleet(self.members)
+        first = self.submit()[0][0]
+        sent = self.end_batch(batches.REFUSED, first)
+        second = self.handed_over(sent)[0][0]
+        self.withdraw()
+        self.assertEqual(
+            sorted(self.drops(self.pass_drop_interval())),
+            sorted([(first, "j1"), (second, "j1")]),
+        )
+        self.assertEqual(self.reports(self.acknowledge(first, 1)), [False])
+        self.assertEqual(self.reports(self.acknowledge(second, 2)), [False])
 
     def test_drop_is_forgotten_with_its_planner(self):
         self.configure()
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -107,6 +107,19 @@
         send = pool_codec.decode(pool_codec.encode(heartbeat))
         self.assertEqual(send.msg, pool_messages.HeartbeatReceived(*heartbeat))
 
+    def test_permission_of_the_landed_version_allows_a_lease(self):
+        member = planner_election.Member("n-1", "a", ("127.0.0.1", 1), 1)
+        for confirmed_at, expected in ((4.6, 4.6), (0.0, 4.55)):
+            heartbeat = fleet_state.Heartbeat(
+                member,
+                1,
+                (),
+                planner_until=5.0,
+                planner_confirmed_at=confirmed_at,
+            )
+            received = pool_codec.decode(pool_codec.encode(heartbeat)).msg
+            self.assertAlmostEqual(received.planner_confirmed_at, expected)
+
     def test_heartbeat_with_a_backlog_of_months_is_sent(self):
         # It could not be encoded, so that the sender counted as failed.
         member = planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700)
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -233,13 +233,40 @@
         self.permit(0.4)
         for name in ("j", "unknown"):
             self.plan()
-            sent = self.tell(pool_messages.DropBatch(name, "n-b"))
+            sent = self.drop(name, 1)
             answers = self.kinds(sent, pool_messages.SendToMember)
             self.assertEqual(
-                [(item.msg.name, item.msg.outcome.state) for item in answers],
-                [(name, batches.CANCELLED)],
+                [
+                    (item.msg.name, item.msg.outcome.state, item.msg.handover)
+                    for item in answers
+                ],
+                [(name, batches.CANCELLED, 1)],
             )
 
+    def drop(self, name, handover):
+        msg = pool_messages.DropBatch(name, "n-b", ORIGIN_STARTED, handover)
+        return self.tell(msg)
+
+    def test_drop_of_the_landed_version_is_not_answered(self):
+        self.permit(0.4)
+        self.plan()
+        sent = self.tell(pool_messages.DropBatch("j", "n-b"))
+        self.assertEqual(len(self.kinds(sent, pool_messages.StopRun)), 1)
+        self.assertEqual(self.kinds(sent, pool_messages.SendToMember), [])
+
+    def test_batch_that_arrives_after_its_drop_is_not_planned(self):
+        self.permit(0.4)
+        self.drop("j", 3)
+        self.assertEqual(self.started(self.plan(handover=3)), [])
+        self.assertEqual(self.started(self.plan(handover=2)), [])
+        self.assertEqual(len(self.started(self.plan(handover=4))), 1)
+
+    def test_late_drop_of_an_earlier_hand_over_stops_nothing(self):
+        self.permit(0.4)
+        self.plan(handover=4)
+        sent = self.drop("j", 3)
+        self.assertEqual(self.kinds(sent, pool_messages.StopRun), [])
+
     def restart_origin(self):
         """Have the instance heard after a restart."""
         own = make_member("n-a", 1000)
