Planner: a step that is unblocked starts only what does not run yet

What callers saw: TWICE on any change of the planner, for jobs whose steps depend on each other. The successor adopts the run of a later step, runs the first step again, and when that ends starts every task of the later one, beside the adopted run.

Cause: the tasks of a blocked step have the status of waiting ones, and unblocking queued all of them whatever had become of them since; a run of a blocked step that ended was queued at once. An adopted or reported run of such a task also raised an error, as the task was not in the queue, and the rest of the executor's answer was lost.

--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -312,7 +312,8 @@
             task = plan.find_task(run.step, run.index)
             if task is None or task.status != "waiting":
                 continue
-            plan.waiting.remove(task)
+            if task in plan.waiting:
+                plan.waiting.remove(task)
             plan.may_have_started = True
             task.status = old.status
             task.attempt = max(task.attempt, run.attempt)
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -222,7 +222,8 @@
     task.status = "waiting"
     task.executor_name = ""
     task.run = None
-    plan.waiting.appendleft(task)
+    if not plan.is_blocked(task.step):
+        plan.waiting.appendleft(task)
 
 
 def handle_run_end(state, executor, ended, now):
@@ -295,7 +296,8 @@
     task = plan.find_task(ended.run.step, ended.run.index)
     if task is None or task.status != "waiting":
         return []
-    plan.waiting.remove(task)
+    if task in plan.waiting:
+        plan.waiting.remove(task)
     return _complete_task(state, plan, task, now)
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -181,8 +181,20 @@
         return self.batch.name
 
     def enqueue_step(self, number: int) -> None:
-        """Let the tasks of a step start."""
-        self.waiting.extend(task for task in self.tasks if task.step == number)
+        """Let the tasks of a step start, unless they run or are done.
+
+        A run that an earlier planner started may have been adopted.
+        """
+        self.waiting.extend(
+            task
+            for task in self.tasks
+            if task.step == number and task.status == "waiting"
+        )
+
+    def is_blocked(self, number: int) -> bool:
+        """Return whether a step waits for the end of another one."""
+        after = self.batch.steps[number].after
+        return any(self.step_remaining[before] > 0 for before in after)
 
     def steps_unblocked_by(self, ended: int) -> list[int]:
         """Return the numbers of the steps that can start once one ended."""
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -391,7 +391,7 @@
         if len(executor_names) > 1:
             self.duplicate_runs.append((self.now, run, executor_names))
 
-    def submit(self, instance, name, count=2, timeout=5.0):
+    def submit(self, instance, name, count=2, timeout=5.0, steps=()):
         reply_to = f"{name}@{instance.name}"
         if reply_to in self.submitted:
             reply_to = f"{name}+{len(self.submitted)}@{instance.name}"
@@ -402,7 +402,7 @@
                 HOST,
                 f"/jobs/{name}",
                 "s",
-                make_steps(count),
+                steps or make_steps(count),
                 timeout,
                 reply_to,
             ),
--- a/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
+++ b/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
@@ -56,6 +56,34 @@
         adopted = self.simulation.instances["n-b"].decisions_of("run adopted")
         self.assertEqual(len(adopted), 4)
 
+    def test_successor_starts_no_dependent_task_beside_its_adopted_run(self):
+        for run_time in (0.7, 1.5, 3.0):
+            for planner_dies in (True, False):
+                with self.subTest(run_time=run_time, dies=planner_dies):
+                    self.setUp()
+                    self.run_dependent_steps(run_time, planner_dies)
+                    self.tearDown()
+
+    def run_dependent_steps(self, run_time, planner_dies):
+        """Replace the planner while the second of two steps runs."""
+        step = pool_simulation.make_steps(1)[0]
+        steps = (step, step._replace(after=(0,)))
+        reply = self.simulation.submit(
+            self.gateway_instance, "j1", timeout=9.0, steps=steps
+        )
+        self.simulation.advance(0.1)
+        self.simulation.run_time = run_time
+        self.simulation.advance(0.2)
+        self.simulation.run_time = 0.3
+        if planner_dies:
+            self.planner_instance.alive = False
+        else:
+            self.planner_instance.receive(
+                pool_messages.FLEET, pool_messages.Leave()
+            )
+        self.simulation.advance(6.0)
+        self.assert_state(reply, batches.COMPLETE)
+
     def test_frozen_planner_learns_that_it_was_replaced(self):
         self.simulation.run_time = 0.9
         reply = self.simulation.submit(self.gateway_instance, "j1", 4)
