Platform: a settings file of any shape stops no task

What callers saw: nothing; found by reading what reads files and lists. The settings are read again every 2 s by the main task, which expects only `BadSettings`. A file with a number among the seeds, a section of another type, a share of "inf" or deep nesting raised AttributeError, OverflowError or RecursionError, and the main task ended. A name or zone of another type was taken over and failed later, in the messages to the other instances.

Whatever a file of any shape can raise is now invalid settings, which are logged and ignored; names, the share of a core and the factor for remote racks are checked.

--- a/packages/daemon/src/cardamompathd/platform/settings.py
+++ b/packages/daemon/src/cardamompathd/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 import os
 import pathlib
 import tomllib
@@ -17,10 +18,24 @@
 
 PATH_VARIABLE = "CARDAMOMPATH_SETTINGS"
 """Environment variable with the path of the settings file."""
+MAX_THREAD_MILLICORES = 1_000_000
+"""Largest processor time of a thread, in thousandths of a core; far more
+than any machine has."""
 PORTS = range(1, 1 << 16)
 """Valid TCP port numbers."""
 
 
+_INVALID = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""What a file of any shape can raise."""
+
+
 class Settings(NamedTuple):
     """The settings that the daemon uses."""
 
@@ -59,24 +74,39 @@
         raw = tomllib.loads(pathlib.Path(path).read_text())
         listen = raw["listen"]
         return Settings(
-            raw["node_name"],
-            raw["zone"],
+            _parse_name(raw["node_name"]),
+            _parse_name(raw["zone"]),
             parse_address(listen["frontend"]),
             parse_address(listen["ready"]),
             parse_address(listen["control"]),
             tuple(parse_address(seed) for seed in raw.get("seeds", [])),
             parse_address(raw["platform"]["addr"]),
             _read_thread_millicores(raw.get("limits", {})),
-            float(raw.get("bounds", {}).get("remote_factor", 1.0)),
+            _parse_factor(raw.get("bounds", {}).get("remote_factor", 1.0)),
         )
-    except (OSError, KeyError, TypeError, ValueError) as exc:
+    except (OSError, *_INVALID) as exc:
         raise errors.BadSettings(f"{path}: {exc!r}") from exc
 
 
 def _read_thread_millicores(limits):
     """Return the share of a core that one thread may use, in thousandths."""
-    share = limits.get("cpu_share", 0.0)
-    return round(share * 1000.0)
+    millicores = round(limits.get("cpu_share", 0.0) * 1000.0)
+    if not 0 <= millicores <= MAX_THREAD_MILLICORES:
+        raise ValueError(f"cpu_share {limits['cpu_share']!r} is out of range")
+    return millicores
+
+
+def _parse_name(value):
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{value!r} is not a name")
+    return value
+
+
+def _parse_factor(value):
+    factor = float(value)
+    if not (math.isfinite(factor) and factor >= 0.0):
+        raise ValueError(f"remote_factor {value!r} is out of range")
+    return factor
 
 
 def parse_address(text: str) -> tuple[str, int]:
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
@@ -5,7 +5,9 @@
 """
 
 import json
+import pathlib
 import struct
+import tempfile
 import unittest
 from typing import NamedTuple
 
@@ -20,6 +22,7 @@
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
 from cardamompathd.platform import executor_protocol
+from cardamompathd.platform import settings
 from cardamompathd.platform import store
 
 RUN = pool_messages.Run("5c0e", 0, 1, 1)
@@ -32,6 +35,19 @@
     pool_messages.HoldExecutor(SPEC, 7, 3, None, 0.0),
     pool_messages.ProbeExecutor(SPEC),
 )
+SETTINGS = {
+    "node_name": 'node_name = "edge-1"',
+    "zone": 'zone = "a"',
+    "seeds": 'seeds = ["10.2.0.30:8166"]',
+    "listen": (
+        'listen = {frontend = "10.1.0.13:8161", ready = "10.1.0.13:8167",'
+        ' control = "10.1.0.13:8166"}'
+    ),
+    "platform": 'platform = {addr = "10.200.1.7:8169"}',
+    "limits": "limits = {cpu_share = 0.537}",
+    "bounds": "bounds = {remote_factor = 1.5}",
+}
+"""The lines of a valid settings file, by field."""
 DEEP = b'{"a":' * 40_000
 
 
@@ -102,6 +118,57 @@
                 self.read(raw.encode())
 
 
+class SettingsFileTest(unittest.TestCase):
+    """The settings file, which is read again while the instance runs."""
+
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder, "settings.toml")
+            file.write_text(text, encoding="utf-8")
+            try:
+                return settings.load(str(file))
+            except errors.BadSettings:
+                return None
+
+    def test_file_is_loaded(self):
+        cfg = self.load("\n".join(SETTINGS.values()))
+        self.assertEqual(cfg.seeds, (("10.2.0.30", 8166),))
+        self.assertEqual(cfg.thread_millicores, 537)
+        self.assertEqual(cfg.remote_rack_factor, 1.5)
+
+    def test_field_of_another_type_or_out_of_range(self):
+        # Any error but that of the parser ended the process at a reload.
+        deep = "[" * 10_000 + "]" * 10_000
+        faults = {
+            "node_name": ("node_name = 7", "node_name = []", ""),
+            "zone": ("zone = 1.5", f"zone = {deep}"),
+            "seeds": (
+                "seeds = [7]",
+                "seeds = 7",
+                'seeds = ["10.2.0.30:70000"]',
+                'seeds = ["a.example:1"]',
+            ),
+            "listen": ("listen = 7", 'listen = "a"', "listen = []"),
+            "platform": ("platform = 7", 'platform = {addr = "1.2.3.4:0"}'),
+            "limits": (
+                "limits = 7",
+                "limits = {cpu_share = inf}",
+                "limits = {cpu_share = -1}",
+                'limits = {cpu_share = "a"}',
+            ),
+            "bounds": (
+                "bounds = []",
+                "bounds = {remote_factor = nan}",
+                f"bounds = {{remote_factor = 1{'0' * 400}}}",
+            ),
+        }
+        for name, texts in faults.items():
+            for text in texts:
+                fields = {**SETTINGS, name: text}
+                with self.subTest(text=text[:60]):
+                    self.assertIsNone(self.load("\n".join(fields.values())))
+
+
 class PlatformInputsTest(unittest.TestCase):
     def parse(self, parser, *args):
         """Run a parser, which may raise its own error only."""
