Platform: an invalid member is logged once, with a bounded size

What callers saw: nothing; found by trying odd entries. Each read of the members logged each invalid one again, with its whole value, which may be as large as a record of the store.

The parser of a member is now with those of the other documents, whose errors have a bounded size; a line is logged once for as long as a member stays invalid. The valid members are used as before.

The new test failed before: 12 lines instead of 4.

--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -16,6 +16,7 @@
     "parse_configuration",
     "parse_executor",
     "parse_job",
+    "parse_member",
     "parse_resources",
     "unsupported_feature",
 ]
@@ -136,6 +137,20 @@
         raise errors.BadDocument(_describe(f"executor {name!r}", exc)) from exc
 
 
+def parse_member(name: str, raw: bytes) -> tuple[str, int]:
+    """Parse the address under which an instance registered itself.
+
+    Raises
+    ------
+    BadDocument
+        If it is not an address.
+    """
+    try:
+        return settings.parse_address(raw.decode())
+    except ValueError as exc:
+        raise errors.BadDocument(_describe(f"member {name!r}", exc)) from exc
+
+
 def _parse_labels(labels):
     if not isinstance(labels, list) or len(labels) > MAX_LABELS:
         raise ValueError(f"labels is no list of at most {MAX_LABELS}")
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -13,7 +13,6 @@
 from cardamompathd import pool_messages
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
-from cardamompathd.platform import settings
 from cardamompathd.platform import store
 
 __all__ = [
@@ -265,6 +264,7 @@
         self._tell = tell
         self._registered = False
         self._pause = MEMBER_INTERVAL
+        self._invalid_keys: set[str] = set()
 
     def _poll(self):
         if not self._registered:
@@ -273,13 +273,15 @@
             self._registered = True
         records, _ = self._client.read_newest(MEMBER_TOPIC)
         addresses = []
+        invalid = set()
         for record in records:
             try:
-                addresses.append(settings.parse_address(record.value.decode()))
-            except ValueError as exc:
-                loguru.logger.warning(
-                    "store: invalid member {!r}: {}", record, exc
-                )
+                addresses.append(documents.parse_member(*record))
+            except errors.BadDocument as exc:
+                invalid.add(record.key)
+                if record.key not in self._invalid_keys:
+                    loguru.logger.warning("store: {}", exc)
+        self._invalid_keys = invalid
         self._tell(pool_messages.AddressesFound(tuple(addresses), "store"))
         pause = self._pause
         self._pause = min(2.0 * pause, MAX_MEMBER_INTERVAL)
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -224,6 +224,29 @@
         self.assertEqual(self.names(), [])
 
 
+class MemberFollowerTest(unittest.TestCase):
+    def test_invalid_member_is_ignored_and_logged_once(self):
+        # Each read logged it again, with the whole of its value.
+        client, pool = make_client()
+        sent = []
+        task = followers.MemberFollower(
+            client, "n-1", ("10.1.0.1", 8166), sent.append
+        )
+        lines = []
+        sink = loguru.logger.add(lines.append, level="WARNING")
+        self.addCleanup(loguru.logger.remove, sink)
+        values = (b"10.1.0.3:70000", b"evil.example:1", b"\xff" * 9000, b"7")
+        records = [(f"x{i}", value) for i, value in enumerate(values)]
+        page = newest_response(*records, ("n-2", b"10.1.0.2:8166"))
+        pool.responses = [Response(200), page, page, page]
+        for _ in range(3):
+            task._poll()
+        found = pool_messages.AddressesFound((("10.1.0.2", 8166),), "store")
+        self.assertEqual(sent, [found] * 3)
+        self.assertEqual(len(lines), len(values))
+        self.assertLess(max(len(line) for line in lines), 500)
+
+
 class UnexpectedErrorTest(unittest.TestCase):
     def test_unexpected_error_costs_one_poll(self):
         # Any error but that of the client ended the task; no later version
