Pool codec: a heartbeat names addresses that can be connected to

What callers saw: nothing; the second line of defence for the addresses of members. Each instance connects to the addresses that the heartbeats of the others name, and lists them in its own. The decoder took any text and any 32-bit port.

An address that is no IPv4 address with a port in range makes the message invalid, which closes its link, as for other malformed messages. Addresses that were valid are not checked again.

The new test failed before: all ten heartbeats were accepted.

--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import ipaddress
 from typing import Any
 from typing import NamedTuple
 
@@ -22,6 +24,12 @@
 ]
 
 
+PORTS = range(1, 1 << 16)
+"""Valid TCP port numbers."""
+MAX_CHECKED_ADDRESSES = 4096
+"""Addresses that are not checked again; more than the members of a fleet."""
+
+
 class HeartbeatFields(NamedTuple):
     """A heartbeat of a member."""
 
@@ -235,14 +243,14 @@
         planner_election.Member(
             fields.name,
             fields.domain,
-            (fields.host, fields.port),
+            _check_address(fields.host, fields.port),
             fields.started,
             bool(fields.leaving),
             fields.thread_millicores,
             fields.shard_number,
         ),
         fields.config_version,
-        tuple((host, int(port)) for host, _, port in addresses),
+        tuple(_check_address(host, int(port)) for host, _, port in addresses),
         fields.interval_ms / 1000.0,
         fields.backlog_ms / 1000.0,
         fields.sent_ms / 1000.0,
@@ -251,6 +259,14 @@
     )
 
 
+@functools.lru_cache(MAX_CHECKED_ADDRESSES)
+def _check_address(host, port):
+    ipaddress.IPv4Address(host)
+    if port not in PORTS:
+        raise ValueError(f"port {port}")
+    return host, port
+
+
 def _encode_plan(msg):
     batch = msg.batch
     policy = batch.policy
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -68,6 +68,28 @@
         send = pool_codec.decode(pool_codec.encode(heartbeat))
         self.assertEqual(send.msg, pool_messages.HeartbeatReceived(*heartbeat))
 
+    def test_heartbeat_with_an_address_out_of_range_is_rejected(self):
+        # The address was passed on to every member.
+        member = planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700)
+        for address in (
+            ("10.1.0.2", 70000),
+            ("10.1.0.2", 0),
+            ("10.1.0.2", -1),
+            ("evil.example", 7),
+            ("", 7),
+        ):
+            own = member._replace(address=address)
+            for heartbeat in (
+                fleet_state.Heartbeat(own, 3, ()),
+                fleet_state.Heartbeat(member, 3, (address,)),
+            ):
+                raw = pool_codec.encode(heartbeat)
+                with (
+                    self.subTest(heartbeat=heartbeat),
+                    self.assertRaises(errors.BadMessage),
+                ):
+                    pool_codec.decode(raw)
+
     def test_malformed_bytes_are_rejected(self):
         raw = pool_codec.encode(make_plan())
         for bad in (b"", b"\x00" * 40, raw[:20], raw[3:]):
