Pool codec: a backlog of any size can be sent

What callers saw: nothing; found by tracing numbers that are too large. A planner whose waiting tasks need more than 2,147,483 s could not encode its heartbeats (32 bits of milliseconds): it sent none to anybody, and counted as failed.

The backlog that a heartbeat carries now has that value as its maximum.

The new test failed before: "int out of range".

--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -26,6 +26,8 @@
 
 PORTS = range(1, 1 << 16)
 """Valid TCP port numbers."""
+MAX_BACKLOG_MS = (1 << 31) - 1
+"""Largest backlog in milliseconds that a heartbeat carries."""
 MAX_CHECKED_ADDRESSES = 4096
 """Addresses that are not checked again; more than the members of a fleet."""
 
@@ -228,7 +230,7 @@
         [f"{host}:{port}" for host, port in msg.known_addresses],
         member.thread_millicores,
         round(msg.interval * 1000.0),
-        round(msg.backlog * 1000.0),
+        min(round(msg.backlog * 1000.0), MAX_BACKLOG_MS),
         member.shard_number,
         # Rounded down: a permission must not end later than it was given.
         int(msg.sent_at * 1000.0),
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -68,6 +68,13 @@
         send = pool_codec.decode(pool_codec.encode(heartbeat))
         self.assertEqual(send.msg, pool_messages.HeartbeatReceived(*heartbeat))
 
+    def test_heartbeat_with_a_backlog_of_months_is_sent(self):
+        # It could not be encoded, so that the sender counted as failed.
+        member = planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700)
+        heartbeat = fleet_state.Heartbeat(member, 3, (), backlog=1e9)
+        msg = pool_codec.decode(pool_codec.encode(heartbeat)).msg
+        self.assertEqual(msg.backlog, pool_codec.MAX_BACKLOG_MS / 1000.0)
+
     def test_heartbeat_with_an_address_out_of_range_is_rejected(self):
         # The address was passed on to every member.
         member = planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700)
