Platform: the estimate of a job has bounds

What callers saw: nothing; found by tracing numbers that are too large. A task's estimate could be any number. One of 1e308 ms raised OverflowError in the planner as it refused the job ("cannot convert float infinity to integer"), or in the encoder for a planner on another machine, so that the caller got no answer before its deadline. A NaN, which the JSON filter rejects, would have spread to the order of all batches.

An estimate has to be a number of milliseconds from 0 to 31 bits (24 days); a job with another one is rejected with 400.

Three of the four new cases failed before.

--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -207,6 +207,8 @@
     estimate = doc.get("est_runtime_ms", 0)
     if isinstance(estimate, bool) or not isinstance(estimate, int | float):
         raise TypeError(f"est_runtime_ms is not a number: {estimate!r}")
+    if not 0 <= estimate <= MAX_COUNT:
+        raise ValueError(f"est_runtime_ms is out of range: {estimate!r}")
     return batches.Step(
         count,
         parse_resources(doc),
--- a/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_codec.py
@@ -156,6 +156,10 @@
             {"phases": [{"count": 1, "max_per_server": 2**31}]},
             {"phases": [{"count": 1, "depends_on": [0]}]},
             {"phases": [{"count": 1, "est_runtime_ms": "long"}]},
+            {"phases": [{"count": 1, "est_runtime_ms": -1}]},
+            {"phases": [{"count": 1, "est_runtime_ms": 1e308}]},
+            {"phases": [{"count": 1, "est_runtime_ms": 10**400}]},
+            {"phases": [{"count": 1, "est_runtime_ms": float("nan")}]},
             {"spec": 7, "phases": [{"count": 1}]},
             {"spec": "x" * 4001, "phases": [{"count": 1}]},
         )
