Platform: the numbers of a configuration have bounds

What callers saw: nothing; the store accepts only valid configurations. Found by a property test: a version beyond 64 bits could not be encoded, so that an instance with it in force would send no heartbeat; a priority or a number of attempts beyond 32 bits made each batch of its route one that no planner on another machine receives; an infinite stretch raised in the planner.

Such a configuration is now rejected as a whole, as any other invalid one, and the former one stays in force.

Before, the property test failed with "int out of range", and 11 of the 12 examples were accepted.

--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -26,8 +26,8 @@
 MAX_SPEC_BYTES = 4000
 """Largest size of the text that is passed to each task."""
 MAX_COUNT = (1 << 31) - 1
-"""Largest number of tasks, thousandths of a core, megabytes or accelerators;
-the largest number that messages between instances carry for each of them."""
+"""Largest number of tasks, thousandths of a core, megabytes, accelerators or
+milliseconds; the largest that messages between instances carry for each."""
 MAX_TIMESTAMP = (1 << 63) - 1
 """Largest time in milliseconds since 1970."""
 MAX_ENTRY_BYTES = 1 << 16
@@ -38,6 +38,8 @@
 """Largest size of a service, a failure domain or a label, as of a key."""
 MAX_REASON_LENGTH = 200
 """Characters of an error that are kept; it may quote a whole document."""
+MAX_VERSION = (1 << 63) - 1
+"""Largest version of a configuration, as it is sent between instances."""
 EXECUTOR_NAME = re.compile(r"[!-~]+")
 """Names that can be sent in a header: visible ASCII characters."""
 
@@ -82,7 +84,8 @@
         services = [
             str(service["name"]) for service in doc.get("services", [])
         ]
-        return routes.make_table(int(doc["version"]), parsed, services)
+        version = _check_range(int(doc["version"]), MAX_VERSION)
+        return routes.make_table(version, parsed, services)
     except _INVALID as exc:
         raise errors.BadDocument(_describe("configuration", exc)) from exc
 
@@ -91,12 +94,12 @@
     policy = batches.RoutePolicy(
         _parse_text(doc["name"]),
         _parse_text(doc["service"]),
-        int(doc.get("priority", 0)),
-        int(doc.get("max_attempts", 1)),
-        float(doc.get("stretch", 1.0)),
-        float(doc.get("target_duration_ms", 0)) / 1000.0,
+        _check_range(int(doc.get("priority", 0))),
+        _check_range(int(doc.get("max_attempts", 1))),
+        _check_range(float(doc.get("stretch", 1.0))),
+        _check_range(float(doc.get("target_duration_ms", 0))) / 1000.0,
     )
-    timeout = float(doc.get("timeout_ms", 0)) / 1000.0
+    timeout = _check_range(float(doc.get("timeout_ms", 0))) / 1000.0
     return routes.Route(
         _parse_text(doc["host"]),
         _parse_text(doc["path_prefix"]),
@@ -207,8 +210,7 @@
     estimate = doc.get("est_runtime_ms", 0)
     if isinstance(estimate, bool) or not isinstance(estimate, int | float):
         raise TypeError(f"est_runtime_ms is not a number: {estimate!r}")
-    if not 0 <= estimate <= MAX_COUNT:
-        raise ValueError(f"est_runtime_ms is out of range: {estimate!r}")
+    estimate = _check_range(estimate)
     return batches.Step(
         count,
         parse_resources(doc),
@@ -240,6 +242,10 @@
 def _parse_count(value, limit=MAX_COUNT):
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{value!r} is not an integer")
+    return _check_range(value, limit)
+
+
+def _check_range(value, limit=MAX_COUNT):
     if not 0 <= value <= limit:
         raise ValueError(f"{value!r} is not in the range 0 to {limit}")
     return value
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
@@ -14,11 +14,15 @@
 import hypothesis
 from hypothesis import strategies
 
+from cardamompath_core import batches
 from cardamompath_core import executors
+from cardamompath_core import planner_election
 from cardamompath_core import types
 from cardamompath_proof.tests.properties import shared
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers import fleet_state
+from cardamompathd.peers import pool_codec
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
 from cardamompathd.platform import executor_protocol
@@ -48,9 +52,40 @@
     "bounds": "bounds = {remote_factor = 1.5}",
 }
 """The lines of a valid settings file, by field."""
+ROUTE = {
+    "name": "r-1",
+    "host": "a.example",
+    "path_prefix": "/a/",
+    "service": "desk",
+}
+ROUTE_NUMBERS = {
+    "version": 1,
+    "priority": 1,
+    "max_attempts": 2,
+    "stretch": 1.6,
+    "target_duration_ms": 60,
+    "timeout_ms": 1500,
+}
+"""Numbers of a route; the version is that of the whole document."""
+STEP = {
+    "count": 2,
+    "cpu": 500,
+    "mem_mb": 64,
+    "gpu": 1,
+    "est_runtime_ms": 900,
+    "max_per_server": 3,
+}
 DEEP = b'{"a":' * 40_000
 
 
+numbers = (
+    strategies.integers(0, 9)
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.sampled_from((2**31 - 1, 2**31, 2**63 - 1, 2**63, 10**400))
+    | strategies.floats()
+)
+
+
 def documents_with(*names):
     """Documents in which some fields have the names that are expected."""
     return strategies.dictionaries(
@@ -226,6 +261,42 @@
         for text in (raw, junk, raw + junk):
             self.parse(documents.parse_executor, "x", text)
 
+    @shared.deterministic
+    @hypothesis.given(numbers)
+    def test_whatever_is_accepted_can_be_sent_to_other_instances(self, number):
+        # A batch or a heartbeat that cannot be encoded is lost.
+        for name in ROUTE_NUMBERS:
+            self.send({**ROUTE, **ROUTE_NUMBERS, name: number}, STEP)
+        for name in STEP:
+            self.send({**ROUTE, **ROUTE_NUMBERS}, {**STEP, name: number})
+
+    def send(self, route, step):
+        doc = {"version": route.pop("version"), "routes": [route]}
+        try:
+            table = documents.parse_configuration(json.dumps(doc).encode())
+            steps = documents.parse_job({"phases": [step]})[1]
+        except errors.BadDocument:
+            return
+        policy = table.find("a.example", "/a/1").policy
+        batch = batches.Batch("j", "", steps, policy)
+        msg = pool_messages.PlanBatch(batch, "n-1", 0.0, 9.0, 0)
+        sent = pool_codec.decode(pool_codec.encode(msg)).msg
+        self.assertEqual(sent.batch.steps[0].resources, steps[0].resources)
+        member = planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700)
+        pool_codec.encode(fleet_state.Heartbeat(member, table.version, ()))
+
+    def test_configuration_with_a_number_out_of_range(self):
+        for name in ("version", "priority", "max_attempts", "stretch"):
+            for number in (-1, 10**400, 1e308):
+                doc = {"version": 1, "routes": [ROUTE | {name: number}]}
+                if name == "version":
+                    doc = {"version": number, "routes": [ROUTE]}
+                with (
+                    self.subTest(name=name, number=str(number)[:9]),
+                    self.assertRaises(errors.BadDocument),
+                ):
+                    documents.parse_configuration(json.dumps(doc).encode())
+
     @shared.deterministic
     @hypothesis.given(
         documents_with("spec", "phases", "count", "cpu", "depends_on")
