Tests: an odd entry from the store to the requests of a planner

A property test of the whole path: the page of the store, the follower, the planner with the listing and a batch, and the encoding of what it sends. Whatever one entry holds, it names no executor or one to which requests can be sent, and the batch starts on the other one.

--- a/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
@@ -4,8 +4,11 @@
 only their own error, and every call to an executor gets its answer.
 """
 
+import base64
+import itertools
 import json
 import pathlib
+import socket
 import struct
 import tempfile
 import unittest
@@ -22,10 +25,13 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import fleet_state
+from cardamompathd.controllers import fleet_views
+from cardamompathd.controllers import planner
 from cardamompathd.peers import pool_codec
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
 from cardamompathd.platform import executor_protocol
+from cardamompathd.platform import followers
 from cardamompathd.platform import settings
 from cardamompathd.platform import store
 
@@ -75,6 +81,20 @@
     "est_runtime_ms": 900,
     "max_per_server": 3,
 }
+ENTRY = {
+    "service": "desk",
+    "addr": "10.1.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 1700,
+    "seq_no": 4,
+}
+"""The valid entry of an executor."""
 DEEP = b'{"a":' * 40_000
 
 
@@ -153,6 +173,117 @@
                 self.read(raw.encode())
 
 
+class OddEntryTest(unittest.TestCase):
+    """One odd entry on the way from the store to requests of a planner.
+
+    It names no executor, or one to which requests can be sent; the other
+    entries hold.
+    """
+
+    def setUp(self):
+        self.now = 10.0
+        self.listings = []
+        client = store.make_client(("127.0.0.1", 1))
+        client._call = lambda *_, **__: StoreResponse(self.page)
+        self.follower = followers.ExecutorFollower(
+            client, self.listings.append, lambda: self.now
+        )
+        tokens = itertools.count(7)
+        self.planner = planner.make_controller(
+            "n-1", lambda: next(tokens), 0.0
+        ).receive
+        member = planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700)
+        self.tell(fleet_views.make_view(member, (member,), ()))
+
+    def tell(self, msg):
+        """Send a message to the planner; answer its requests."""
+        for send in self.planner(msg, self.now):
+            if send.to != pool_messages.EXECUTORS:
+                continue
+            if isinstance(send.msg, pool_messages.DisconnectExecutor):
+                continue
+            call = executor_protocol.encode(send.msg, self.now)
+            self.assertEqual(call.request.count(b"\r\n"), 6)
+            host, port = send.msg.executor.address
+            self.assertEqual(socket.inet_ntoa(socket.inet_aton(host)), host)
+            self.assertIn(port, range(1, 65536))
+            self.started |= isinstance(send.msg, pool_messages.StartRun)
+            if getattr(send.msg, "wait", 0.0) == 0.0:
+                payload = b'{"clock_ms":%d}' % (self.now * 1000.0)
+                answer = types.BackendAnswer("done", 200, payload)
+                self.tell(executor_protocol.decode(call, answer).msg)
+
+    def list_entries(self, entries):
+        items = [
+            {"key": key, "value": base64.b64encode(raw).decode()}
+            for key, raw in entries.items()
+        ]
+        doc = {"items": items, "end_offset": 9}
+        self.page = json.dumps(doc).encode()
+        self.follower._poll()
+        names = {spec.name for spec in self.listings[-1].executors}
+        self.tell(self.listings[-1])
+        for _ in range(5):
+            self.now += 0.05
+            self.tell(messages.TimerFired("tick"))
+        return names
+
+    def check(self, key, raw):
+        """List an odd entry with a valid one, and run a batch on that."""
+        self.started = False
+        valid = json.dumps(ENTRY).encode()
+        self.assertIn("i-1", self.list_entries({"i-1": valid, key: raw}))
+        step = documents.parse_job({"phases": [{"count": 1, "cpu": 500}]})[1]
+        policy = batches.RoutePolicy("r", "desk", 0, 2, 1.6, 0.06)
+        batch = batches.Batch(f"j{self.now}", "", step, policy)
+        self.tell(pool_messages.PlanBatch(batch, "n-1", 0.0, 9.0, 0))
+        names = self.list_entries({"i-1": valid, key: raw})
+        self.assertTrue(self.started)
+        return key in names
+
+    @shared.deterministic
+    @hypothesis.given(
+        strategies.sampled_from((*ENTRY, "cpu", "mem_mb", "gpu")),
+        numbers | shared.json_values,
+        strategies.text(max_size=9),
+    )
+    def test_any_value_of_any_field(self, field, value, key):
+        self.setUp()
+        doc = {**ENTRY, field: value}
+        if field not in ENTRY:
+            doc = {**ENTRY, "capacity": {**ENTRY["capacity"], field: value}}
+        raw = json.dumps(doc).encode()
+        self.check("i-2", raw)
+        if key not in ("", "i-1"):
+            self.check(key, raw)
+
+    @shared.deterministic
+    @hypothesis.given(strategies.binary(max_size=40))
+    def test_any_bytes(self, raw):
+        self.setUp()
+        self.check("i-2", raw)
+
+    def test_entries_out_of_bounds_name_no_executor(self):
+        for depth in (10, 500, 990, 5000, 100_000):
+            for nested in ("[" * depth + "]" * depth, '{"a":' * depth):
+                raw = json.dumps(ENTRY)[:-1] + f',"capacity":{nested}}}'
+                with self.subTest(depth=depth):
+                    self.assertFalse(self.check("i-2", raw.encode()))
+        for fields in (
+            {"addr": "10.1.0.9:70000"},
+            {"addr": "10.1.0.9:-1"},
+            {"addr": "evil.example:80"},
+            {"born": 10**400},
+            {"capacity": {"cpu": 10**400, "mem_mb": 1, "gpu": 0}},
+            {"capacity": {"cpu": float("inf")}},
+            {"zone": "\ud800"},
+            {"labels": ["a"] * 10_000},
+        ):
+            raw = json.dumps({**ENTRY, **fields}).encode()
+            with self.subTest(fields=str(fields)[:60]):
+                self.assertFalse(self.check("i-2", raw))
+
+
 class SettingsFileTest(unittest.TestCase):
     """The settings file, which is read again while the instance runs."""
 
