Listeners: a body that nobody reads is not read into memory

What callers saw: nothing; found by sending malformed requests to a running instance. cheroot reads the rest of a body before it sends the headers of a response, into memory and without a limit. The listener of callers is safe, as its filter reads each body or rejects it with 413; those of the readiness probe and of the metrics read none. A body of 200 MB there raised the peak of a process with one listener to 437 MB, more than a machine has; a Content-Length of 10**18 raised MemoryError, and an incomplete body kept the probe from its answer for up to 30 s.

A response before the body was read now closes the connection; the rest of the body is discarded within the existing bounds.

The new test failed before, for each of the four lengths.

--- a/packages/daemon/src/cardamompathd/callers/connections.py
+++ b/packages/daemon/src/cardamompathd/callers/connections.py
@@ -130,8 +130,12 @@
             self.conn.has_unread = True
 
     def send_headers(self) -> None:
-        """Send the headers, with `Connection: close` while draining."""
-        if self.server.draining:
+        """Send the headers, with `Connection: close` while draining.
+
+        So does a response without the body having been read, which cheroot
+        would read first, of any size.
+        """
+        if self.server.draining or getattr(self.rfile, "remaining", 0):
             self.close_connection = True
         super().send_headers()
 
--- a/packages/daemon/src/cardamompathd/tests/test_server.py
+++ b/packages/daemon/src/cardamompathd/tests/test_server.py
@@ -43,6 +43,29 @@
             self.assertTrue(sock.recv(64).startswith(b"HTTP/1.1 200"))
 
 
+class UnreadBodyTest(unittest.TestCase):
+    def test_response_does_not_wait_for_a_body_that_nobody_reads(self):
+        # The whole body was read into memory first, of any size.
+        listener = server.start(
+            "test",
+            ("127.0.0.1", 0),
+            lambda _: chain.Response(200, {}),
+            server.ListenerLimits(threads=1),
+        )
+        self.addCleanup(listener.stop)
+        for length in (7, 1 << 30, 10**18, 10**30):
+            head = b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+            address = (listener.host, listener.port)
+            with (
+                self.subTest(length=length),
+                socket.create_connection(address, 20.0) as sock,
+            ):
+                sock.sendall(head % length + b"part")
+                self.assertTrue(sock.recv(64).startswith(b"HTTP/1.1 200"))
+        status, _ = instance_fixtures.send_raw(listener.port, REQUEST)
+        self.assertEqual(status, 200)
+
+
 class StopTest(unittest.TestCase):
     def test_stop_does_not_wait_for_the_selector(self):
         limits = server.ListenerLimits(threads=1)
