Calls: a response that upgrades the connection fails its call at once

What callers saw: nothing; found by sending malformed responses. The parser raises `HttpParserUpgrade` for such a response, which is no `HttpParserError`: the actor logged a traceback, and the call ended only by its timeout, which also closes the other connections to the server.

It now fails the call like any other response that is not HTTP.

The new test failed before: no answer within 10 s of a stopped clock.

--- a/packages/daemon/src/cardamompathd/backends/call_connections.py
+++ b/packages/daemon/src/cardamompathd/backends/call_connections.py
@@ -279,7 +279,7 @@
         response = conn.response
         try:
             response.parser.feed_data(received)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._fail(conn, repr(exc), now)
             return
         if response.size > connections.MAX_ANSWER_BYTES:
--- a/packages/daemon/src/cardamompathd/tests/test_call_connections.py
+++ b/packages/daemon/src/cardamompathd/tests/test_call_connections.py
@@ -143,6 +143,17 @@
                 answered, answer = self.next_answer()
                 self.assertEqual((answered, answer.phase), (number, "answer"))
 
+    def test_upgrade_fails_the_call_at_once(self):
+        # The parser raised an error that was not expected.
+        self.send(0)
+        conn, _ = self.server.accept()
+        conn.sendall(
+            b"HTTP/1.1 101 -\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"
+        )
+        answered, answer = self.next_answer()
+        self.assertEqual((answered, answer.phase), (0, "answer"))
+        self.assertEqual(conn.recv(1), b"")
+
     def test_refused_connection_fails_in_the_connect_phase(self):
         with socket.socket() as bound:
             bound.bind(("127.0.0.1", 0))
