Pool codec: a batch from another instance has a bounded size

What callers saw: nothing; the instances send no such batch. Found by reading what one malformed message can do: a planner makes an object for each task of a batch, so that a count of 2**31-1 in a message would have taken all of its memory, and a batch without steps raised in the planner.

A batch with no task, an empty step or more than 10,000 tasks is now an invalid message, which closes its link. A property test of the codec: changed bytes of any message raise nothing but `BadMessage`, which held before.

The five sizes of the new test were accepted before.

--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -26,6 +26,8 @@
 
 PORTS = range(1, 1 << 16)
 """Valid TCP port numbers."""
+MAX_TASKS = 10_000
+"""Largest number of tasks of a batch; several times that of a job."""
 MAX_BACKLOG_MS = (1 << 31) - 1
 """Largest backlog in milliseconds that a heartbeat carries."""
 MAX_CHECKED_ADDRESSES = 4096
@@ -318,6 +320,7 @@
         )
         for step in fields.steps
     )
+    _check_size([step.count for step in steps])
     policy = batches.RoutePolicy(
         fields.route,
         fields.service,
@@ -339,6 +342,11 @@
     )
 
 
+def _check_size(counts):
+    if min(counts, default=0) < 1 or sum(counts) > MAX_TASKS:
+        raise ValueError(f"steps of {counts} tasks")
+
+
 def _decode_drop(fields):
     return pool_messages.DropBatch(fields.name, fields.origin)
 
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
@@ -3,10 +3,17 @@
 import hypothesis
 from hypothesis import strategies
 
+from cardamompath_core import batches
 from cardamompath_core import errors as core_errors
+from cardamompath_core import executors
 from cardamompath_core import identity
+from cardamompath_core import planner_election
 from cardamompath_proof.tests.properties import shared
+from cardamompathd import messages
+from cardamompathd import pool_messages
+from cardamompathd.controllers import fleet_state
 from cardamompathd.peers import errors
+from cardamompathd.peers import pool_codec
 from cardamompathd.peers import wire
 
 names = strategies.from_regex(r"[a-z0-9][a-z0-9-]{0,62}", fullmatch=True)
@@ -22,6 +29,29 @@
     text_maps,
     strategies.binary(max_size=200),
 )
+STEP = batches.Step(8, executors.Resources(27000, 64, 1), 0.051)
+POOL_MESSAGES = (
+    fleet_state.Heartbeat(
+        planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700),
+        3,
+        (("10.1.0.2", 7),),
+    ),
+    pool_messages.PlanBatch(
+        batches.Batch(
+            "5c0e",
+            "text",
+            (STEP, STEP._replace(after=(0,))),
+            batches.RoutePolicy("r-1", "desk", 2, 3, 1.6, 0.06),
+        ),
+        "n-1",
+        0.25,
+        1.5,
+        2,
+    ),
+    pool_messages.DropBatch("5c0e", "n-1"),
+    pool_messages.BatchEnded("5c0e", "n-1", batches.Outcome("x", "y"), "n-2"),
+    pool_messages.ConfigurationOffered(7, b"{}"),
+)
 METHODS = {wire.RELAY.name: wire.RELAY}
 
 
@@ -78,3 +108,42 @@
                 wire.decode_call(corrupt, METHODS)
             except errors.BadMessage:
                 continue
+
+
+class PoolCodecTest(unittest.TestCase):
+    @shared.deterministic
+    @hypothesis.given(
+        strategies.sampled_from(POOL_MESSAGES),
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 200), strategies.integers(0, 255)
+            ),
+            min_size=1,
+            max_size=3,
+        ),
+        strategies.binary(max_size=20),
+    )
+    def test_corrupt_bytes_raise_only_bad_message(self, msg, changes, junk):
+        raw = bytearray(pool_codec.encode(msg))
+        for position, value in changes:
+            raw[position % len(raw)] = value
+        for corrupt in (bytes(raw), bytes(raw) + junk, junk):
+            try:
+                send = pool_codec.decode(corrupt)
+            except errors.BadMessage:
+                continue
+            self.assertIsInstance(send, messages.Send)
+
+    def test_batch_of_any_size_is_rejected(self):
+        # A planner allocated each of its tasks, whatever their number.
+        plan = POOL_MESSAGES[1]
+        sizes = ((2**31 - 1,), (9_000, 9_000), (0,), (8, -1), ())
+        for counts in sizes:
+            steps = tuple(STEP._replace(count=count) for count in counts)
+            batch = plan.batch._replace(steps=steps)
+            raw = pool_codec.encode(plan._replace(batch=batch))
+            with (
+                self.subTest(counts=counts),
+                self.assertRaises(errors.BadMessage),
+            ):
+                pool_codec.decode(raw)
