Planner: the capacity of an executor may change while it runs

What callers saw: a planner counted the capacity with which it had claimed an executor. Of one that shrank, starts exceeded what was left, or were rejected for want of room again and again; one that grew stayed as small; and a batch that fits no executor while they are shrunk was failed for good.

Cause: ExecutorState.free_resources was set from the listing at a claim and at a new incarnation only. An answer to a hold could show the new incarnation first; the capacity of the list was then never taken over.

Each change of the listed capacity now moves what is free by as much, below zero while the runs that go on exceed it. Whether a batch can ever run is judged by the largest capacity that each incarnation has shown.

--- a/packages/core/src/cardamompath_core/executors.py
+++ b/packages/core/src/cardamompath_core/executors.py
@@ -12,6 +12,7 @@
     "add",
     "count_fitting",
     "fits",
+    "maximum",
     "subtract",
 ]
 
@@ -77,6 +78,15 @@
     )
 
 
+def maximum(left: Resources, right: Resources) -> Resources:
+    """Return the larger amount of each resource."""
+    return Resources(
+        max(left.cpu, right.cpu),
+        max(left.memory, right.memory),
+        max(left.accelerators, right.accelerators),
+    )
+
+
 def count_fitting(needed: Resources, free: Resources) -> int:
     """Return how many identical tasks fit into the free resources."""
     pairs = zip(needed, free, strict=True)
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -156,6 +156,10 @@
     for name, spec in previous.items():
         if name not in state.listed and spec.state == executors.READY:
             state.unlisted[name] = (now, spec)
+    state.full_specs = {
+        entry.name: _with_full_capacity(entry, state.full_specs)
+        for entry in msg.executors
+    }
     state.listed_at = now
     if state.active_since is None:
         return []
@@ -165,6 +169,15 @@
     ]
 
 
+def _with_full_capacity(spec, previous_specs):
+    """Return an executor with the largest capacity that it has shown."""
+    previous = previous_specs.get(spec.name)
+    if previous is None or previous.incarnation != spec.incarnation:
+        return spec
+    full = executors.maximum(spec.capacity, previous.capacity)
+    return spec._replace(capacity=full)
+
+
 def _plan_batch(state, msg, now):
     name = msg.batch.name
     planner_crashes.note_losses(state, name, msg.losses, now)
@@ -313,7 +326,7 @@
     """Return why no executor can ever run a batch; empty if one can."""
     specs = [
         spec
-        for spec in state.listed.values()
+        for spec in state.full_specs.values()
         if spec.service == plan.batch.policy.service
     ]
     if not specs:
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import planner_crashes
@@ -349,7 +350,6 @@
         )
         sends += planner_crashes.record_restart(state, executor)
         executor.acknowledged = 0
-        executor.free_resources = spec.capacity
         executor.claimed = False
         executor.hold_pending = False
         executor.retry_at = now
@@ -362,5 +362,25 @@
                 before=previous.state,
             )
         )
+    if spec.capacity != previous.capacity:
+        sends += _change_capacity(executor, spec)
     executor.spec = spec
     return sends
+
+
+def _change_capacity(executor, spec):
+    """Count the resources that its runs leave free anew."""
+    executor.free_resources = executors.add(
+        executor.free_resources,
+        executors.subtract(spec.capacity, executor.spec.capacity),
+    )
+    return [
+        planner_log.decision(
+            "executor capacity",
+            executor=spec.name,
+            cpu=spec.capacity.cpu,
+            memory=spec.capacity.memory,
+            before=executor.spec.capacity,
+            free_cpu=executor.free_resources.cpu,
+        )
+    ]
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -309,6 +309,9 @@
         self.reviewed_at = -math.inf
         """When the executors and the estimates were last reviewed."""
         self.listed: dict[str, executors.Executor] = {}
+        self.full_specs: dict[str, executors.Executor] = {}
+        """The listed executors with the largest capacity that the present
+        incarnation of each has shown."""
         self.listed_at: float | None = None
         """When the executors were last listed."""
         self.unlisted: dict[str, tuple[float, executors.Executor]] = {}
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -68,6 +68,8 @@
         self.stalls_runs = False
         self.answers_to_lose = 0
         """Number of answers to lose, from the next one on."""
+        self.accepts_all = False
+        """Whether it starts also what does not fit."""
         self.start_count = 0
         self.started_tasks = set()
         """Names of the batches, steps and indexes of all started tasks."""
@@ -142,7 +144,7 @@
         ):
             return "old"
         free = self.spec.capacity.cpu - 4000 * len(self.runs)
-        if free < 4000:
+        if free < 4000 and not self.accepts_all:
             return "room"
         started_at = self.simulation.now
         self.runs[request.run] = started_at
