Gateway: planners tell new instances of recent crashes

After each instance was restarted in turn, as in a rolling update, no instance knew of a crash, and a task that was submitted again crashed two more executors. A planner now tells an instance that joins of the crashes of the last 64 batches.

Evidence: the new test of test_executor_crashes failed before, with 4 crashes in place of 2.

--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -352,13 +352,14 @@
 
 
 def _update_fleet(state, msg, now):
+    reports = _report_losses(state, msg)
     state.alive = msg.alive
     state.missing = msg.missing
     state.assignment = msg.assignment
     state.had_remote_planners |= msg.assignment.by_domain
     state.planner_terms = dict(msg.planner_terms)
     planners = state.assignment.planners
-    sends = gateway_drops.forget_former_planners(state)
+    sends = reports + gateway_drops.forget_former_planners(state)
     for pending in state.pending.values():
         if not any(
             gateway_planners.is_same_incarnation(planner, pending.planner)
@@ -368,6 +369,34 @@
     return sends
 
 
+def _report_losses(state, msg):
+    """Tell instances that are new of recent crashes.
+
+    Only the planners do so; all of them know of all crashes.
+    """
+    is_planner = any(
+        planner.name == state.name for planner in state.assignment.planners
+    )
+    known = {(member.name, member.started) for member in state.alive}
+    addresses = tuple(
+        member.address
+        for member in msg.alive
+        if (member.name, member.started) not in known
+        and member.name != state.name
+    )
+    if not is_planner or not addresses:
+        return []
+    return [
+        messages.Send(
+            pool_messages.LINKS,
+            pool_messages.SendToMembers(
+                addresses, pool_messages.LossesReported(batch, losses)
+            ),
+        )
+        for batch, losses in state.losses.recent_crashes().items()
+    ]
+
+
 def _note_losses(state, msg, _):
     state.losses.add(msg.batch, msg.losses)
     return ()
--- a/packages/daemon/src/cardamompathd/controllers/run_losses.py
+++ b/packages/daemon/src/cardamompathd/controllers/run_losses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from collections.abc import Iterable
 
 from cardamompathd import pool_messages
@@ -13,6 +14,8 @@
 
 MAX_BATCHES = 4096
 """Maximum number of batches of which losses are kept."""
+MAX_RECENT = 64
+"""Maximum number of batches of which a new instance is told."""
 
 
 class LossMemory:
@@ -30,6 +33,19 @@
         """Return the losses of a batch."""
         return tuple(self._by_batch.get(batch, {}).values())
 
+    def recent_crashes(
+        self,
+    ) -> dict[str, tuple[pool_messages.RunLoss, ...]]:
+        """Return the losses by crashes of the last batches that had any."""
+        crashes = {}
+        for batch in itertools.islice(reversed(self._by_batch), MAX_RECENT):
+            losses = tuple(
+                loss for loss in self.of_batch(batch) if loss.crashed
+            )
+            if losses:
+                crashes[batch] = losses
+        return crashes
+
     def add(self, batch: str, losses: Iterable[pool_messages.RunLoss]) -> None:
         """Add losses; a crash that is known stays known."""
         for loss in losses:
--- a/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
+++ b/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
@@ -82,6 +82,20 @@
         self.simulation.advance(30.0)
         self.assert_starts_are_bounded()
 
+    def test_task_is_given_up_after_every_instance_was_restarted(self):
+        self.simulation.call(["n-b"], "j1", 1, 1.5)
+        self.simulation.advance(9.0)
+        self.assertEqual(len(self.simulation.crashes), 2)
+        for name in ("n-a", "n-b", "n-c"):
+            self.simulation.restart_instance(name, 0.5)
+            self.simulation.advance(4.0)
+        reply = self.simulation.submit(
+            self.simulation.instances["n-c"], "j1", 1, 20.0
+        )
+        self.simulation.advance(10.0)
+        self.assert_state(reply, batches.FAILED)
+        self.assertEqual(len(self.simulation.crashes), 2)
+
     def test_task_beside_one_that_crashes_executors_completes(self):
         self.simulation.run_time = 0.5
         beside = self.simulation.submit(self.gateway, "j2", 4, 30.0)
