Planner: a lost run names the address of its executor

A planner that took over before a crashed executor was back under another name could not tell the crash, and a task waited for 10 s, to be tried again. The address is now part of what is reported.

Evidence: the new test of test_executor_crashes failed before (no answer within 5 s).

--- a/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
@@ -52,8 +52,7 @@
     """An incarnation of an executor that may have crashed."""
 
     lost_at: float
-    address: tuple[str, int] | None = None
-    """Its address; None if another planner lost it."""
+    address: tuple[str, int]
 
 
 def has_losses(state, plan):
@@ -66,7 +65,8 @@
     for loss in losses:
         boot = (loss.executor, loss.incarnation)
         if not loss.crashed:
-            state.lost_boots.setdefault(boot, LostBoot(now))
+            lost = LostBoot(now, loss.address)
+            state.lost_boots.setdefault(boot, lost)
     while len(state.lost_boots) > MAX_BOOTS:
         del state.lost_boots[next(iter(state.lost_boots))]
     state.losses.add(name, losses)
@@ -95,15 +95,13 @@
             run.index,
             spec.name,
             spec.incarnation,
+            spec.address,
             executor.aborted,
             task.started_at >= last_start,
             names == {run.batch},
         )
         lost.setdefault(plan, []).append(loss)
     sends = []
-    if lost:
-        boot = (spec.name, spec.incarnation)
-        state.lost_boots[boot] = LostBoot(now, spec.address)
     for plan, losses in lost.items():
         note_losses(state, plan.name, losses, now)
         if executor.aborted:
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -65,6 +65,8 @@
     index: int
     executor: str
     incarnation: int
+    host: str
+    port: int
     aborted: int
     last_started: int
     alone: int
@@ -165,6 +167,8 @@
     wire.I32,
     wire.TEXT,
     wire.I64,
+    wire.TEXT,
+    wire.I32,
     wire.I32,
     wire.I32,
     wire.I32,
@@ -320,7 +324,7 @@
         _to_micros(msg.permitted_time),
         msg.term,
         msg.ended_planner,
-        [LossFields(*loss) for loss in msg.losses],
+        [_encode_loss(loss) for loss in msg.losses],
     )
 
 
@@ -371,6 +375,20 @@
     )
 
 
+def _encode_loss(loss):
+    return LossFields(
+        loss.step,
+        loss.index,
+        loss.executor,
+        loss.incarnation,
+        *loss.address,
+        int(loss.aborted),
+        int(loss.last_started),
+        int(loss.alone),
+        int(loss.crashed),
+    )
+
+
 def _decode_losses(rows):
     return tuple(
         pool_messages.RunLoss(
@@ -378,6 +396,7 @@
             row.index,
             row.executor,
             row.incarnation,
+            (row.host, row.port),
             bool(row.aborted),
             bool(row.last_started),
             bool(row.alone),
@@ -388,7 +407,7 @@
 
 
 def _encode_reported_losses(msg):
-    rows = [LossFields(*loss) for loss in msg.losses]
+    rows = [_encode_loss(loss) for loss in msg.losses]
     return LossesFields(msg.batch, rows)
 
 
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -107,6 +107,8 @@
     executor: str
     incarnation: int
     """That of the executor."""
+    address: tuple[str, int]
+    """That of the executor; another one that has it is its successor."""
     aborted: bool
     """Whether the executor ended or refused connections, as after a crash."""
     last_started: bool
--- a/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
+++ b/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
@@ -132,6 +132,16 @@
         self.assert_state(reply, batches.FAILED)
         self.assert_starts_are_bounded()
 
+    def test_takeover_between_a_crash_and_the_return_under_another_name(self):
+        self.simulation.renames = True
+        reply = self.simulation.submit(self.gateway, "j1", 1, 60.0)
+        self.simulation.advance(2.5)
+        self.assertEqual(len(self.simulation.crashes), 2)
+        self.planner.alive = False
+        self.simulation.advance(5.0)
+        self.assert_state(reply, batches.FAILED)
+        self.assertEqual(len(self.simulation.crashes), 2)
+
     def test_loss_without_a_restart_gives_up_no_task(self):
         self.simulation.renames = True
         self.simulation.rename = lambda former: None
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -43,8 +43,12 @@
 
     def test_losses_of_a_batch_are_sent(self):
         losses = (
-            pool_messages.RunLoss(0, 3, "i-1", 17, True, True, False),
-            pool_messages.RunLoss(1, 0, "i-2", 9, True, False, True, True),
+            pool_messages.RunLoss(
+                0, 3, "i-1", 17, ("h", 1), True, True, False
+            ),
+            pool_messages.RunLoss(
+                1, 0, "i-2", 9, ("h", 2), True, False, True, True
+            ),
         )
         for msg in (
             make_plan()._replace(losses=losses),
