Planner: a crash counts only for the runs that it ended

A run that was lost because a network refused the connections to its executor counted as crashed when that executor crashed later, and its batch could fail for two such cuts. An answer of the same incarnation now ends the suspicion.

Evidence: the new test of test_executor_crashes failed before (failed in place of complete).

--- a/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
@@ -26,6 +26,7 @@
     "find_reason",
     "has_losses",
     "note_losses",
+    "record_answer",
     "record_listing",
     "record_losses",
     "record_restart",
@@ -109,6 +110,13 @@
     return sends
 
 
+def record_answer(state, executor):
+    """Record that an executor that was lost has not crashed."""
+    boot = (executor.spec.name, executor.spec.incarnation)
+    if state.lost_boots.pop(boot, None) is not None:
+        state.losses.forget(*boot)
+
+
 def record_restart(state, executor):
     """Record that the known incarnation of an executor is gone.
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -89,6 +89,7 @@
     executor.hold_pending = False
     if msg.incarnation and executor.spec.incarnation != msg.incarnation:
         sends += _handle_restart(state, executor, msg.incarnation, now)
+    planner_crashes.record_answer(state, executor)
     if not executor.claimed or executor.suspect:
         sends.append(
             planner_log.decision(
--- a/packages/daemon/src/cardamompathd/controllers/run_losses.py
+++ b/packages/daemon/src/cardamompathd/controllers/run_losses.py
@@ -58,6 +58,18 @@
         while len(self._by_batch) > MAX_BATCHES:
             self._by_batch.popitem(last=False)
 
+    def forget(self, executor: str, incarnation: int) -> None:
+        """Forget the losses of an executor that did not crash."""
+        for batch, known in list(self._by_batch.items()):
+            for key, loss in list(known.items()):
+                if (loss.executor, loss.incarnation) == (
+                    executor,
+                    incarnation,
+                ):
+                    del known[key]
+            if not known:
+                del self._by_batch[batch]
+
     def mark_crashed(
         self, executor: str, incarnation: int
     ) -> dict[str, tuple[pool_messages.RunLoss, ...]]:
--- a/packages/daemon/src/cardamompathd/tests/crash_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/crash_simulation.py
@@ -26,6 +26,8 @@
         self.renames = False
         """Whether a crashed executor is back under another name."""
         self.renamed = set()
+        self.refusing = set()
+        """Names of the executors to which a network refuses connections."""
         super().__init__(*args, **kwargs)
 
     def check_duplicates(self, run):
@@ -52,6 +54,17 @@
         for answer in pending:
             answer()
 
+    def refuse(self, executor, seconds):
+        """Cut an executor off in a way that looks like a crash."""
+        executor.unreachable = True
+        self.refusing.add(executor.spec.name)
+
+        def restore():
+            executor.unreachable = False
+            self.refusing.discard(executor.spec.name)
+
+        self.schedule(seconds, restore)
+
     def rename(self, former):
         """Start another process at the address of a crashed executor."""
         spec = former.spec
@@ -89,7 +102,8 @@
     def is_down(self, name):
         executor = self.executors.get(name)
         crashed = {crashed for _, crashed, _ in self.crashes}
-        return name in crashed and executor.unreachable
+        is_refused = name in crashed or name in self.refusing
+        return is_refused and executor.unreachable
 
     def _deliver_answer(self, instance, msg):
         if isinstance(msg, pool_messages.HoldFailed) and self.is_down(
--- a/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
+++ b/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
@@ -153,6 +153,27 @@
             self.simulation.answers["j1@n-b"].state, batches.COMPLETE
         )
 
+    def test_crash_after_a_cut_does_not_count_for_runs_before_it(self):
+        self.simulation.crashing_tasks.clear()
+        self.simulation.run_time = 6.0
+        reply = self.simulation.submit(self.gateway, "j1", 1, 40.0)
+        cut = []
+        for _ in range(2):
+            self.simulation.advance(1.0)
+            cut += [
+                executor
+                for executor in self.simulation.executors.values()
+                if executor.runs
+            ]
+            self.simulation.refuse(cut[-1], 1.5)
+            self.simulation.advance(2.5)
+        self.assertEqual(len(set(cut)), 2)
+        for executor in cut:
+            self.assertEqual(tuple(executor.runs), ())
+            self.simulation.crash(executor)
+        self.simulation.advance(20.0)
+        self.assert_state(reply, batches.COMPLETE)
+
     def test_cut_executor_is_no_crash(self):
         self.simulation.crashing_tasks.clear()
         self.simulation.run_time = 0.6
