--- a/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
+++ b/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
@@ -82,6 +82,20 @@
         self.simulation.advance(30.0)
         self.assert_starts_are_bounded()
 
+    def test_task_is_given_up_after_every_instance_was_restarted(self):
+        self.simulation.call(["n-b"], "j1", 1, 1.5)
+        self.simulation.advance(9.0)
+        self.assertEqual(len(self.simulation.crashes), 2)
+        for name in ("n-a", "n-b", "n-c"):
+            self.simulation.restart_instance(name, 0.5)
+            self.simulation.advance(4.0)
+        reply = self.simulation.submit(
+            self.simulation.instances["n-c"], "j1", 1, 20.0
+        )
+        self.simulation.advance(10.0)
+        self.assert_state(reply, batches.FAILED)
+        self.assertEqual(len(self.simulation.crashes), 2)
+
     def test_task_beside_one_that_crashes_executors_completes(self):
         self.simulation.run_time = 0.5
         beside = self.simulation.submit(self.gateway, "j2", 4, 30.0)
@@ -118,6 +132,16 @@
         self.assert_state(reply, batches.FAILED)
         self.assert_starts_are_bounded()
 
+    def test_takeover_between_a_crash_and_the_return_under_another_name(self):
+        self.simulation.renames = True
+        reply = self.simulation.submit(self.gateway, "j1", 1, 60.0)
+        self.simulation.advance(2.5)
+        self.assertEqual(len(self.simulation.crashes), 2)
+        self.planner.alive = False
+        self.simulation.advance(5.0)
+        self.assert_state(reply, batches.FAILED)
+        self.assertEqual(len(self.simulation.crashes), 2)
+
     def test_loss_without_a_restart_gives_up_no_task(self):
         self.simulation.renames = True
         self.simulation.rename = lambda former: None
@@ -129,6 +153,27 @@
             self.simulation.answers["j1@n-b"].state, batches.COMPLETE
         )
 
+    def test_crash_after_a_cut_does_not_count_for_runs_before_it(self):
+        self.simulation.crashing_tasks.clear()
+        self.simulation.run_time = 6.0
+        reply = self.simulation.submit(self.gateway, "j1", 1, 40.0)
+        cut = []
+        for _ in range(2):
+            self.simulation.advance(1.0)
+            cut += [
+                executor
+                for executor in self.simulation.executors.values()
+                if executor.runs
+            ]
+            self.simulation.refuse(cut[-1], 1.5)
+            self.simulation.advance(2.5)
+        self.assertEqual(len(set(cut)), 2)
+        for executor in cut:
+            self.assertEqual(tuple(executor.runs), ())
+            self.simulation.crash(executor)
+        self.simulation.advance(20.0)
+        self.assert_state(reply, batches.COMPLETE)
+
     def test_cut_executor_is_no_crash(self):
         self.simulation.crashing_tasks.clear()
         self.simulation.run_time = 0.6
