Planner: report lost runs to all instances, not to the origins only

If the planner and the origin were restarted before the executor was back, nobody knew that the run was lost, and the task was started again where the caller submitted it next.

--- a/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
@@ -6,12 +6,13 @@
 process usually do so at once.  Such a task runs again only where no run of
 another batch is, so that its next run tells whether it is the cause.
 
-What is known is reported to the instances that answer the callers.  They pass
-it on with the batch if another planner gets it, or if it is submitted again.
+What is known is reported to all instances.  They pass it on with a batch if
+another planner gets it, or if it is submitted again.
 """
 
 from __future__ import annotations
 
+import collections
 import math
 from typing import Literal
 from typing import NamedTuple
@@ -83,14 +84,14 @@
     if not spec.incarnation or spec.state == executors.DRAINING:
         return []
     entries = [
-        (run, plan, task)
-        for run, (plan, task) in executor.runs.items()
+        (run, task)
+        for run, (_, task) in executor.runs.items()
         if task.run == run
     ]
-    last_start = max((task.started_at for _, _, task in entries), default=now)
+    last_start = max((task.started_at for _, task in entries), default=now)
     names = {run.batch for run in executor.runs}
-    lost = {}
-    for run, plan, task in entries:
+    lost = collections.defaultdict(list)
+    for run, task in entries:
         loss = pool_messages.RunLoss(
             run.step,
             run.index,
@@ -101,12 +102,12 @@
             task.started_at >= last_start,
             names == {run.batch},
         )
-        lost.setdefault(plan, []).append(loss)
+        lost[run.batch].append(loss)
     sends = []
-    for plan, losses in lost.items():
-        note_losses(state, plan.name, losses, now)
+    for batch, losses in lost.items():
+        note_losses(state, batch, losses, now)
         if executor.aborted:
-            sends += _report(state, plan.name, losses, plan.origins)
+            sends += _report(state, batch, losses)
     return sends
 
 
@@ -157,25 +158,22 @@
                 alone=losses[0].alone,
             )
         )
-        members = [member.name for member in state.fleet.alive]
-        sends += _report(state, batch, losses, members)
+        sends += _report(state, batch, losses)
     return sends
 
 
-def _report(state, batch, losses, members):
-    """Send losses of a batch to instances, by their names."""
+def _report(state, batch, losses):
+    """Send losses of a batch to all instances."""
     report = pool_messages.LossesReported(batch, tuple(losses))
-    sends = []
+    sends = [messages.Send(pool_messages.GATEWAY, report)]
     addresses = tuple(
         member.address
         for member in state.fleet.alive
-        if member.name in members and member.name != state.name
+        if member.name != state.name
     )
     if addresses:
         to_members = pool_messages.SendToMembers(addresses, report)
         sends.append(messages.Send(pool_messages.LINKS, to_members))
-    if state.name in members:
-        sends.append(messages.Send(pool_messages.GATEWAY, report))
     return sends
 
 
--- a/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
+++ b/packages/daemon/src/cardamompathd/tests/test_executor_crashes.py
@@ -1,5 +1,6 @@
 """Tasks that crash the executors that start them."""
 
+import random
 import unittest
 
 from cardamompath_core import batches
@@ -10,6 +11,77 @@
 """Number of starts of a task allowed after three executors crashed."""
 
 
+SEEDS = (18, 118, *range(8))
+BATCHES = 60
+
+
+def play_random_day(seed):
+    """Play crashing tasks amid restarts, pauses and crashes by chance."""
+    rng = random.Random(seed)
+    simulation = crash_simulation.CrashSimulation(seed=seed)
+    simulation.renames = rng.random() < 0.5
+    simulation.run_time = rng.choice([0.05, 0.2, 0.5])
+    names = list(simulation.instances)
+    for number in range(BATCHES):
+        simulation.advance(rng.uniform(0.05, 0.4))
+        if rng.random() < 0.12:
+            task = (f"b{number}", 0, rng.randrange(2))
+            simulation.crashing_tasks.add(task)
+        event = rng.random()
+        if event < 0.04:
+            executor = rng.choice(list(simulation.executors.values()))
+            simulation.crash(executor)
+        elif event < 0.08:
+            name = rng.choice(names)
+            simulation.restart_instance(name, rng.uniform(0.2, 1.0))
+        elif event < 0.10:
+            instance = simulation.instances[rng.choice(names)]
+            simulation.freeze(instance, rng.uniform(0.2, 1.5))
+        rng.shuffle(names)
+        count = rng.choice([1, 2, 3])
+        timeout = rng.choice([1.5, 4.0, 30.0])
+        simulation.call(names * 4, f"b{number}", count, timeout)
+    simulation.advance(45.0)
+    return simulation
+
+
+class RandomCrashTest(unittest.TestCase):
+    def test_no_history_has_a_task_started_too_often(self):
+        for seed in SEEDS:
+            simulation = play_random_day(seed)
+            with self.subTest(seed=seed):
+                self.assertEqual(simulation.duplicate_runs, [])
+                for task in {run[:3] for _, run in simulation.starts}:
+                    crashes = simulation.crashes_under(task)
+                    late = [
+                        at
+                        for at in simulation.starts_of(task)
+                        if len(crashes) >= 3 and at > crashes[2]
+                    ]
+                    self.assertLessEqual(len(late), MAX_STARTS, task)
+
+    def test_no_executor_is_kept_apart_for_good(self):
+        for seed in SEEDS:
+            simulation = play_random_day(seed)
+            simulation.run_time = 0.2
+            up = [
+                executor
+                for executor in simulation.executors.values()
+                if not executor.unreachable
+            ]
+            names = [
+                name
+                for name, instance in simulation.instances.items()
+                if instance.alive
+            ]
+            simulation.call(names, "last", 2 * len(up), 20.0)
+            simulation.advance(2.0)
+            with self.subTest(seed=seed):
+                for executor in up:
+                    batches_there = {run[0] for run in executor.started_tasks}
+                    self.assertIn("last", batches_there)
+
+
 class ExecutorCrashTest(unittest.TestCase):
     def setUp(self):
         self.simulation = crash_simulation.CrashSimulation()
