--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -91,6 +91,7 @@
         spec = executor.spec._replace(incarnation=msg.incarnation)
         sends += _handle_restart(state, executor, spec, now)
         return sends + _hold(state, executor, 0.0, now)
+    planner_crashes.record_answer(state, executor)
     if not executor.claimed or executor.suspect:
         sends.append(
             planner_log.decision(
@@ -395,5 +396,25 @@
                 before=previous.state,
             )
         )
+    if spec.capacity != previous.capacity:
+        sends += _change_capacity(executor, spec)
     executor.spec = spec
     return sends
+
+
+def _change_capacity(executor, spec):
+    """Count the resources that its runs leave free anew."""
+    executor.free_resources = executors.add(
+        executor.free_resources,
+        executors.subtract(spec.capacity, executor.spec.capacity),
+    )
+    return [
+        planner_log.decision(
+            "executor capacity",
+            executor=spec.name,
+            cpu=spec.capacity.cpu,
+            memory=spec.capacity.memory,
+            before=executor.spec.capacity,
+            free_cpu=executor.free_resources.cpu,
+        )
+    ]
