--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import collections
+import math
 import pathlib
 import queue
 import signal
@@ -34,6 +35,7 @@
 }
 """The size "large" has two planners in each failure domain; "huge" takes
 about 8 GB of memory for 211 processes."""
+PRESSURE_FILE = pathlib.Path("/proc/pressure/cpu")
 STALL_INTERVAL = 0.02
 """Seconds for which the thread that watches for stalls sleeps."""
 MAX_SUBMITTERS = 45
@@ -70,10 +72,13 @@
     with rigs.run_rig(size, program, args, keep, guarded) as rig:
         submitters = min(3 * len(rig.instances), MAX_SUBMITTERS)
         stop_watch = _watch_stalls()
+        began, waited = time.monotonic(), _read_waiting_time()
         records, stop_clients = clients.start(rig, case.seed, submitters)
         faults.inject(rig, plan, SETTLE_TIME)
         stop_clients()
         longest_stall = stop_watch()
+        waited = _read_waiting_time() - waited
+        pressure = waited / (time.monotonic() - began)
         end = clocks.boottime()
         submissions, queries = _drain_records(records)
         runs = checks.read_runs(rig.executors, end)
@@ -87,10 +92,22 @@
         len(runs),
         len(queries),
         round(longest_stall, 2),
+        round(pressure, 2),
     )
     return violations, counts, collections.Counter(f.kind for f in plan)
 
 
+def _read_waiting_time():
+    """Return for how long some process has waited for the processor.
+
+    It is not a number where the kernel does not measure it.
+    """
+    if not PRESSURE_FILE.exists():
+        return math.nan
+    some = PRESSURE_FILE.read_text().splitlines()[0]
+    return int(some.rpartition("=")[2]) / 1e6
+
+
 def _write_records(rig, records):
     """Write the records of the clients beside the logs."""
     with open(rig.folder / "clients.log", "w") as out:
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -45,6 +45,8 @@
 """Thousandths of a core of an executor."""
 CALL_TIMEOUT = 10.0
 """Seconds that a call to a stand-in may take, which may be paused."""
+STORE_THREADS = 512
+"""Four for each instance of the largest size are enough."""
 ENTRY_PATH = "/v1/log-append?topic=keyed.servers&part=0"
 
 
@@ -194,6 +196,8 @@
             str(self.store_port),
             "--ping",
             str(HEARTBEAT_INTERVAL),
+            "--threads",
+            str(STORE_THREADS),
         ]
         with open(self.folder / "store.log", "wb") as log:
             process = processes.start(
