--- a/packages/daemon/src/cardamompathd/backends/call_connections.py
+++ b/packages/daemon/src/cardamompathd/backends/call_connections.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import httptools
+import loguru
 
 from cardamompath_core import types
 from cardamompathd.backends import connections
@@ -25,6 +26,8 @@
     "make_owner",
 ]
 
+ABORT_CODES = (errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE)
+"""Error codes of a connection that the other side refused or ended."""
 READ_SIZE = 1 << 16
 """Largest number of bytes that are read from a connection at a time."""
 
@@ -121,6 +124,9 @@
         self._connections: dict[int, _Connection] = {}
         self._free: dict[tuple, list[_Connection]] = {}
         self._deadlines: list[tuple[float, int, Any]] = []
+        self._invalid_servers: set[tuple] = set()
+        """Servers whose address raised an error other than that of a
+        connection, which is logged once."""
 
     def send(self, call: Any, now: float) -> None:
         """Send a call to its server."""
@@ -149,6 +155,7 @@
             if conn.server == server:
                 self._close(conn)
         self._free.pop(server, None)
+        self._invalid_servers.discard(server)
 
     def read(self, number: int, now: float) -> None:
         """Read from a connection that is readable."""
@@ -160,13 +167,13 @@
         except BlockingIOError:
             return
         except OSError as exc:
-            self._fail(conn, repr(exc), now)
+            self._fail(conn, repr(exc), now, aborted=exc.errno in ABORT_CODES)
             return
         if conn.call is None:
             # A free connection is only readable when the server closes it.
             self._close(conn)
         elif not received:
-            self._fail(conn, "the connection ended early", now)
+            self._fail(conn, "the connection ended early", now, aborted=True)
         else:
             self._parse(conn, received, now)
 
@@ -178,7 +185,8 @@
         if not conn.connected:
             code = conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
-                self._fail(conn, errno.errorcode.get(code, str(code)), now)
+                reason = errno.errorcode.get(code, str(code))
+                self._fail(conn, reason, now, aborted=code in ABORT_CODES)
                 return
             conn.connected = True
             deadline = conn.started_at + conn.call.timeout
@@ -219,23 +227,38 @@
         return None
 
     def _open(self, server, call, now):
+        """Return a new connection, None if the call has failed."""
+        try:
+            return self._connect(server, now)
+        except OSError as exc:
+            reason = errno.errorcode.get(exc.errno, repr(exc))
+            aborted = exc.errno in ABORT_CODES
+        except Exception as exc:
+            # Several kinds of errors mean that the address is invalid.
+            if server not in self._invalid_servers:
+                loguru.logger.exception("calls: cannot connect to {}", server)
+            self._invalid_servers.add(server)
+            reason = repr(exc)
+            aborted = False
+        answer = types.BackendAnswer("connect", error=reason, aborted=aborted)
+        self._handle_answer(call, answer)
+        return None
+
+    def _connect(self, server, now):
         sock = socket.socket()
         try:
             sock.setblocking(False)
             for option in connections.SOCKET_OPTIONS:
                 sock.setsockopt(*option)
             code = sock.connect_ex(server[1:])
-        except OSError as exc:
-            code = exc.errno
-        if code not in (0, errno.EINPROGRESS):
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, errno.errorcode.get(code, ""))
+            conn = _Connection(next(self._numbers), server, sock, now)
+            self._registry.register(sock, conn.number, writable=True)
+        except BaseException:
             sock.close()
-            reason = errno.errorcode.get(code, str(code))
-            answer = types.BackendAnswer("connect", error=reason)
-            self._handle_answer(call, answer)
-            return None
-        conn = _Connection(next(self._numbers), server, sock, now)
+            raise
         self._connections[conn.number] = conn
-        self._registry.register(sock, conn.number, writable=True)
         return conn
 
     def _flush(self, conn, now):
@@ -251,7 +274,7 @@
         except BlockingIOError:
             sent = 0
         except OSError as exc:
-            self._fail(conn, repr(exc), now, "send")
+            self._fail(conn, repr(exc), now, "send", exc.errno in ABORT_CODES)
             return
         conn.unsent = conn.unsent[sent:]
         self._registry.watch_writable(
@@ -292,14 +315,16 @@
         self._free.setdefault(conn.server, []).append(conn)
         return call
 
-    def _fail(self, conn, reason, now, phase="answer"):
+    def _fail(self, conn, reason, now, phase="answer", aborted=False):
         self._close(conn)
         if conn.call is None:
             return
         if not conn.connected:
             phase = "connect"
         elapsed = now - conn.started_at
-        answer = types.BackendAnswer(phase, elapsed=elapsed, error=reason)
+        answer = types.BackendAnswer(
+            phase, elapsed=elapsed, error=reason, aborted=aborted
+        )
         self._handle_answer(conn.call, answer)
 
     def _close(self, conn):
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -17,6 +17,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers import gateway_drops
 from cardamompathd.controllers import gateway_planners
+from cardamompathd.controllers import run_losses
 
 __all__ = [
     "GatewayState",
@@ -93,6 +94,8 @@
     def __init__(self, name: str, domain: str):
         self.name = name
         self.domain = domain
+        self.started = 0
+        """Start time of this process, in milliseconds since 1970."""
         self.route_table: routes.RouteTable | None = None
         self.document = b""
         """The configuration in force, as it was published."""
@@ -111,6 +114,9 @@
         """Backlog in seconds by the name of the planner."""
         self.drops: dict[str, gateway_drops.PendingDrop] = {}
         """Drops that were not acknowledged, by the name of the batch."""
+        self.losses = run_losses.LossMemory()
+        """Losses that planners reported, also of batches of other instances,
+        which may be submitted here next."""
         self.leaving = False
         self.answer_by = math.inf
         """When every caller has to have an answer, as the instance stops."""
@@ -363,6 +369,7 @@
 
 
 def _update_fleet(state, msg, now):
+    state.started = msg.own_member.started
     state.alive = msg.alive
     state.missing = msg.missing
     state.assignment = msg.assignment
@@ -379,6 +386,11 @@
     return sends
 
 
+def _note_losses(state, msg, _):
+    state.losses.add(msg.batch, msg.losses)
+    return ()
+
+
 def _update_backlog(state, msg, _):
     state.backlogs[msg.name] = msg.backlog
     return ()
@@ -449,5 +461,6 @@
     pool_messages.BatchEnded: _handle_end,
     pool_messages.FleetChanged: _update_fleet,
     pool_messages.BacklogChanged: _update_backlog,
+    pool_messages.LossesReported: _note_losses,
     messages.TimerFired: _handle_timer,
 }
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -8,6 +8,7 @@
 from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers import planner_crashes
 from cardamompathd.controllers import planner_log
 from cardamompathd.controllers import planner_state
 
@@ -16,7 +17,9 @@
     "LAPSE_TIME",
     "LEASE",
     "MIN_LEASE",
+    "TOKEN_STEP",
     "adopt_run",
+    "doubt_claim",
     "drop_plan",
     "finish_batch",
     "handle_run_end",
@@ -25,6 +28,8 @@
     "lose_runs",
     "record_lease",
     "release_run",
+    "report_outcome",
+    "resources_of",
     "send_start",
     "send_stop",
 ]
@@ -45,6 +50,10 @@
 MIN_LEASE = 0.6
 """Seconds of the shortest lease with which a run is started; the first hold
 that renews it is sent before."""
+TOKEN_STEP = 1000
+"""Increase of the token with which a planner repeats a claim of its own: one
+millisecond of the clock from which tokens are made, so that the later claim
+of another planner stays above it."""
 ATTEMPT_SKIP = 8
 """Attempt numbers skipped for each earlier planner of a batch, and if an
 executor has seen a later attempt of the task."""
@@ -74,6 +83,7 @@
     task.stopping = False
     task.adopted = False
     task.start_deadline = now + LAPSE_TIME
+    task.token = executor.token
     task.run = pool_messages.Run(
         plan.name, task.step, task.index, task.attempt
     )
@@ -121,6 +131,7 @@
     task.executor_name = executor.spec.name
     task.started_at = now
     task.adopted = True
+    task.token = executor.token
     task.run = run
     if task in plan.waiting:
         plan.waiting.remove(task)
@@ -154,7 +165,11 @@
         age_ms=round((now - task.started_at) * 1000.0),
     )
     if msg.result == "unknown":
-        return [decision, *_stop_unconfirmed_run(executor, task, msg.run)]
+        if task.status == "sent":
+            task.status = "unknown"
+            if task.token == executor.token:
+                doubt_claim(state, executor, now)
+        return [decision]
     release_run(executor, msg.run)
     if msg.result == "invalid":
         reason = f"executor {msg.executor} rejects the task: {msg.detail}"
@@ -165,14 +180,18 @@
     return [decision]
 
 
-def _stop_unconfirmed_run(executor, task, run):
-    """Stop a run that may have started, and track it until it is gone."""
-    if task.status != "sent":
-        return []
-    task.status = "unknown"
-    task.stopping = True
+def doubt_claim(state, executor, now):
+    """Have an executor claimed again, with a higher token.
+
+    Once it has answered that hold it refuses all starts that were sent
+    before, and it has listed those that it has carried out.
+    """
+    name = executor.spec.name
+    executor.token = state.remember_token(name, executor.token + TOKEN_STEP)
+    executor.claimed = False
     executor.suspect = True
-    return send_stop(executor, run)
+    executor.hold_pending = False
+    executor.retry_at = now
 
 
 def _record_refusal(executor, task, result):
@@ -188,16 +207,11 @@
 def handle_stop_answer(state, msg, now):
     """Process the result of a stop.
 
-    A stopped run is tracked until the executor reports its end.  A run that
-    never started has no end to report, but can no longer start.
+    A stopped run is tracked until the executor reports its end.
     """
     executor = state.executors.get(msg.executor)
-    if executor is None or not msg.stopped:
-        return []
-    executor.answered_at = now
-    entry = executor.runs.get(msg.run)
-    if entry is not None and entry[1].status == "unknown":
-        entry[1].start_deadline = min(entry[1].start_deadline, now)
+    if executor is not None and msg.stopped:
+        executor.answered_at = now
     return []
 
 
@@ -313,10 +327,7 @@
         )
     ]
     for origin in plan.origins:
-        ended = pool_messages.BatchEnded(
-            plan.name, origin, outcome, state.name
-        )
-        sends.append(send_to_member(state, origin, ended))
+        sends.append(report_outcome(state, plan.name, origin, outcome))
     return sends + drop_plan(state, plan)
 
 
@@ -335,15 +346,18 @@
     return sends
 
 
-def send_to_member(state, name, msg):
-    """Return a message to the instance with a name."""
-    if name == state.name:
+def report_outcome(state, name, origin, outcome):
+    """Return the message that tells an origin how its batch ended."""
+    msg = pool_messages.BatchEnded(name, origin.name, outcome, state.name)
+    if origin.name == state.name:
         return messages.Send(pool_messages.GATEWAY, msg)
     for member in state.fleet.alive:
-        if member.name == name:
+        if (member.name, member.started) == origin:
             to_member = pool_messages.SendToMember(member.address, msg)
             return messages.Send(pool_messages.LINKS, to_member)
-    return planner_log.decision("origin is not alive", msg.name, origin=name)
+    return planner_log.decision(
+        "origin is not alive", name, origin=origin.name
+    )
 
 
 def lose_runs(state, executor, reason, now):
@@ -355,7 +369,8 @@
             reason=reason,
             runs=len(executor.runs),
             heard_ms=round((now - executor.answered_at) * 1000.0),
-        )
+        ),
+        *planner_crashes.record_losses(state, executor, now),
     ]
     for run in list(executor.runs):
         plan, task = release_run(executor, run)
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import ipaddress
 from typing import Any
 from typing import NamedTuple
 
@@ -22,6 +24,14 @@
 ]
 
 
+PORTS = range(1, 1 << 16)
+"""Valid TCP port numbers."""
+MAX_BACKLOG_MS = (1 << 31) - 1
+"""Largest backlog in milliseconds that a heartbeat carries."""
+MAX_CHECKED_ADDRESSES = 4096
+"""Addresses that are not checked again; more than the members of a fleet."""
+
+
 class HeartbeatFields(NamedTuple):
     """A heartbeat of a member."""
 
@@ -58,6 +68,19 @@
     max_per_executor: int
 
 
+class LossFields(NamedTuple):
+    """A run that was lost with its executor."""
+
+    step: int
+    index: int
+    executor: str
+    incarnation: int
+    aborted: int
+    last_started: int
+    alone: int
+    crashed: int
+
+
 class PlanFields(NamedTuple):
     """A batch for a planner."""
 
@@ -78,6 +101,8 @@
     permitted_us: int = 0
     term: int = 0
     ended_planner: str = ""
+    losses: list[LossFields] = []
+    origin_started: int = 0
 
 
 class DropFields(NamedTuple):
@@ -85,6 +110,7 @@
 
     name: str
     origin: str
+    origin_started: int = 0
 
 
 class EndedFields(NamedTuple):
@@ -98,6 +124,13 @@
     planner: str
 
 
+class LossesFields(NamedTuple):
+    """Runs of a batch that were lost with their executors."""
+
+    batch: str
+    losses: list[LossFields]
+
+
 class ConfigurationFields(NamedTuple):
     """A published version of the desired configuration."""
 
@@ -138,6 +171,19 @@
     wire.TEXT,
     wire.I32,
 )
+wire.declare(
+    LossFields,
+    wire.I32,
+    wire.I32,
+    wire.TEXT,
+    wire.I64,
+    wire.I32,
+    wire.I32,
+    wire.I32,
+    wire.I32,
+)
+_LOSS = (Thrift.TType.STRUCT, wire.nested(LossFields), False)
+_LOSSES = (Thrift.TType.LIST, _LOSS)
 _STEP = (Thrift.TType.STRUCT, wire.nested(StepFields), False)
 wire.declare(
     PlanFields,
@@ -158,8 +204,11 @@
     wire.I64,
     wire.I64,
     wire.TEXT,
+    _LOSSES,
+    wire.I64,
 )
-wire.declare(DropFields, wire.TEXT, wire.TEXT)
+wire.declare(LossesFields, wire.TEXT, _LOSSES)
+wire.declare(DropFields, wire.TEXT, wire.TEXT, wire.I64)
 wire.declare(
     EndedFields,
     wire.TEXT,
@@ -175,12 +224,20 @@
 _PLAN = wire.Method("plan", PlanFields, PlanFields)
 _DROP = wire.Method("drop", DropFields, DropFields)
 _ENDED = wire.Method("ended", EndedFields, EndedFields)
+_LOST = wire.Method("lost", LossesFields, LossesFields)
 _CONFIGURATION = wire.Method(
     "configuration", ConfigurationFields, ConfigurationFields
 )
 _METHODS = {
     method.name: method
-    for method in (_HEARTBEAT, _PLAN, _DROP, _ENDED, _CONFIGURATION)
+    for method in (
+        _HEARTBEAT,
+        _PLAN,
+        _DROP,
+        _ENDED,
+        _LOST,
+        _CONFIGURATION,
+    )
 }
 
 
@@ -222,7 +279,7 @@
         [f"{host}:{port}" for host, port in msg.known_addresses],
         member.thread_millicores,
         round(msg.interval * 1000.0),
-        round(msg.backlog * 1000.0),
+        min(round(msg.backlog * 1000.0), MAX_BACKLOG_MS),
         member.shard_number,
         # Rounded down: a permission must not end later than it was given.
         int(msg.sent_at * 1000.0),
@@ -238,14 +295,14 @@
         planner_election.Member(
             fields.name,
             fields.domain,
-            (fields.host, fields.port),
+            _check_address(fields.host, fields.port),
             fields.started,
             bool(fields.leaving),
             fields.thread_millicores,
             fields.shard_number,
         ),
         fields.config_version,
-        tuple((host, int(port)) for host, _, port in addresses),
+        tuple(_check_address(host, int(port)) for host, _, port in addresses),
         fields.interval_ms / 1000.0,
         fields.backlog_ms / 1000.0,
         fields.sent_ms / 1000.0,
@@ -255,6 +312,14 @@
     )
 
 
+@functools.lru_cache(MAX_CHECKED_ADDRESSES)
+def _check_address(host, port):
+    ipaddress.IPv4Address(host)
+    if port not in PORTS:
+        raise ValueError(f"port {port}")
+    return host, port
+
+
 def _encode_plan(msg):
     batch = msg.batch
     policy = batch.policy
@@ -276,6 +341,8 @@
         _to_micros(msg.permitted_time),
         msg.term,
         msg.ended_planner,
+        [LossFields(*loss) for loss in msg.losses],
+        msg.origin_started,
     )
 
 
@@ -322,11 +389,40 @@
         fields.permitted_us / 1e6,
         fields.term,
         fields.ended_planner,
+        _decode_losses(fields.losses),
+        fields.origin_started,
+    )
+
+
+def _decode_losses(rows):
+    return tuple(
+        pool_messages.RunLoss(
+            row.step,
+            row.index,
+            row.executor,
+            row.incarnation,
+            bool(row.aborted),
+            bool(row.last_started),
+            bool(row.alone),
+            bool(row.crashed),
+        )
+        for row in rows
+    )
+
+
+def _encode_reported_losses(msg):
+    rows = [LossFields(*loss) for loss in msg.losses]
+    return LossesFields(msg.batch, rows)
+
+
+def _decode_reported_losses(fields):
+    return pool_messages.LossesReported(
+        fields.batch, _decode_losses(fields.losses)
     )
 
 
 def _decode_drop(fields):
-    return pool_messages.DropBatch(fields.name, fields.origin)
+    return pool_messages.DropBatch(*fields)
 
 
 def _encode_ended(msg):
@@ -359,6 +455,7 @@
     pool_messages.PlanBatch: (_PLAN, _encode_plan),
     pool_messages.DropBatch: (_DROP, lambda msg: DropFields(*msg)),
     pool_messages.BatchEnded: (_ENDED, _encode_ended),
+    pool_messages.LossesReported: (_LOST, _encode_reported_losses),
     pool_messages.ConfigurationOffered: (
         _CONFIGURATION,
         lambda msg: ConfigurationFields(*msg),
@@ -369,5 +466,6 @@
     "plan": (pool_messages.PLANNER, _decode_plan),
     "drop": (pool_messages.PLANNER, _decode_drop),
     "ended": (pool_messages.GATEWAY, _decode_ended),
+    "lost": (pool_messages.GATEWAY, _decode_reported_losses),
     "configuration": (pool_messages.CONFIGURATIONS, _decode_configuration),
 }
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -42,7 +42,9 @@
     "LISTINGS",
     "Leave",
     "LinkFailed",
+    "LossesReported",
     "OfferConfiguration",
+    "Origin",
     "PLANNER",
     "PlanBatch",
     "PlanningPermitted",
@@ -51,6 +53,7 @@
     "RemotePeerUsed",
     "RoutesConfigured",
     "Run",
+    "RunLoss",
     "SendToMember",
     "SendToMembers",
     "SetLink",
@@ -98,6 +101,24 @@
     attempt: int
 
 
+class RunLoss(NamedTuple):
+    """A run of a task that was lost with its executor."""
+
+    step: int
+    index: int
+    executor: str
+    incarnation: int
+    """That of the executor."""
+    aborted: bool
+    """Whether the executor ended or refused connections, as after a crash."""
+    last_started: bool
+    """Whether the executor started no other run after it."""
+    alone: bool
+    """Whether no run of another batch was on the executor."""
+    crashed: bool = False
+    """Whether the executor is known to have been restarted."""
+
+
 class SubmitBatch(NamedTuple):
     """Run a batch for a caller; the reply is a `batches.Outcome`."""
 
@@ -157,6 +178,15 @@
     reply_to: Any
 
 
+class Origin(NamedTuple):
+    """The process of an instance at which the caller of a batch waits."""
+
+    name: str
+    """Name of the instance."""
+    started: int
+    """Start time of the process, in milliseconds since 1970."""
+
+
 class PlanBatch(NamedTuple):
     """Ask a planner to run a batch."""
 
@@ -179,6 +209,11 @@
     ended_planner: str = ""
     """Name of the only earlier planner, if it told that it no longer plans;
     otherwise empty."""
+    losses: tuple[RunLoss, ...] = ()
+    """Its runs that were lost with their executors, as far as known."""
+    origin_started: int = 0
+    """Start time of the origin's process, in milliseconds since 1970; 0 if
+    the origin does not tell."""
 
 
 class DropBatch(NamedTuple):
@@ -189,6 +224,9 @@
 
     name: str
     origin: str
+    origin_started: int = 0
+    """Start time of the origin's process, in milliseconds since 1970; 0 if
+    the origin does not tell."""
 
 
 class BatchEnded(NamedTuple):
@@ -201,6 +239,13 @@
     """Name of the instance that planned the batch."""
 
 
+class LossesReported(NamedTuple):
+    """Runs of a batch were lost with their executors."""
+
+    batch: str
+    losses: tuple[RunLoss, ...]
+
+
 class HeartbeatReceived(NamedTuple):
     """A heartbeat of a member arrived."""
 
@@ -484,6 +529,8 @@
     restarted: bool
     """Whether the executor was restarted since it was claimed."""
     detail: str
+    aborted: bool = False
+    """Whether the executor ended or refused the connection."""
 
 
 class DisconnectExecutor(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/test_resubmissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_resubmissions.py
@@ -65,6 +65,15 @@
         self.simulation.restart_instance("n-a5", 60.0)
         self.simulation.advance(6.0)
 
+    def test_runs_of_a_restarted_instance_end_before_its_job_comes_again(self):
+        for down_time in (0.05, 0.3, 1.0):
+            with self.subTest(down_time=down_time):
+                self.setUp()
+                self.call()
+                self.simulation.restart_instance("n-a5", down_time)
+                self.simulation.advance(6.0)
+                self.assertEqual(self.simulation.duplicate_runs, [])
+
     def test_runs_of_a_dead_instance_end_though_their_stops_are_lost(self):
         self.call()
         self.lose_stops()
@@ -79,7 +88,7 @@
 
     def test_runs_on_slow_clocks_end_though_their_stops_are_lost(self):
         for executor in self.simulation.executors.values():
-            executor.clock_rate = 0.98
+            executor.slow_clock(0.98)
         self.call_with_remote_planner()
         self.lose_stops()
         self.simulation.restart_instance("n-a5", 60.0)
