Planner: bound the growth of the token after fences

The step doubles with each fence in a row; after 45 of them, some 84 s, the token had more than 64 bits, the hold could not be encoded, and the executor waited for good. Found by reading; test_token_stays_within_64_bits_after_ many_fences failed before.

--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -40,6 +40,9 @@
 FENCED_PASSIVE_TIME = 5.0
 """Seconds for which a planner claims nothing after it was fenced while cut off
 from most members."""
+MAX_TOKEN_DOUBLINGS = 12
+"""Maximum number of doublings of `MIN_TOKEN_STEP`; clocks that are an hour
+apart are caught up with."""
 MIN_TOKEN_STEP = 1_000_000
 """Minimum increase of the token after a fence: one second of the clock from
 which tokens are made.  It doubles with each further fence, as the clocks of
@@ -276,7 +279,8 @@
         # A planner on the other side of the cut holds the executor.
         state.passive_until = now + FENCED_PASSIVE_TIME
         return [decision]
-    step = MIN_TOKEN_STEP * 2**executor.fence_count
+    doublings = min(executor.fence_count, MAX_TOKEN_DOUBLINGS)
+    step = MIN_TOKEN_STEP * 2**doublings
     executor.token = state.new_token(executor.spec.name, step)
     executor.fence_count += 1
     executor.retry_at = now + min(
--- a/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
@@ -28,8 +28,9 @@
             for name in ("x-a", "x-b")
         }
         own = planner_election.Member("n-a", "a", ("n-a", 1), 1000)
+        other = planner_election.Member("n-b", "a", ("n-b", 1), 1001)
         self.list_executors()
-        self.tell(fleet_views.make_view(own, (own,), ()))
+        self.tell(fleet_views.make_view(own, (own, other), ()))
         for name in self.specs:
             self.answer_hold(name)
 
@@ -60,13 +61,14 @@
         )
         return self.tell(failed, later)
 
-    def start_task(self):
+    def make_batch(self):
         step = batches.Step(1, executors.Resources(8000, 1), 0.2)
         policy = batches.RoutePolicy("r", "desk", slack=9.0)
-        batch = batches.Batch("j", "", (step,), policy)
-        return self.starts(
-            self.tell(pool_messages.PlanBatch(batch, "n-a", 0.0, 9.0, 0))
-        )[0]
+        return batches.Batch("j", "", (step,), policy)
+
+    def start_task(self):
+        plan = pool_messages.PlanBatch(self.make_batch(), "n-a", 0.0, 9.0, 0)
+        return self.starts(self.tell(plan))[0]
 
     def answer_start(self, start, result):
         name = start.executor.name
@@ -87,6 +89,16 @@
         self.specs[name] = self.specs[name]._replace(incarnation=2)
         return self.list_executors() + self.tick()
 
+    def test_token_stays_within_64_bits_after_many_fences(self):
+        for _ in range(80):
+            name = "x-a"
+            fenced = pool_messages.HoldFailed(
+                name, self.holds[name].token, True, False, "fence"
+            )
+            self.tell(fenced)
+            self.tick(2.1)
+        self.assertLess(self.holds["x-a"].token, 1 << 62)
+
     def test_start_without_answer_is_fenced_off_before_another(self):
         start = self.start_task()
         name = start.executor.name
