Leases: count those of a former planner at a claim

A new planner took the executors that it claims for free of leases, so a run that it started there could have got the rest of a lease that its predecessor had renewed, longer than its own batch allows; by at most 0.2 s, and only with lost stops.

--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -105,6 +105,11 @@
                 ended=len(msg.ended),
             )
         )
+    if not executor.claimed:
+        # A former planner may have renewed the leases there just before.
+        executor.lease_end = max(
+            executor.lease_end, msg.clock + planner_runs.LEASE
+        )
     executor.claimed = True
     executor.fence_count = 0
     executor.restarted = False
--- a/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
@@ -89,6 +89,24 @@
         self.specs[name] = self.specs[name]._replace(incarnation=2)
         return self.list_executors() + self.tick()
 
+    def test_start_counts_the_lease_of_a_former_planner(self):
+        self.permit(0.4, timeout=0.75)
+        batch = self.make_batch()
+        plan = pool_messages.PlanBatch(batch, "n-b", 0.0, 9.0, 0, term=1)
+        self.assertEqual(self.starts(self.tell(plan)), [])
+        self.now += 0.2
+        self.permit(0.4, timeout=0.75)
+        self.assertEqual(len(self.starts(self.tick())), 1)
+
+    def permit(self, seconds, timeout):
+        """Get a permission of another instance for its batches."""
+        until = self.now + seconds
+        self.tell(
+            pool_messages.PlanningPermitted(
+                "n-b", 1001, 1, until, until - timeout
+            )
+        )
+
     def test_token_stays_within_64_bits_after_many_fences(self):
         for _ in range(80):
             name = "x-a"
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -129,6 +129,8 @@
         self.assertEqual([msg.run for msg in stopped], list(self.running))
 
     def test_no_lease_outlasts_the_pause_of_a_caller_without_an_answer(self):
+        # Leases that a former planner may have renewed lapse first.
+        self.now += 0.5
         confirmed_at = self.now - 0.4
         self.permit(0.4, timeout=0.8)
         latest_end = confirmed_at + RESUBMIT_DELAY - planner_runs.END_TIME
