Crashes: count a run once though its executor restarts again

Runs of a restarted executor stay tracked until its new process has answered. If that crashed before it answered, they were counted as lost with it too, so that a task which had crashed one executor could be given up.

--- a/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
@@ -78,10 +78,14 @@
     """Record the runs on an executor that are about to be lost with it.
 
     The runs on an executor that shuts down end with it, which is no crash,
-    and one of unknown incarnation has started none since it was restarted.
+    and none was sent to a process that has not answered since its start.
     """
     spec = executor.spec
-    if not spec.incarnation or spec.state == executors.DRAINING:
+    if (
+        executor.restarted
+        or not spec.incarnation
+        or spec.state == executors.DRAINING
+    ):
         return []
     entries = [
         (run, task)
--- a/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
@@ -107,6 +107,23 @@
             )
         )
 
+    def test_run_is_lost_once_though_its_executor_restarts_twice(self):
+        start = self.start_task()
+        name = start.executor.name
+        reports = []
+        for incarnation in (2, 3):
+            self.specs[name] = self.specs[name]._replace(
+                incarnation=incarnation
+            )
+            reports += [
+                msg
+                for msg in self.list_executors()
+                if isinstance(msg, pool_messages.LossesReported)
+            ]
+        self.assertEqual(
+            {loss.incarnation for msg in reports for loss in msg.losses}, {1}
+        )
+
     def test_token_stays_within_64_bits_after_many_fences(self):
         for _ in range(80):
             name = "x-a"
