Planner: take over a batch by a list of executors read since then only

While the store turns some machines away, executors are added and a planner that sees the store runs tasks there. It is stopped; its successor was turned away, so that its list is old. It claims all executors that it knows, takes that for all there are, and starts the tasks again 0.3 s after it began to plan, beside the runs on executors that it does not know.

Cause: claims prove where no earlier planner has runs only for executors that are listed, and an old list counted as complete. Each list now says when its reading began, an unchanged one is confirmed, and claims count only if the list was read since the hand-over; it is read at once when a batch is taken over. Without the store, the batch waits for the longest lease, as with another shard.

Two tests of test_planner_permissions read the list again now, as the follower does.

--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -165,6 +165,7 @@
         if name not in state.listed and spec.state == executors.READY:
             state.unlisted[name] = (now, spec)
     state.listed_at = now
+    state.listed_as_of = max(state.listed_as_of, msg.as_of)
     if state.active_since is None:
         return []
     return [
@@ -173,6 +174,11 @@
     ]
 
 
+def _confirm_listing(state, msg, now):
+    state.listed_as_of = max(state.listed_as_of, msg.as_of)
+    return []
+
+
 def _is_revoked(state, msg):
     """Return whether a drop has revoked a hand-over, or a later one."""
     key = (state.origin_of(msg), msg.batch.name)
@@ -266,7 +272,11 @@
         return planner_dispatch.refuse_batch(state, plan, now)
     state.plans[plan.name] = plan
     _reattach_runs(state, plan, now)
+    listing = []
+    if plan.round > 0 and not plan.shard_changed:
+        listing = planner_roles.request_listing(state, now)
     return [
+        *listing,
         *_report_remote_origin(state, msg, plan),
         planner_log.decision(
             "batch planned",
@@ -381,6 +391,7 @@
     messages.TimerFired: _tick,
     pool_messages.FleetChanged: _update_fleet,
     pool_messages.ExecutorsListed: _update_listing,
+    pool_messages.ListingConfirmed: _confirm_listing,
     pool_messages.PlanBatch: _plan_batch,
     pool_messages.PlanningPermitted: planner_permissions.handle_permission,
     pool_messages.DropBatch: _handle_drop,
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -340,7 +340,9 @@
 
     The answer is no while an executor is missing from the listing that may
     be behind a partition and held by another planner, and for a planner
-    that claims only executors of its own failure domains.
+    that claims only executors of its own failure domains.  It is also no
+    until the listing was read since then: an older one may lack executors
+    that the other planner knew.
 
     Parameters
     ----------
@@ -348,7 +350,7 @@
         Takes an executor's listing entry; returns whether the executor is
         assigned to this planner.
     """
-    if state.minority_since is not None:
+    if state.minority_since is not None or state.listed_as_of < since:
         return False
     for name, (seen_at, _) in list(state.unlisted.items()):
         if now - seen_at > UNLISTED_TIME or name in state.listed:
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -23,6 +23,7 @@
     "is_assigned",
     "is_passive",
     "is_undecided",
+    "request_listing",
     "report_backlog",
     "update_role",
 ]
@@ -39,6 +40,9 @@
 PROBE_TIMEOUT = 0.3
 """Seconds until the results of all probes are known; a probe times out after
 0.25 s."""
+LISTING_REQUEST_INTERVAL = 0.1
+"""Minimum number of seconds between two requests to read the list of executors
+at once."""
 MAX_PROBES = 3
 """Maximum number of executors of other failure domains that are probed."""
 
@@ -205,6 +209,18 @@
     return {member.name for member in view.alive if member.shard_number < 0}
 
 
+def request_listing(state, now):
+    """Have the list of executors read at once, unless it was just asked for.
+
+    A planner that takes over a batch has to know every executor on which its
+    predecessor may have started a task.
+    """
+    if now < state.listing_requested_at + LISTING_REQUEST_INTERVAL:
+        return []
+    state.listing_requested_at = now
+    return [_set_listing_rate(True)]
+
+
 def _set_listing_rate(planning):
     msg = pool_messages.SetListingRate(planning)
     return messages.Send(pool_messages.LISTINGS, msg)
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -346,6 +346,11 @@
         be missing for a while."""
         self.listed_at: float | None = None
         """When the executors were last listed."""
+        self.listed_as_of = -math.inf
+        """When the last reading of the list began, also if it was unchanged
+        since."""
+        self.listing_requested_at = -math.inf
+        """When a reading of the list was last asked for."""
         self.unlisted: dict[str, tuple[float, executors.Executor]] = {}
         """Executors that are no longer listed, and since when, except those
         that were draining before."""
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -195,6 +195,7 @@
         self._available_at = self._clock()
 
     def _poll(self):
+        began = self._clock()
         if self._offset is None or not self._planning:
             records, self._offset = self._client.read_newest(EXECUTOR_TOPIC)
             present = {entry.key for entry in records}
@@ -216,7 +217,9 @@
         if before != self._executors or self._listing_due:
             self._listing_due = False
             listed = tuple(self._executors.values())
-            self._tell(pool_messages.ExecutorsListed(listed))
+            self._tell(pool_messages.ExecutorsListed(listed, began))
+        elif self._planning:
+            self._tell(pool_messages.ListingConfirmed(began))
         return PLANNING_INTERVAL if self._planning else IDLE_INTERVAL
 
     def _apply(self, record):
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -42,6 +42,7 @@
     "LISTINGS",
     "Leave",
     "LinkFailed",
+    "ListingConfirmed",
     "LossesReported",
     "OfferConfiguration",
     "Origin",
@@ -411,6 +412,16 @@
     """The current list of registered executors."""
 
     executors: tuple[executors.Executor, ...]
+    as_of: float
+    """When its reading began, in seconds of this instance's clock; an executor
+    that was registered by then is listed, unless it was removed."""
+
+
+class ListingConfirmed(NamedTuple):
+    """The list of registered executors was read again and is unchanged."""
+
+    as_of: float
+    """As in `ExecutorsListed`."""
 
 
 class RoutesConfigured(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/load_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/load_simulation.py
@@ -142,7 +142,7 @@
         self.receive = controller.receive
         member = planner_election.Member("n-a", "a", ("a", 1), 1)
         specs = tuple(each.spec for each in self.executors.values())
-        self.tell(pool_messages.ExecutorsListed(specs))
+        self.tell(pool_messages.ExecutorsListed(specs, self.now))
         self.tell(fleet_views.make_view(member, (member,), ()))
         self.tell(messages.TimerFired("start"))
 
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -304,6 +304,8 @@
         self.lags = {}
         """Seconds by which instances handle all that arrives too late."""
         self.store_up = True
+        self.rejected_by_store = set()
+        """Names of the instances that the store turns away."""
         self.duplicate_runs = []
         """Times, runs and executors of tasks that ran more than once at the
         same time."""
@@ -342,14 +344,15 @@
         return instance
 
     def send_listing(self, instance):
-        if self.store_up:
+        if self.store_up and instance.name not in self.rejected_by_store:
             specs = tuple(
                 executor.spec
                 for executor in self.executors.values()
                 if not executor.unreachable
             )
             instance.receive(
-                pool_messages.PLANNER, pool_messages.ExecutorsListed(specs)
+                pool_messages.PLANNER,
+                pool_messages.ExecutorsListed(specs, self.now),
             )
 
     def schedule(self, delay, action):
--- a/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
@@ -46,7 +46,9 @@
         return self.tell(messages.TimerFired("tick"), later)
 
     def list_executors(self):
-        listed = pool_messages.ExecutorsListed(tuple(self.specs.values()))
+        listed = pool_messages.ExecutorsListed(
+            tuple(self.specs.values()), self.now
+        )
         return self.tell(listed)
 
     def answer_hold(self, name, running=(), incarnation=1):
--- a/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
@@ -49,7 +49,7 @@
         self.tell(answer)
 
     def list_executors(self, *specs):
-        self.tell(pool_messages.ExecutorsListed(specs))
+        self.tell(pool_messages.ExecutorsListed(specs, self.now))
         self.tell(fleet_views.make_view(OWN_MEMBER, (OWN_MEMBER,), ()))
         self.tick()
 
--- a/packages/daemon/src/cardamompathd/tests/test_planner_leases.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_leases.py
@@ -34,7 +34,7 @@
             for name in ("x-a", "x-b")
         )
         own = planner_election.Member("n-a", "a", ("n-a", 1), 1000)
-        self.tell(pool_messages.ExecutorsListed(specs))
+        self.tell(pool_messages.ExecutorsListed(specs, self.now))
         sent = self.tell(fleet_views.make_view(own, (own,), ()))
         self.tokens = {
             msg.executor.name: msg.token
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -50,7 +50,7 @@
         )
         own = make_member("n-a", 1000)
         members = (own, make_member("n-b", ORIGIN_STARTED))
-        self.tell(pool_messages.ExecutorsListed((spec,)))
+        self.tell(pool_messages.ExecutorsListed((spec,), self.now))
         self.tell(fleet_views.make_view(own, members, ()))
         self.answer_hold()
 
@@ -200,7 +200,7 @@
         self.now += 0.1
         sent = self.plan(round_number=1, shard_changed=False)
         self.assertEqual(self.started(sent), [])
-        self.assertEqual(self.started(self.tick()), [])
+        self.assertEqual(self.started(self.confirm_listing()), [])
         # The first answer is to a hold that was sent before.
         self.assertEqual(self.started(self.answer_hold()), [])
         self.assertEqual(len(self.started(self.answer_hold())), 1)
@@ -219,9 +219,28 @@
         self.answer_hold()
         self.assertEqual(self.started(self.answer_hold()), [])
         self.now += 0.2
+        self.confirm_listing()
         self.answer_hold()
         self.assertEqual(len(self.started(self.answer_hold())), 1)
 
+    def confirm_listing(self):
+        """Read the list of executors again."""
+        return self.tell(pool_messages.ListingConfirmed(self.now))
+
+    def test_claim_waits_for_a_list_that_was_read_after_the_hand_over(self):
+        self.permit(9.0)
+        self.now += 0.1
+        sent = self.plan(round_number=1, shard_changed=False)
+        requests = self.kinds(sent, pool_messages.SetListingRate)
+        self.assertEqual([msg.planning for msg in requests], [True])
+        as_of = self.now - 0.01
+        self.now += 0.1
+        self.answer_hold()
+        self.answer_hold()
+        late = pool_messages.ListingConfirmed(as_of)
+        self.assertEqual(self.started(self.tell(late)), [])
+        self.assertEqual(len(self.started(self.confirm_listing())), 1)
+
     def test_stopped_run_is_not_renewed_for_a_batch_that_comes_back(self):
         self.permit(0.4)
         self.running = tuple(self.started(self.plan()))
--- a/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_roles.py
@@ -54,7 +54,7 @@
 
     def list_executors(self):
         specs = tuple(make_executor(domain) for domain in "abcd")
-        return self.tell(pool_messages.ExecutorsListed(specs))
+        return self.tell(pool_messages.ExecutorsListed(specs, self.now))
 
     def claimed_executors(self, sent):
         return {
--- a/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
+++ b/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
@@ -56,6 +56,23 @@
         adopted = self.simulation.instances["n-b"].decisions_of("run adopted")
         self.assertEqual(len(adopted), 4)
 
+    def test_successor_with_an_old_list_starts_no_task_a_second_time(self):
+        for name in ("n-b", "n-c"):
+            self.simulation.rejected_by_store.add(name)
+        added = pool_simulation.FakeExecutor(self.simulation, "x-new", "a")
+        self.simulation.executors["x-new"] = added
+        self.simulation.advance(0.5)
+        self.simulation.run_time = 0.3
+        self.simulation.submit(self.gateway_instance, "j0", 10)
+        self.simulation.advance(0.02)
+        self.simulation.run_time = 1.4
+        reply = self.simulation.submit(self.gateway_instance, "j1", 4, 9.0)
+        self.simulation.advance(0.4)
+        self.assertEqual(len(added.runs), 2)
+        self.planner_instance.alive = False
+        self.simulation.advance(4.0)
+        self.assert_state(reply, batches.COMPLETE)
+
     def test_successor_starts_no_dependent_task_beside_its_adopted_run(self):
         for run_time in (0.7, 1.5, 3.0):
             for planner_dies in (True, False):
--- a/packages/proof/src/cardamompath_proof/slopes/pool.py
+++ b/packages/proof/src/cardamompath_proof/slopes/pool.py
@@ -95,7 +95,7 @@
     specs = tuple(
         _make_executor(index, own.domain) for index in range(executor_count)
     )
-    pending = [*receive(pool_messages.ExecutorsListed(specs), 1.0)]
+    pending = [*receive(pool_messages.ExecutorsListed(specs, 1.0), 1.0)]
     pending += receive(fleet_views.make_view(own, (own,), ()), 1.0)
     for send in pending:
         if isinstance(send.msg, pool_messages.HoldExecutor):
