--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -48,6 +48,9 @@
 """Seconds that a call to a stand-in may take, which may be paused."""
 STORE_THREADS = 512
 """Four for each instance of the largest size are enough."""
+EXECUTORS_PATH = "/v1/log-newest?topic=keyed.servers&part=0"
+START_TIMEOUT = 120.0
+"""Seconds in which all executors have to be registered."""
 ENTRY_PATH = "/v1/log-append?topic=keyed.servers&part=0"
 
 
@@ -185,6 +188,7 @@
         self.publish(("r0",))
         for executor in self.executors:
             self.start_executor(executor)
+        self._await_executors()
         for instance in self.instances:
             self.start_instance(instance)
 
@@ -209,6 +213,21 @@
         processes.await_ready(f"{self.store_url}{store.READY_PATH}")
         return process
 
+    def _await_executors(self):
+        """Wait until all executors are registered.
+
+        A large run starts its instances then, or they would not be ready in
+        time.
+        """
+        url = f"{self.store_url}{EXECUTORS_PATH}"
+        give_up_at = clocks.boottime() + START_TIMEOUT
+        while clocks.boottime() < give_up_at:
+            found = self.http.request("GET", url).json()["items"]
+            if len(found) == len(self.executors):
+                return
+            time.sleep(0.2)
+        raise TimeoutError(f"{len(found)} executors after {START_TIMEOUT:g} s")
+
     def call_later(self, call: Callable[[], None] | None) -> None:
         """Queue a call to a stand-in; do not wait for it."""
         self._call_thread.calls.put(call)
