--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -222,7 +222,8 @@
     task.status = "waiting"
     task.executor_name = ""
     task.run = None
-    plan.waiting.appendleft(task)
+    if not plan.is_blocked(task.step):
+        plan.waiting.appendleft(task)
 
 
 def handle_run_end(state, executor, ended, now):
@@ -295,7 +296,8 @@
     task = plan.find_task(ended.run.step, ended.run.index)
     if task is None or task.status != "waiting":
         return []
-    plan.waiting.remove(task)
+    if task in plan.waiting:
+        plan.waiting.remove(task)
     return _complete_task(state, plan, task, now)
 
 
@@ -346,9 +348,11 @@
     return sends
 
 
-def report_outcome(state, name, origin, outcome):
+def report_outcome(state, name, origin, outcome, handover=0):
     """Return the message that tells an origin how its batch ended."""
-    msg = pool_messages.BatchEnded(name, origin.name, outcome, state.name)
+    msg = pool_messages.BatchEnded(
+        name, origin.name, outcome, state.name, handover
+    )
     if origin.name == state.name:
         return messages.Send(pool_messages.GATEWAY, msg)
     for member in state.fleet.alive:
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -26,6 +26,8 @@
 
 PORTS = range(1, 1 << 16)
 """Valid TCP port numbers."""
+MAX_TASKS = 10_000
+"""Largest number of tasks of a batch; several times that of a job."""
 MAX_BACKLOG_MS = (1 << 31) - 1
 """Largest backlog in milliseconds that a heartbeat carries."""
 MAX_CHECKED_ADDRESSES = 4096
@@ -103,6 +105,7 @@
     ended_planner: str = ""
     losses: list[LossFields] = []
     origin_started: int = 0
+    handover: int = 0
 
 
 class DropFields(NamedTuple):
@@ -111,6 +114,7 @@
     name: str
     origin: str
     origin_started: int = 0
+    handover: int = 0
 
 
 class EndedFields(NamedTuple):
@@ -122,6 +126,7 @@
     reason: str
     retry_after_us: int
     planner: str
+    handover: int = 0
 
 
 class LossesFields(NamedTuple):
@@ -206,9 +211,10 @@
     wire.TEXT,
     _LOSSES,
     wire.I64,
+    wire.I64,
 )
 wire.declare(LossesFields, wire.TEXT, _LOSSES)
-wire.declare(DropFields, wire.TEXT, wire.TEXT, wire.I64)
+wire.declare(DropFields, wire.TEXT, wire.TEXT, wire.I64, wire.I64)
 wire.declare(
     EndedFields,
     wire.TEXT,
@@ -217,6 +223,7 @@
     wire.TEXT,
     wire.I64,
     wire.TEXT,
+    wire.I64,
 )
 wire.declare(ConfigurationFields, wire.I64, wire.BINARY)
 
@@ -308,7 +315,7 @@
         fields.sent_ms / 1000.0,
         fields.planner_until_ms / 1000.0,
         fields.planner_term,
-        fields.planner_confirmed_ms / 1000.0,
+        _confirmed_ms(fields) / 1000.0,
     )
 
 
@@ -320,6 +327,13 @@
     return host, port
 
 
+def _confirmed_ms(fields):
+    """Return what a permission rests on; earlier versions do not tell it."""
+    if fields.planner_confirmed_ms or not fields.planner_until_ms:
+        return fields.planner_confirmed_ms
+    return fields.planner_until_ms - int(fleet_state.HEARTBEAT_TIMEOUT * 1e3)
+
+
 def _encode_plan(msg):
     batch = msg.batch
     policy = batch.policy
@@ -343,6 +357,7 @@
         msg.ended_planner,
         [LossFields(*loss) for loss in msg.losses],
         msg.origin_started,
+        msg.handover,
     )
 
 
@@ -371,6 +386,7 @@
         )
         for step in fields.steps
     )
+    _check_size([step.count for step in steps])
     policy = batches.RoutePolicy(
         fields.route,
         fields.service,
@@ -391,6 +407,7 @@
         fields.ended_planner,
         _decode_losses(fields.losses),
         fields.origin_started,
+        fields.handover,
     )
 
 
@@ -421,6 +438,11 @@
     )
 
 
+def _check_size(counts):
+    if min(counts, default=0) < 1 or sum(counts) > MAX_TASKS:
+        raise ValueError(f"steps of {counts} tasks")
+
+
 def _decode_drop(fields):
     return pool_messages.DropBatch(*fields)
 
@@ -434,6 +456,7 @@
         outcome.reason,
         _to_micros(outcome.retry_after),
         msg.planner,
+        msg.handover,
     )
 
 
@@ -442,7 +465,11 @@
         fields.state, fields.reason, fields.retry_after_us / 1e6
     )
     return pool_messages.BatchEnded(
-        fields.name, fields.origin, outcome, fields.planner
+        fields.name,
+        fields.origin,
+        outcome,
+        fields.planner,
+        fields.handover,
     )
 
 
