--- a/packages/proof/src/cardamompath_proof/soak/broken.py
+++ b/packages/proof/src/cardamompath_proof/soak/broken.py
@@ -15,6 +15,7 @@
 from cardamompath_core import executors
 from cardamompathd.controllers import gateway
 from cardamompathd.controllers import planner
+from cardamompathd.controllers import planner_crashes
 from cardamompathd.controllers import planner_leases
 from cardamompathd.controllers import planner_runs
 from cardamompathd.platform import program
@@ -85,6 +86,11 @@
     executors.fits = lambda needed, free: free.cpu > 0
 
 
+def _forget_crashes() -> None:
+    """Start a task again however many executors crashed under it."""
+    planner_crashes.note_losses = lambda state, name, losses, now: None
+
+
 def _replace_handler(old, new):
     for msg_type, handler in planner._HANDLERS.items():
         if handler is old:
@@ -98,6 +104,7 @@
     "cut at shutdown": _cut_at_shutdown,
     "deny starts": _deny_starts,
     "ignore capacity": _ignore_capacity,
+    "forget crashes": _forget_crashes,
 }
 
 
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -50,7 +50,7 @@
 """Four for each instance of the largest size are enough."""
 EXECUTORS_PATH = "/v1/log-newest?topic=keyed.servers&part=0"
 START_TIMEOUT = 120.0
-"""Seconds in which all executors have to be registered."""
+"""Seconds in which all processes have to be ready, also beside other load."""
 ENTRY_PATH = "/v1/log-append?topic=keyed.servers&part=0"
 
 
@@ -210,7 +210,9 @@
             process = processes.start(
                 "store", "cardamompath_standins.store", args, log
             )
-        processes.await_ready(f"{self.store_url}{store.READY_PATH}")
+        processes.await_ready(
+            f"{self.store_url}{store.READY_PATH}", START_TIMEOUT
+        )
         return process
 
     def _await_executors(self):
@@ -338,7 +340,8 @@
         """Wait until every instance is ready for callers."""
         for instance in self.instances:
             processes.await_ready(
-                f"http://{instance.address}:{fixtures.READY_PORT}/v1/readyz"
+                f"http://{instance.address}:{fixtures.READY_PORT}/v1/readyz",
+                START_TIMEOUT,
             )
 
     def stop(self) -> None:
