--- a/packages/proof/src/cardamompath_proof/soak/regressions.py
+++ b/packages/proof/src/cardamompath_proof/soak/regressions.py
@@ -109,6 +109,12 @@
         " planner counted as free; a task crashed executors without end",
         series_share=faults.SERIES_SHARE,
     ),
+    Case(
+        38,
+        "a crash was recorded 0.1 ms before the start that caused it, which"
+        " counted as one after that crash",
+        series_share=faults.SERIES_SHARE,
+    ),
     Case(
         45,
         "an answer of an instance that had started 0.9 s before counted as"
--- a/packages/standins/src/cardamompath_standins/executor.py
+++ b/packages/standins/src/cardamompath_standins/executor.py
@@ -177,7 +177,7 @@
         return [*sends, *_refuse(state, msg, "room", now)]
     end_at, end_state = _expected_end(state, spec, now)
     state.runs[task, attempt] = TaskRun(task, attempt, cpu, end_at, end_state)
-    _write_event(state, "start", state.runs[task, attempt], cpu=cpu)
+    _write_event(state, "start", state.runs[task, attempt], at=now, cpu=cpu)
     if end_at < math.inf:
         sends.append(_set_timer(end_at))
     if state.faults.get("mute", 0) > 0:
--- a/packages/standins/src/cardamompath_standins/tests/test_executor.py
+++ b/packages/standins/src/cardamompath_standins/tests/test_executor.py
@@ -159,6 +159,11 @@
         self.assertEqual(crashes, [10.2])
         self.assertEqual(self.lines[-1]["event"], "crash")
 
+    def test_crash_at_once_is_not_before_its_start(self):
+        self.start(crash_ms=0)
+        self.run_until(10.1)
+        self.assertEqual([line["at"] for line in self.lines], [10.0, 10.0])
+
     def test_capacity_shrinks_and_grows(self):
         announced = []
         self.make_executor(announce=announced.append)
