--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -40,6 +40,9 @@
 FENCED_PASSIVE_TIME = 5.0
 """Seconds for which a planner claims nothing after it was fenced while cut off
 from most members."""
+MAX_TOKEN_DOUBLINGS = 12
+"""Maximum number of doublings of `MIN_TOKEN_STEP`; clocks that are an hour
+apart are caught up with."""
 MIN_TOKEN_STEP = 1_000_000
 """Minimum increase of the token after a fence: one second of the clock from
 which tokens are made.  It doubles with each further fence, as the clocks of
@@ -91,6 +94,7 @@
         spec = executor.spec._replace(incarnation=msg.incarnation)
         sends += _handle_restart(state, executor, spec, now)
         return sends + _hold(state, executor, 0.0, now)
+    planner_crashes.record_answer(state, executor)
     if not executor.claimed or executor.suspect:
         sends.append(
             planner_log.decision(
@@ -101,6 +105,11 @@
                 ended=len(msg.ended),
             )
         )
+    if not executor.claimed:
+        # A former planner may have renewed the leases there just before.
+        executor.lease_end = max(
+            executor.lease_end, msg.clock + planner_runs.LEASE
+        )
     executor.claimed = True
     executor.fence_count = 0
     executor.restarted = False
@@ -275,7 +284,8 @@
         # A planner on the other side of the cut holds the executor.
         state.passive_until = now + FENCED_PASSIVE_TIME
         return [decision]
-    step = MIN_TOKEN_STEP * 2**executor.fence_count
+    doublings = min(executor.fence_count, MAX_TOKEN_DOUBLINGS)
+    step = MIN_TOKEN_STEP * 2**doublings
     executor.token = state.new_token(executor.spec.name, step)
     executor.fence_count += 1
     executor.retry_at = now + min(
@@ -395,5 +405,25 @@
                 before=previous.state,
             )
         )
+    if spec.capacity != previous.capacity:
+        sends += _change_capacity(executor, spec)
     executor.spec = spec
     return sends
+
+
+def _change_capacity(executor, spec):
+    """Count the resources that its runs leave free anew."""
+    executor.free_resources = executors.add(
+        executor.free_resources,
+        executors.subtract(spec.capacity, executor.spec.capacity),
+    )
+    return [
+        planner_log.decision(
+            "executor capacity",
+            executor=spec.name,
+            cpu=spec.capacity.cpu,
+            memory=spec.capacity.memory,
+            before=executor.spec.capacity,
+            free_cpu=executor.free_resources.cpu,
+        )
+    ]
