Soak: a start that fails leaves no process behind

A run of 201 processes on a busy machine gave up its start after 120 s, since entries had expired between two looks at the store, and its 151 processes lived on: the rig was not stopped while it was made. Each executor now has to have registered once, and what was started is ended in any case.

--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -163,7 +163,7 @@
         self.terminations: dict[str, list[tuple[float, float]]] = {}
         """Per instance: time of SIGTERM, and since when it was undisturbed."""
         self.store_port = processes.free_port()
-        self.store = self._start_store()
+        self.store: processes.ManagedProcess | None = None
         self.http = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT)
         self._publish = publications.make_publish(self.http, self.store_url)
         self._call_thread = _CallThread()
@@ -185,6 +185,10 @@
             for domain in range(size.domains)
             for index in range(size.instances)
         ]
+
+    def start(self) -> None:
+        """Start the store, the executors and, once they run, the instances."""
+        self._start_store()
         self.publish(("r0",))
         for executor in self.executors:
             self.start_executor(executor)
@@ -207,28 +211,28 @@
             str(STORE_THREADS),
         ]
         with open(self.folder / "store.log", "wb") as log:
-            process = processes.start(
+            self.store = processes.start(
                 "store", "cardamompath_standins.store", args, log
             )
         processes.await_ready(
             f"{self.store_url}{store.READY_PATH}", START_TIMEOUT
         )
-        return process
 
     def _await_executors(self):
-        """Wait until all executors are registered.
+        """Wait until each executor has registered.
 
         A large run starts its instances then, or they would not be ready in
         time.
         """
         url = f"{self.store_url}{EXECUTORS_PATH}"
+        missing = {executor.name for executor in self.executors}
         give_up_at = clocks.boottime() + START_TIMEOUT
-        while clocks.boottime() < give_up_at:
-            found = self.http.request("GET", url).json()["items"]
-            if len(found) == len(self.executors):
-                return
+        while missing and clocks.boottime() < give_up_at:
+            items = self.http.request("GET", url).json()["items"]
+            missing -= {item["key"] for item in items}
             time.sleep(0.2)
-        raise TimeoutError(f"{len(found)} executors after {START_TIMEOUT:g} s")
+        if missing:
+            raise TimeoutError(f"{missing!r} not after {START_TIMEOUT:g} s")
 
     def call_later(self, call: Callable[[], None] | None) -> None:
         """Queue a call to a stand-in; do not wait for it."""
@@ -345,19 +349,21 @@
             )
 
     def stop(self) -> None:
-        """Kill all processes and stop the proxies."""
+        """Kill all processes that were started, and stop the proxies."""
         self.call_later(None)
         targets = [*self.instances, *self.executors]
+        started = [
+            process.popen
+            for process in [*(each.process for each in targets), self.store]
+            if process is not None
+        ]
+        for popen in started:
+            popen.send_signal(signal.SIGCONT)
+            popen.kill()
+        for popen in started:
+            popen.wait()
         for target in targets:
-            target.process.popen.send_signal(signal.SIGCONT)
-        self.store.popen.send_signal(signal.SIGCONT)
-        for target in targets:
-            target.process.popen.kill()
-        self.store.popen.kill()
-        for target in targets:
-            target.process.popen.wait()
             target.proxy.stop()
-        self.store.popen.wait()
 
 
 @contextlib.contextmanager
@@ -386,6 +392,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         rig = Rig(folder, size, program, args, enforces_capacity)
         try:
+            rig.start()
             rig.await_ready()
             time.sleep(1.0)
             yield rig
