Soak: a short processor excuses no late answer

Takes back what let pass: the time in which some process waited for the processor was taken off an answer's time, which on a busy machine leaves the check without an effect. The bound holds as before; the measure is only printed. The test of that exemption goes with it.

--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -70,7 +70,7 @@
         records, stop_clients = clients.start(rig, case.seed, submitters)
         faults.inject(rig, plan, SETTLE_TIME)
         stop_clients()
-        rig.pressure = samples = stop_samples()
+        samples = stop_samples()
         end = clocks.boottime()
         submissions, queries = _drain_records(records)
         runs = checks.read_runs(rig.executors, end)
--- a/packages/proof/src/cardamompath_proof/soak/checks.py
+++ b/packages/proof/src/cardamompath_proof/soak/checks.py
@@ -14,7 +14,6 @@
 from typing import NamedTuple
 
 from cardamompath_proof.soak import clients
-from cardamompath_proof.soak import pressure
 from cardamompath_proof.soak import rig as rigs
 
 __all__ = [
@@ -316,8 +315,7 @@
     """Find answers that came after the client's timeout.
 
     Instances that were frozen during the request, or that started less than
-    `CONTACT_TIME` before it, are exempt.  Time in which processes waited for
-    the processor does not count.
+    `CONTACT_TIME` before it, are exempt.
     """
     exempt_spans = {
         inst.name: [
@@ -333,10 +331,7 @@
         f"answered late: {sub!r}"
         for sub in submissions
         if sub.status
-        and sub.ended
-        - sub.began
-        - pressure.waited(rig.pressure, sub.began, sub.ended)
-        > sub.timeout + ANSWER_TOLERANCE
+        and sub.ended - sub.began > sub.timeout + ANSWER_TOLERANCE
         and not any(
             began < sub.ended and until > sub.began
             for began, until in exempt_spans[sub.instance]
--- a/packages/proof/src/cardamompath_proof/soak/pressure.py
+++ b/packages/proof/src/cardamompath_proof/soak/pressure.py
@@ -1,7 +1,7 @@
 """How long processes wait for the processor while a soak runs.
 
-An instance that is not scheduled is slow for that alone; the soak cannot
-ask more of it than the machine gives.
+Printed with the result, to tell on what machine it was reached; no check
+depends on it.
 """
 
 from __future__ import annotations
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -21,7 +21,6 @@
 
 from cardamompath_proof import processes
 from cardamompath_proof import proxy
-from cardamompath_proof.soak import pressure
 from cardamompath_proof.soak import publications
 from cardamompath_standins import fixtures
 from cardamompath_standins import store
@@ -152,8 +151,6 @@
         self.enforces_capacity = enforces_capacity
         self.violations: list[str] = []
         """Violations found while the soak runs."""
-        self.pressure: list[pressure.Sample] = []
-        """Samples of a run that has ended."""
         self.crash_share = 0.0
         """Share of the jobs whose task crashes its executor."""
         self.last_fault_at = 0.0
--- a/packages/proof/src/cardamompath_proof/tests/test_soak.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_soak.py
@@ -45,7 +45,6 @@
     terminations=(),
     published=(),
     started_at=0.0,
-    samples=((0.0, 0.0), (100.0, 0.0)),
 ):
     instance = types.SimpleNamespace(
         name="i00",
@@ -59,7 +58,6 @@
         published=list(published),
         violations=[],
         last_fault_at=0.0,
-        pressure=[pressure.Sample(*sample) for sample in samples],
     )
 
 
@@ -185,17 +183,6 @@
             found = checks.check_timeouts([late], rig)
             self.assert_violations(found, count)
 
-    def test_answer_is_late_by_more_than_the_processor_was_short(self):
-        # Two soaks side by side, seeds 1 and 35, had late answers at the same
-        # times, beside other load.
-        late = make_submission(began=10.0, ended=14.2)
-        for total, count in ((0.1, 1), (0.3, 0)):
-            rig = make_rig(
-                samples=((9.0, 5.0), (10.0, 5.0), (14.2, 5 + total))
-            )
-            found = checks.check_timeouts([late], rig)
-            self.assert_violations(found, count)
-
     def test_waiting_between_two_samples(self):
         samples = [pressure.Sample(*each) for each in ((1, 0), (2, 1), (3, 1))]
         self.assertEqual(pressure.waited(samples, 1.5, 2.5), 0.5)
