--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -8,19 +8,15 @@
 from __future__ import annotations
 
 import math
-from typing import Any
 
 from cardamompath_core import batches
-from cardamompath_core import planner_election
-from cardamompath_core import routes
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import gateway_drops
 from cardamompathd.controllers import gateway_planners
-from cardamompathd.controllers import run_losses
+from cardamompathd.controllers import gateway_state
 
 __all__ = [
-    "GatewayState",
     "make_controller",
 ]
 
@@ -49,87 +45,6 @@
 )
 
 
-class _PendingBatch:
-    __slots__ = (
-        "batch",
-        "deadline",
-        "ended_planner",
-        "handed_over",
-        "handover",
-        "permitted_until",
-        "planner",
-        "refused_by",
-        "resend_at",
-        "round",
-        "shard",
-        "shard_changed",
-        "submitted_at",
-        "waiters",
-    )
-
-    def __init__(self, batch, waiter, timeout, now):
-        self.batch: batches.Batch = batch
-        self.waiters: list[Any] = [waiter]
-        """The `reply_to` of each caller that waits for the outcome."""
-        self.submitted_at = now
-        self.deadline = now + timeout
-        self.planner: planner_election.Member | None = None
-        self.shard: planner_election.Shard | None = None
-        self.shard_changed = False
-        """Whether its planners had different shards."""
-        self.refused_by: set[str] = set()
-        """Names of the planners that refused the batch."""
-        self.round = 0
-        """Number of earlier planners that may have started tasks of it."""
-        self.handed_over = False
-        self.handover = 0
-        """Number of its last hand-over to another planner."""
-        self.permitted_until = 0.0
-        """Until when one of its former planners may start tasks of it."""
-        self.ended_planner = ""
-        """Name of the only one of these, if it told that it does not plan."""
-        self.resend_at = now + gateway_planners.RESEND_INTERVAL
-
-
-class GatewayState:
-    """The routes, the pending batches and the known planners."""
-
-    def __init__(self, name: str, domain: str):
-        self.name = name
-        self.domain = domain
-        self.started = 0
-        """Start time of this process, in milliseconds since 1970."""
-        self.route_table: routes.RouteTable | None = None
-        self.document = b""
-        """The configuration in force, as it was published."""
-        self.offered_at: dict[tuple[str, int], float] = {}
-        """When the configuration was last offered to each address."""
-        self.pending: dict[str, _PendingBatch] = {}
-        self.batch_by_waiter: dict[Any, str] = {}
-        self.alive: tuple[planner_election.Member, ...] = ()
-        self.missing: tuple[planner_election.Member, ...] = ()
-        self.had_remote_planners = False
-        """Whether the fleet has ever planned by failure domain."""
-        self.assignment = planner_election.PlannerAssignment()
-        self.planner_terms: dict[tuple[str, int], int] = {}
-        """Number of the term of each planner, by its name and start time."""
-        self.backlogs: dict[str, float] = {}
-        """Backlog in seconds by the name of the planner."""
-        self.last_handover = 0
-        """Number of the last hand-over of any batch."""
-        self.drops: dict[tuple[str, str, int], gateway_drops.PendingDrop] = {}
-        """Drops that were not acknowledged, by the batch and by the name and
-        the start time of the planner."""
-        self.losses = run_losses.LossMemory()
-        """Losses that planners reported, also of batches of other instances,
-        which may be submitted here next."""
-        self.leaving = False
-        self.answer_by = math.inf
-        """When every caller has to have an answer, as the instance stops."""
-        self.timer_set = False
-        """Whether a timer is set that sends batches again."""
-
-
 def make_controller(name: str, domain: str = "") -> messages.Controller:
     """Make the controller of the batches whose callers wait here.
 
@@ -138,7 +53,7 @@
     name, domain : str
         Name of this instance and of its failure domain.
     """
-    state = GatewayState(name, domain)
+    state = gateway_state.GatewayState(name, domain)
 
     def receive(msg, now):
         handler = _HANDLERS.get(type(msg))
@@ -165,7 +80,7 @@
         existing.waiters.append(msg.reply_to)
         return ()
     batch = batches.Batch(name, msg.spec, msg.steps, route.policy)
-    pending = state.pending[name] = _PendingBatch(
+    pending = state.pending[name] = gateway_state.PendingBatch(
         batch, msg.reply_to, timeout, now
     )
     sends = gateway_planners.hand_over(state, pending, now)
@@ -312,14 +227,6 @@
     return sends
 
 
-def _has_planner(state, pending):
-    """Return whether the planner of a batch still plans."""
-    return any(
-        gateway_planners.is_same_incarnation(planner, pending.planner)
-        for planner in state.assignment.planners
-    )
-
-
 def _handle_end(state, msg, now):
     outcome = msg.outcome
     if outcome.state == batches.CANCELLED:
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_state.py
@@ -0,0 +1,101 @@
+"""State of a gateway: routes in force, and batches whose callers wait."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from cardamompath_core import batches
+from cardamompath_core import planner_election
+from cardamompath_core import routes
+from cardamompathd.controllers import gateway_drops
+from cardamompathd.controllers import gateway_planners
+from cardamompathd.controllers import run_losses
+
+__all__ = [
+    "GatewayState",
+    "PendingBatch",
+]
+
+
+class PendingBatch:
+    """A batch whose callers wait at this instance."""
+
+    __slots__ = (
+        "batch",
+        "deadline",
+        "ended_planner",
+        "handed_over",
+        "handover",
+        "permitted_until",
+        "planner",
+        "refused_by",
+        "resend_at",
+        "round",
+        "shard",
+        "shard_changed",
+        "submitted_at",
+        "waiters",
+    )
+
+    def __init__(self, batch, waiter, timeout, now):
+        self.batch: batches.Batch = batch
+        self.waiters: list[Any] = [waiter]
+        """The `reply_to` of each caller that waits for the outcome."""
+        self.submitted_at = now
+        self.deadline = now + timeout
+        self.planner: planner_election.Member | None = None
+        self.shard: planner_election.Shard | None = None
+        self.shard_changed = False
+        """Whether its planners had different shards."""
+        self.refused_by: set[str] = set()
+        """Names of the planners that refused the batch."""
+        self.round = 0
+        """Number of earlier planners that may have started tasks of it."""
+        self.handed_over = False
+        self.handover = 0
+        """Number of its last hand-over to another planner."""
+        self.permitted_until = 0.0
+        """Until when one of its former planners may start tasks of it."""
+        self.ended_planner = ""
+        """Name of the only one of these, if it told that it does not plan."""
+        self.resend_at = now + gateway_planners.RESEND_INTERVAL
+
+
+class GatewayState:
+    """The routes, the pending batches and the known planners."""
+
+    def __init__(self, name: str, domain: str):
+        self.name = name
+        self.domain = domain
+        self.started = 0
+        """Start time of this process, in milliseconds since 1970."""
+        self.route_table: routes.RouteTable | None = None
+        self.document = b""
+        """The configuration in force, as it was published."""
+        self.offered_at: dict[tuple[str, int], float] = {}
+        """When the configuration was last offered to each address."""
+        self.pending: dict[str, PendingBatch] = {}
+        self.batch_by_waiter: dict[Any, str] = {}
+        self.alive: tuple[planner_election.Member, ...] = ()
+        self.missing: tuple[planner_election.Member, ...] = ()
+        self.had_remote_planners = False
+        """Whether the fleet has ever planned by failure domain."""
+        self.assignment = planner_election.PlannerAssignment()
+        self.planner_terms: dict[tuple[str, int], int] = {}
+        """Number of the term of each planner, by its name and start time."""
+        self.backlogs: dict[str, float] = {}
+        """Backlog in seconds by the name of the planner."""
+        self.last_handover = 0
+        """Number of the last hand-over of any batch."""
+        self.drops: dict[tuple[str, str, int], gateway_drops.PendingDrop] = {}
+        """Drops that were not acknowledged, by the batch and by the name and
+        the start time of the planner."""
+        self.losses = run_losses.LossMemory()
+        """Losses that planners reported, also of batches of other instances,
+        which may be submitted here next."""
+        self.leaving = False
+        self.answer_by = math.inf
+        """When every caller has to have an answer, as the instance stops."""
+        self.timer_set = False
+        """Whether a timer is set that sends batches again."""
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -111,7 +111,7 @@
         send = pool_codec.decode(pool_codec.encode(heartbeat))
         self.assertEqual(send.msg, pool_messages.HeartbeatReceived(*heartbeat))
 
-    def test_permission_of_the_landed_version_allows_a_lease(self):
+    def test_permission_of_an_earlier_version_allows_a_lease(self):
         member = planner_election.Member("n-1", "a", ("127.0.0.1", 1), 1)
         for confirmed_at, expected in ((4.6, 4.6), (0.0, 4.55)):
             heartbeat = fleet_state.Heartbeat(
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -268,7 +268,7 @@
         msg = pool_messages.DropBatch(name, "n-b", ORIGIN_STARTED, handover)
         return self.tell(msg)
 
-    def test_drop_of_the_landed_version_is_not_answered(self):
+    def test_drop_of_an_earlier_version_is_not_answered(self):
         self.permit(0.4)
         self.plan()
         sent = self.tell(pool_messages.DropBatch("j", "n-b"))
