--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -58,18 +58,6 @@
 """The same for the fields of a job."""
 
 
-_INVALID = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
-"""What a document of any shape can raise: infinite numbers, nesting that is
-too deep, and fields that are missing or of another type."""
-
-
 def parse_configuration(raw: bytes) -> routes.RouteTable:
     """Parse a published configuration.
 
@@ -86,7 +74,7 @@
         ]
         version = _check_range(int(doc["version"]), MAX_VERSION)
         return routes.make_table(version, parsed, services)
-    except _INVALID as exc:
+    except errors.MALFORMED as exc:
         raise errors.BadDocument(_describe("configuration", exc)) from exc
 
 
@@ -136,7 +124,7 @@
             parse_resources(capacity),
             _parse_labels(doc.get("labels", [])),
         )
-    except _INVALID as exc:
+    except errors.MALFORMED as exc:
         raise errors.BadDocument(_describe(f"executor {name!r}", exc)) from exc
 
 
@@ -191,7 +179,7 @@
         if not isinstance(phases, list) or not phases:
             raise TypeError("phases is not a non-empty list")
         steps = tuple(_parse_step(*phase) for phase in enumerate(phases))
-    except _INVALID as exc:
+    except errors.MALFORMED as exc:
         raise errors.BadDocument(_describe("job", exc)) from exc
     tasks = sum(step.count for step in steps)
     if tasks > MAX_TASKS:
--- a/packages/daemon/src/cardamompathd/platform/errors.py
+++ b/packages/daemon/src/cardamompathd/platform/errors.py
@@ -6,10 +6,22 @@
     "AdapterError",
     "BadDocument",
     "BadSettings",
+    "MALFORMED",
     "RecordsExpired",
     "StoreUnavailable",
 ]
 
+MALFORMED = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""What reading a document of any shape can raise: infinite numbers, nesting
+that is too deep, and fields that are missing or of another type."""
+
 
 class AdapterError(Exception):
     """Base class of the adapter's errors."""
--- a/packages/daemon/src/cardamompathd/platform/settings.py
+++ b/packages/daemon/src/cardamompathd/platform/settings.py
@@ -26,17 +26,6 @@
 """Valid TCP port numbers."""
 
 
-_INVALID = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
-"""What a file of any shape can raise."""
-
-
 class Settings(NamedTuple):
     """The settings that the daemon uses."""
 
@@ -89,7 +78,7 @@
             _parse_factor(bounds.get("remote_factor", 1.0)),
             _read_resubmit_delay(bounds),
         )
-    except (OSError, *_INVALID) as exc:
+    except (OSError, *errors.MALFORMED) as exc:
         raise errors.BadSettings(f"{path}: {exc!r}") from exc
 
 
