--- a/packages/daemon/src/cardamompathd/platform/__main__.py
+++ b/packages/daemon/src/cardamompathd/platform/__main__.py
@@ -1,9 +1,19 @@
 """Starts an instance: ``python3 -m cardamompathd.platform``."""
 
 import os
+import signal
+
+
+def _main():
+    # Until the modules are loaded, a signal to reload would end the process.
+    signal.pthread_sigmask(
+        signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    )
+    from cardamompathd.platform import program
+
+    return program.main()
 
-from cardamompathd.platform import program
 
 if __name__ == "__main__":
     # Exits at once: listener threads may still wait for idle connections.
-    os._exit(program.main())
+    os._exit(_main())
--- a/packages/daemon/src/cardamompathd/tests/test_platform_program.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_program.py
@@ -54,6 +54,21 @@
                 self.assertEqual(len(tokens), 2)
 
 
+class EarlySignalTest(unittest.TestCase):
+    def test_signal_to_reload_does_not_end_a_process_that_starts(self):
+        code = (
+            "import runpy, signal, sys, types; "
+            "stub = types.SimpleNamespace(main=lambda: len("
+            "signal.pthread_sigmask(signal.SIG_BLOCK, ()))); "
+            "sys.modules['cardamompathd.platform.program'] = stub; "
+            "import cardamompathd.platform as package; "
+            "package.program = stub; "
+            "runpy.run_module('cardamompathd.platform', run_name='__main__')"
+        )
+        run = subprocess.run([sys.executable, "-c", code], check=False)
+        self.assertEqual(run.returncode, 3)
+
+
 class SignalTest(unittest.TestCase):
     def run_until_stopped(self, numbers, load):
         received = queue.SimpleQueue()
--- a/packages/proof/src/cardamompath_proof/soak/regressions.py
+++ b/packages/proof/src/cardamompath_proof/soak/regressions.py
@@ -121,6 +121,12 @@
         " late",
         series_share=faults.SERIES_SHARE,
     ),
+    Case(
+        49,
+        "a signal to reload ended an instance that was still loading its"
+        " modules",
+        series_share=faults.SERIES_SHARE,
+    ),
     Case(
         126,
         "an instance exited 5.2 s after its SIGTERM while a caller waited",
