Leases: a planner knows those that it gave before it claims again

A start without an answer makes a planner claim its executor again. It then counted the leases there as longest, as those of a former planner, and batches with an older permission found no executor for up to a quarter of a second. Only a first claim, and one after a fence, is of leases that it does not know.

--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -105,8 +107,8 @@
                 ended=len(msg.ended),
             )
         )
-    if not executor.claimed:
-        # A former planner may have renewed the leases there just before.
+    if executor.fence_count > 0 or executor.confirmed_at == -math.inf:
+        # Another planner may have renewed the leases there just before.
         executor.lease_end = max(
             executor.lease_end, msg.clock + planner_runs.LEASE
         )
