--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -107,8 +107,12 @@
                 ended=len(msg.ended),
             )
         )
-    if executor.fence_count > 0 or executor.confirmed_at == -math.inf:
-        # Another planner may have renewed the leases there just before.
+    if (
+        executor.restarted
+        or executor.fence_count > 0
+        or executor.confirmed_at == -math.inf
+    ):
+        # Leases that others gave, or late starts to a new process.
         executor.lease_end = max(
             executor.lease_end, msg.clock + planner_runs.LEASE
         )
