--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -221,14 +221,16 @@
         self.start_at(address, after_reopening := queue.SimpleQueue())
         drop = pool_messages.DropBatch("b", "n-1")
         self.tell(ref, pool_messages.SendToMember(address, drop))
-        for _ in range(2):
+        send = None
+        for _ in range(100):
+            # The other side may not listen yet.
             self.now += links.CONNECT_TIMEOUT + links.REOPEN_DELAY
             ref.tell(inboxes.DeadlineReached())
-        send = None
-        while send is None:
             self.tell(ref, pool_messages.SendToMember(address, drop))
             with contextlib.suppress(queue.Empty):
                 send = after_reopening.get(timeout=0.1)
+                break
+        self.assertIsNotNone(send)
         self.assertEqual(send.msg, drop)
 
     def test_broken_link_is_reopened(self):
