review: a new planner takes an incomplete list of executors for complete

Cause: a planner that was started while the store was away knows nothing of the entries that expired meanwhile. It claims the executors that are back in the list and starts tasks at once, beside runs on the others.

--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -139,6 +139,13 @@
         self.port = free_port()
         self._expiry = None
         self.version = 0
+        self.down = False
+        """Whether the store refuses all calls."""
+
+    def set_down(self, down):
+        """Refuse all calls with 503, also the pings; or serve them again."""
+        self.down = down
+        self.record("store", down=down)
 
     async def start(self):
         await self.server.listen("127.0.0.1", self.port)
@@ -154,8 +161,12 @@
         return len(records)
 
     async def write_entry(self, name, entry):
+        """Write the entry of an executor; return whether it was taken."""
+        if self.down:
+            return False
         self.pings[name] = now()
         await self.append("keyed.servers", name, json.dumps(entry).encode())
+        return True
 
     async def publish(self, document):
         self.version += random.randrange(1, 5)
@@ -173,6 +184,8 @@
 
     async def _handle(self, method, target, headers, body):
         await asyncio.sleep(STORE_ANSWER_TIME)
+        if self.down:
+            return 503, b"{}"
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         records = self.topics.setdefault(query.get("topic", ""), [])
@@ -286,6 +299,7 @@
             "boot", executor=self.name, kind=self.kind, born=self.born
         )
         self._ping = asyncio.create_task(self._register())
+        await asyncio.sleep(0)
         await self.server.listen("127.0.0.1", self.port)
 
     async def crash(self):
@@ -307,7 +321,8 @@
     async def _register(self):
         while True:
             await self._write_entry()
-            await asyncio.sleep(HEARTBEAT)
+            # Pings are only approximately regular.
+            await asyncio.sleep(HEARTBEAT * random.uniform(0.9, 1.0))
 
     async def _write_entry(self):
         entry = {
@@ -323,9 +338,9 @@
             "born": self.born,
             "seq_no": int(now() * 1000),
         }
-        await self.store.write_entry(self.name, entry)
+        taken = await self.store.write_entry(self.name, entry)
         self.record(
-            "registered",
+            "registered" if taken else "not registered",
             executor=self.name,
             kind=self.kind,
             state=self.state,
@@ -557,7 +572,9 @@
 """
 
 
-async def request(address, method, path, host, body=None, wait=30.0):
+async def request(
+    address, method, path, host, body=None, wait=30.0, margin=0.5
+):
     """Send one request on a new channel; return status and document.
 
     The status is 0 if no answer came within the wait and a margin.
@@ -577,7 +594,7 @@
             f"Content-Length: {len(raw)}\r\n\r\n"
         )
         writer.write(head.encode() + raw)
-        reply = await asyncio.wait_for(read_message(reader), wait + 0.5)
+        reply = await asyncio.wait_for(read_message(reader), wait + margin)
         if reply is None:
             return 0, {}
         first, _, payload = reply
@@ -646,6 +663,7 @@
         )
         for executor in self.executors:
             await executor.boot()
+            await asyncio.sleep(HEARTBEAT / len(self.executors))
         for daemon in self.daemons:
             self.start_daemon(daemon)
         deadline = now() + 30.0
@@ -673,11 +691,17 @@
         finally:
             writer.transport.abort()
 
-    async def submit(self, daemon, job, body, wait=30.0):
+    async def submit(self, daemon, job, body, wait=30.0, margin=0.5):
         """Submit a job on a new channel to a daemon."""
         self.record("post", job=job, daemon=daemon.name)
         status, doc = await request(
-            daemon.address, "POST", self.PREFIX + job, self.HOST, body, wait
+            daemon.address,
+            "POST",
+            self.PREFIX + job,
+            self.HOST,
+            body,
+            wait,
+            margin,
         )
         self.record(
             "answer", job=job, daemon=daemon.name, status=status, doc=doc
@@ -698,15 +722,19 @@
         )
         return status
 
-    def planner(self):
-        """Return the daemon that began to plan last, by its log."""
-        found = None
+    def planners(self):
+        """Return the daemons that plan, by their logs."""
+        found = []
         for daemon in self.daemons:
             text = daemon.log_text()
             if text.rfind("began to plan") > text.rfind("ended to plan"):
-                found = daemon
+                found.append(daemon)
         return found
 
+    def planner(self):
+        """Return one of the daemons that plan."""
+        return self.planners()[-1]
+
     async def stop(self):
         """End all processes that were started."""
         for daemon in self.daemons:
