Planner: a successor compares what it holds with what its predecessor held

Cause: all_claimed decided by the process's own list, and what was known of vanished entries lived only in processes that were up before. A fresh list and a fixed pause after an outage cannot tell either.

Now planners announce a digest of the executors that they hold; the instance whose caller waits hands it on with the batch, and a successor starts at once only if it has claimed all of them. An executor that is added later is used for an instance once that has confirmed it. Lists tell whether they are complete, so that no batch fails for want of an executor that is only not listed; the follower no longer drops entries that may have expired in an outage between two reads.

Two tests of the former guards are replaced: claim_waits_for_a_list_that_was_read_after... by one that waits for the executors of the former planner, and missing_entry_is_removed_at_once... now reads for 2.5 s first, as a process that has just started cannot know that there was no outage.

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -160,6 +160,7 @@
         state.backlog,
         now if state.own_member.shard_number >= 0 else 0.0,
         *permission,
+        state.executors_digest,
     )
     msg = pool_messages.SendToMembers(addresses, heartbeat)
     return messages.Send(pool_messages.LINKS, msg)
@@ -216,7 +217,24 @@
     if msg.config_version < state.config_version:
         offer = pool_messages.OfferConfiguration(member.address)
         sends.append(messages.Send(pool_messages.GATEWAY, offer))
-    return sends + (fleet_views.publish(state, now) if changed else [])
+    if changed:
+        sends += fleet_views.publish(state, now)
+    return sends + _report_executors(peer, msg)
+
+
+def _report_executors(peer, msg):
+    """Tell the gateway which executors a planner holds, if that changed.
+
+    A planner that ends is handed no more batches before what it held is
+    forgotten.
+    """
+    if peer.executors_digest == msg.executors_digest:
+        return []
+    peer.executors_digest = msg.executors_digest
+    held = pool_messages.ExecutorsHeld(
+        peer.member.name, peer.member.started, msg.executors_digest
+    )
+    return [messages.Send(pool_messages.GATEWAY, held)]
 
 
 def _handle_link_failure(state, msg, now):
@@ -267,6 +285,11 @@
     return ()
 
 
+def _set_executors(state, msg, _):
+    state.executors_digest = msg.digest
+    return ()
+
+
 def _note_pending_drops(state, msg, _):
     if not msg.pending:
         state.drops_pending.pop(msg.planner, None)
@@ -292,6 +315,7 @@
     pool_messages.Leave: _leave,
     pool_messages.ConfigurationInForce: _set_config_version,
     pool_messages.BacklogMeasured: _set_backlog,
+    pool_messages.ExecutorsHeld: _set_executors,
     pool_messages.DropsPending: _note_pending_drops,
     pool_messages.RemotePeerUsed: _add_remote_peer,
     pool_messages.ShardChanged: _set_shard,
--- a/packages/daemon/src/cardamompathd/controllers/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet_state.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
 
 __all__ = [
@@ -44,6 +45,8 @@
     planner_confirmed_at: float = 0.0
     """When the receiver sent the last heartbeat that had arrived before, in
     seconds of its clock."""
+    executors_digest: int = executor_digests.UNKNOWN
+    """See `ExecutorsHeld`."""
 
 
 class Peer:
@@ -52,6 +55,7 @@
     __slots__ = (
         "alive",
         "dead",
+        "executors_digest",
         "found_at",
         "heard_at",
         "member",
@@ -72,6 +76,8 @@
         """When its last heartbeat was sent, in seconds of its clock."""
         self.reported_backlog: float | None = None
         """The backlog that was last reported to the gateway, in seconds."""
+        self.executors_digest = executor_digests.UNKNOWN
+        """Of the executors that it holds, as last reported to the gateway."""
 
 
 class FleetState:
@@ -81,6 +87,8 @@
         self.own_member = own_member
         self.config_version = 0
         self.backlog = 0.0
+        self.executors_digest = executor_digests.UNKNOWN
+        """Of the executors that the planner of this instance holds."""
         self.peers: dict[str, Peer] = {}
         self.addresses: dict[tuple[str, int], float] = {}
         """When the last heartbeat was sent to each address."""
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -10,6 +10,7 @@
 import math
 
 from cardamompath_core import batches
+from cardamompath_core import executor_digests
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import gateway_drops
@@ -297,6 +298,7 @@
             for planner in planners
         ):
             sends += gateway_planners.hand_over(state, pending, now)
+    _forget_executors(state)
     return sends
 
 
@@ -328,6 +330,25 @@
     ]
 
 
+def _note_executors(state, msg, _):
+    key = (msg.name, msg.started)
+    if msg.digest == executor_digests.UNKNOWN:
+        state.executors_held.pop(key, None)
+    else:
+        state.executors_held[key] = msg.digest
+    return ()
+
+
+def _forget_executors(state):
+    """Forget what planners held that are neither alive nor missing."""
+    members = {
+        (member.name, member.started)
+        for member in (*state.alive, *state.missing)
+    }
+    for key in state.executors_held.keys() - members:
+        del state.executors_held[key]
+
+
 def _note_losses(state, msg, _):
     state.losses.add(msg.batch, msg.losses)
     return ()
@@ -403,6 +424,7 @@
     pool_messages.BatchEnded: _handle_end,
     pool_messages.FleetChanged: _update_fleet,
     pool_messages.BacklogChanged: _update_backlog,
+    pool_messages.ExecutorsHeld: _note_executors,
     pool_messages.LossesReported: _note_losses,
     messages.TimerFired: _handle_timer,
 }
--- a/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
@@ -63,6 +63,7 @@
         state.losses.of_batch(pending.batch.name),
         state.started,
         pending.handover,
+        tuple(sorted(pending.former_executors)),
     )
     return [*sends, send_to(state, planner, msg)]
 
@@ -71,6 +72,7 @@
     """Note what the former planner of a batch may still do."""
     former = pending.planner
     pending.ended_planner = ""
+    pending.former_executors.add(state.executors_of(former))
     if not _has_ended(state, former):
         pending.permitted_until = max(
             pending.permitted_until, now + _permitted_time(state, former)
--- a/packages/daemon/src/cardamompathd/controllers/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_state.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from cardamompath_core import batches
+from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
 from cardamompath_core import routes
 from cardamompathd.controllers import gateway_drops
@@ -25,6 +26,7 @@
         "batch",
         "deadline",
         "ended_planner",
+        "former_executors",
         "handed_over",
         "handover",
         "permitted_until",
@@ -55,6 +57,8 @@
         self.handed_over = False
         self.handover = 0
         """Number of its last hand-over to another planner."""
+        self.former_executors: set[int] = set()
+        """Digests of the executors of the planners that it was taken from."""
         self.permitted_until = 0.0
         """Until when one of its former planners may start tasks of it."""
         self.ended_planner = ""
@@ -86,6 +90,9 @@
         """Number of the term of each planner, by its name and start time."""
         self.backlogs: dict[str, float] = {}
         """Backlog in seconds by the name of the planner."""
+        self.executors_held: dict[tuple[str, int], int] = {}
+        """Digest of the executors that a planner holds, by its name and start
+        time; see `ExecutorsHeld`."""
         self.last_handover = 0
         """Number of the last hand-over of any batch."""
         self.drops: dict[tuple[str, str, int], gateway_drops.PendingDrop] = {}
@@ -99,3 +106,9 @@
         """When every caller has to have an answer, as the instance stops."""
         self.timer_set = False
         """Whether a timer is set that sends batches again."""
+
+    def executors_of(self, planner: planner_election.Member) -> int:
+        """Return the digest of the executors that a planner holds."""
+        return self.executors_held.get(
+            (planner.name, planner.started), executor_digests.UNKNOWN
+        )
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from cardamompath_core import batches
+from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -98,6 +99,7 @@
     sends += planner_permissions.drop_unpermitted(state, now)
     planner_permissions.update_common_lease(state, now)
     sends += planner_leases.check_leases(state, now)
+    sends += planner_roles.announce_executors(state)
     sends += _give_up_batches(state, now)
     if now >= state.reviewed_at + REVIEW_INTERVAL:
         state.reviewed_at = now
@@ -156,28 +158,31 @@
 
 
 def _update_listing(state, msg, now):
-    previous = state.listed
     state.listed = {entry.name: entry for entry in msg.executors}
     for spec in msg.executors:
         known = state.largest_capacities[spec.service]
         if not any(executors.fits(spec.capacity, each) for each in known):
             known.append(spec.capacity)
-    for name, spec in previous.items():
-        if name not in state.listed and spec.state == executors.READY:
-            state.unlisted[name] = (now, spec)
     state.listed_at = now
-    state.listed_as_of = max(state.listed_as_of, msg.as_of)
+    state.listing_complete = msg.is_complete
     if state.active_since is None:
         return []
     return [
         *planner_crashes.record_listing(state),
         *planner_roles.claim_assigned(state, now),
+        *_fail_unfit_batches(state, now),
     ]
 
 
-def _confirm_listing(state, msg, now):
-    state.listed_as_of = max(state.listed_as_of, msg.as_of)
-    return []
+def _fail_unfit_batches(state, now):
+    """End the batches that turn out to fit no executor."""
+    sends = []
+    for plan in list(state.plans.values()):
+        reason = _unfit_reason(state, plan)
+        if reason:
+            outcome = batches.Outcome(batches.FAILED, reason)
+            sends += planner_runs.finish_batch(state, plan, outcome, now)
+    return sends
 
 
 def _is_revoked(state, msg):
@@ -202,7 +207,7 @@
     sends = []
     if plan is not None:
         if plan.origins.get(origin, msg.term) >= msg.term:
-            _add_origin(plan, origin, msg, now)
+            _add_origin(state, plan, origin, msg, now)
             return []
         # The sender gave this planner up meanwhile; another one may have run
         # tasks of the batch since.
@@ -223,13 +228,14 @@
     return []
 
 
-def _add_origin(plan, origin, msg, now):
+def _add_origin(state, plan, origin, msg, now):
     """Add an instance that also answers a caller of a batch."""
     plan.handovers[origin] = max(plan.handovers.get(origin, 0), msg.handover)
     if origin not in plan.origins:
         plan.origins[origin] = msg.term
         plan.round = max(plan.round, msg.round)
         plan.shard_changed |= msg.shard_changed
+        plan.former_executors.update(_former_digests(state, msg))
         plan.permitted_until = max(
             plan.permitted_until, now + msg.permitted_time
         )
@@ -255,7 +261,8 @@
 def _accept_batch(state, msg, now):
     # Runs that this planner started and dropped count like those of others.
     msg = msg._replace(
-        round=msg.round + state.dropped_counts.get(msg.batch.name, 0)
+        former_executors=_former_digests(state, msg),
+        round=msg.round + state.dropped_counts.get(msg.batch.name, 0),
     )
     first_attempt = msg.round * planner_runs.ATTEMPT_SKIP
     plan = planner_state.Plan(msg, state.origin_of(msg), first_attempt, now)
@@ -274,7 +281,7 @@
     state.plans[plan.name] = plan
     _reattach_runs(state, plan, now)
     listing = []
-    if plan.round > 0 and not plan.shard_changed:
+    if planner_leases.former_executors(state, plan) is None:
         listing = planner_roles.request_listing(state, now)
     return [
         *listing,
@@ -291,6 +298,19 @@
     ]
 
 
+def _former_digests(state, msg):
+    """Return the digests of the executors of all earlier planners.
+
+    What this planner held in an earlier term is not known any more.
+    """
+    known = msg.former_executors
+    if msg.batch.name in state.dropped_in_former_terms or (
+        msg.round > 0 and not known
+    ):
+        return (*known, executor_digests.UNKNOWN)
+    return known
+
+
 def _report_remote_origin(state, msg, plan):
     """Have heartbeats sent often to an origin in another failure domain."""
     if not state.assignment.by_domain:
@@ -338,9 +358,12 @@
 
 
 def _unfit_reason(state, plan):
-    """Return why no executor can ever run a batch; empty if one can."""
+    """Return why no executor can ever run a batch.
+
+    The result is empty if one can, or may be registered but not listed.
+    """
     capacities = state.largest_capacities[plan.batch.policy.service]
-    if not capacities:
+    if not capacities or not state.listing_complete:
         return ""
     for number, step in enumerate(plan.batch.steps):
         has_fitting = any(
@@ -392,7 +415,6 @@
     messages.TimerFired: _tick,
     pool_messages.FleetChanged: _update_fleet,
     pool_messages.ExecutorsListed: _update_listing,
-    pool_messages.ListingConfirmed: _confirm_listing,
     pool_messages.PlanBatch: _plan_batch,
     pool_messages.PlanningPermitted: planner_permissions.handle_permission,
     pool_messages.DropBatch: _handle_drop,
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import functools
 import math
 import operator
 
@@ -264,12 +263,12 @@
     is_healing = state.healed_at is not None and (
         now < state.healed_at + HEAL_TIME
     )
-    if not plan.shard_changed and not is_healing:
-        is_assigned = functools.partial(planner_roles.is_assigned, state)
-        if planner_leases.all_claimed(
-            state, is_assigned, plan.claims_since, now
-        ):
-            return True
+    if (
+        not plan.shard_changed
+        and not is_healing
+        and planner_leases.all_claimed(state, plan)
+    ):
+        return True
     last_start = max(state.began_at, plan.received_at, plan.permitted_until)
     return now >= last_start + planner_runs.LAPSE_TIME
 
@@ -311,9 +310,11 @@
         executor = _choose_executor(state, plan, task, candidates)
         if executor is None:
             break
-        lease_end = planner_permissions.start_lease_end(
-            state, executor, plan, now
-        )
+        lease_end = None
+        if planner_permissions.is_announced(state, executor, plan):
+            lease_end = planner_permissions.start_lease_end(
+                state, executor, plan, now
+            )
         if lease_end is None:
             candidates = [item for item in candidates if item is not executor]
             continue
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -9,6 +9,7 @@
 
 import math
 
+from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -23,6 +24,7 @@
     "check_leases",
     "claim",
     "disconnect",
+    "former_executors",
     "handle_hold_answer",
     "handle_hold_failure",
     "update_listing",
@@ -54,9 +56,6 @@
 their batches to a new planner within that time.  A planner that is cut off
 from most members stops such runs at once: the other side soon counts them as
 lapsed, but holds for runs adopted here would renew their leases."""
-UNLISTED_TIME = 20.0
-"""Seconds for which an executor that is no longer registered may be behind a
-partition; longer than the partitions that the users plan for."""
 LISTED_WITHIN = 1.0
 """Seconds after its start within which an executor lists a run."""
 
@@ -341,36 +340,45 @@
     return messages.Send(pool_messages.EXECUTORS, msg)
 
 
-def all_claimed(state, is_assigned, since, now):
-    """Return whether every executor of this planner is claimed and answers.
+def all_claimed(state, plan):
+    """Return whether no earlier planner of a batch can hold an executor.
 
-    The answer is no while an executor is missing from the listing that may
-    be behind a partition and held by another planner, and for a planner
-    that claims only executors of its own failure domains.  It is also no
-    until the listing was read since then: an older one may lack executors
-    that the other planner knew.
-
-    Parameters
-    ----------
-    is_assigned : callable
-        Takes an executor's listing entry; returns whether the executor is
-        assigned to this planner.
+    This planner has to have claimed all that the earlier ones held, since
+    they lost the batch.  How complete its own listing is does not matter.
     """
-    if state.minority_since is not None or state.listed_as_of < since:
-        return False
-    for name, (seen_at, _) in list(state.unlisted.items()):
-        if now - seen_at > UNLISTED_TIME or name in state.listed:
-            del state.unlisted[name]
-    if any(is_assigned(spec) for _, spec in state.unlisted.values()):
+    if state.minority_since is not None:
         return False
-    return all(
+    former = former_executors(state, plan)
+    return former is not None and all(
         executor.claimed
         and not executor.suspect
-        and executor.confirmed_at >= since
-        for executor in state.executors.values()
+        and executor.confirmed_at >= plan.claims_since
+        for executor in former
     )
 
 
+def former_executors(state, plan):
+    """Return the executors that earlier planners of a batch held.
+
+    Returns
+    -------
+    list of ExecutorState or None
+        None if this planner does not have all of them.
+    """
+    hashes = {executor.hash: executor for executor in state.executors.values()}
+    common_extra = set(hashes)
+    for digest in plan.former_executors:
+        extra = executor_digests.find_extra(hashes, digest)
+        if extra is None:
+            return None
+        common_extra.intersection_update(extra)
+    if not plan.former_executors:
+        common_extra.clear()
+    return [
+        executor for key, executor in hashes.items() if key not in common_extra
+    ]
+
+
 def update_listing(state, assigned, now):
     """Claim the executors assigned to this planner, and update the others."""
     sends = []
--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
@@ -21,6 +21,7 @@
 __all__ = [
     "drop_unpermitted",
     "handle_permission",
+    "is_announced",
     "is_permitted",
     "lease_time",
     "renewal_time",
@@ -90,6 +91,29 @@
     return state.permissions[origin.name].confirmed_at
 
 
+def is_announced(state, executor, plan):
+    """Return whether the origins of a batch know that this planner holds it.
+
+    If this planner is lost, they tell its successor where tasks may run.
+    Before its first announcement they know of none, so that the successor
+    waits for all leases.
+    """
+    return executor.added_at <= state.began_at or all(
+        origin.name == state.name
+        or _has_confirmed(state, origin, executor.added_at)
+        for origin in plan.origins
+    )
+
+
+def _has_confirmed(state, origin, since):
+    given = state.permissions.get(origin.name)
+    return (
+        given is not None
+        and given.started == origin.started
+        and given.confirmed_at > since
+    )
+
+
 def renewal_time(state, executor, now):
     """Return for how many seconds the leases on an executor may be renewed.
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -17,6 +18,7 @@
 
 __all__ = [
     "PASSIVE_TIME",
+    "announce_executors",
     "claim_assigned",
     "handle_probe_answer",
     "idle_members",
@@ -239,7 +241,9 @@
         if plan.may_have_started:
             state.remember_dropped_batch(plan.name)
     state.plans.clear()
+    state.dropped_in_former_terms = set(state.dropped_counts)
     sends += report_backlog(state, 0.0)
+    sends += announce_executors(state)
     decision = planner_log.decision("ended to plan", batches=dropped_count)
     return [*sends, decision, _set_listing_rate(False)]
 
@@ -268,7 +272,29 @@
         if is_assigned(state, spec)
         and (domains is None or spec.domain in domains)
     }
-    return planner_leases.update_listing(state, assigned, now)
+    sends = planner_leases.update_listing(state, assigned, now)
+    return [*announce_executors(state), *sends]
+
+
+def announce_executors(state):
+    """Report a change of the executors that this planner holds.
+
+    The gateways of all instances learn of it.
+    """
+    digest = executor_digests.UNKNOWN
+    if state.active_since is not None:
+        digest = executor_digests.digest_of(
+            executor.hash for executor in state.executors.values()
+        )
+    if digest == state.announced_executors or state.fleet is None:
+        return []
+    state.announced_executors = digest
+    started = state.fleet.own_member.started
+    held = pool_messages.ExecutorsHeld(state.name, started, digest)
+    return [
+        messages.Send(pool_messages.FLEET, held),
+        messages.Send(pool_messages.GATEWAY, held),
+    ]
 
 
 def is_assigned(state, spec):
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -11,6 +11,7 @@
 
 from cardamompath_core import batch_order
 from cardamompath_core import batches
+from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompath_core import run_times
@@ -105,6 +106,7 @@
         "deadline",
         "done_count",
         "expected_time",
+        "former_executors",
         "handovers",
         "log_size",
         "may_have_started",
@@ -148,6 +150,8 @@
         executor; one that was only slow may have claimed it again before."""
         self.unpermitted_since: float | None = None
         """Since when this planner may not run it; None if it may."""
+        self.former_executors = set(msg.former_executors)
+        """Digests of the executors that earlier planners held."""
         self.shard_changed = msg.shard_changed
         self.may_have_started = msg.round > 0
         """Whether an executor may have started any of its tasks."""
@@ -219,6 +223,7 @@
     __slots__ = (
         "aborted",
         "acknowledged",
+        "added_at",
         "answered_at",
         "claimed",
         "clock",
@@ -229,6 +234,7 @@
         "failure_rate",
         "fence_count",
         "free_resources",
+        "hash",
         "hold_pending",
         "hold_sent_at",
         "last_end_at",
@@ -247,6 +253,9 @@
 
     def __init__(self, spec: executors.Executor, token: int, now: float):
         self.spec = spec
+        self.hash = executor_digests.hash_of(spec.name)
+        self.added_at = now
+        """Since when this planner holds it."""
         self.token = token
         self.fence_count = 0
         """Number of fences since the last answer; a fence means that the
@@ -327,6 +336,8 @@
         self.assignment = planner_election.PlannerAssignment()
         self.announced_shard = -1
         """Number of the shard that was last reported to the fleet."""
+        self.announced_executors = executor_digests.UNKNOWN
+        """Digest of the executors that was last reported."""
         self.announced_backlog = 0.0
         """The backlog that was last reported, in seconds."""
         self.active_since: float | None = None
@@ -346,14 +357,10 @@
         be missing for a while."""
         self.listed_at: float | None = None
         """When the executors were last listed."""
-        self.listed_as_of = -math.inf
-        """When the last reading of the list began, also if it was unchanged
-        since."""
+        self.listing_complete = False
+        """Whether every live executor is listed."""
         self.listing_requested_at = -math.inf
         """When a reading of the list was last asked for."""
-        self.unlisted: dict[str, tuple[float, executors.Executor]] = {}
-        """Executors that are no longer listed, and since when, except those
-        that were draining before."""
         self.executors: dict[str, ExecutorState] = {}
         """The executors that this planner claims, by name."""
         self.plans: dict[str, Plan] = {}
@@ -373,6 +380,9 @@
             collections.OrderedDict()
         )
         """How often each batch was dropped after it may have started."""
+        self.dropped_in_former_terms: set[str] = set()
+        """Those of them that were dropped before this instance last began to
+        plan."""
         self.revoked_handovers: collections.OrderedDict[
             tuple[pool_messages.Origin, str], int
         ] = collections.OrderedDict()
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -54,6 +54,7 @@
     planner_until_ms: int = 0
     planner_term: int = 0
     planner_confirmed_ms: int = 0
+    executors_digest: int = 0
 
 
 class StepFields(NamedTuple):
@@ -108,6 +109,7 @@
     losses: list[LossFields] = []
     origin_started: int = 0
     handover: int = 0
+    former_executors: list[int] = []
 
 
 class DropFields(NamedTuple):
@@ -147,6 +149,7 @@
 
 _TEXT_LIST = (Thrift.TType.LIST, (Thrift.TType.STRING, "UTF8", False))
 _I32_LIST = (Thrift.TType.LIST, (Thrift.TType.I32, None, False))
+_I64_LIST = (Thrift.TType.LIST, (Thrift.TType.I64, None, False))
 wire.declare(
     HeartbeatFields,
     wire.TEXT,
@@ -165,6 +168,7 @@
     wire.I64,
     wire.I64,
     wire.I64,
+    wire.I64,
 )
 wire.declare(
     StepFields,
@@ -216,6 +220,7 @@
     _LOSSES,
     wire.I64,
     wire.I64,
+    _I64_LIST,
 )
 wire.declare(LossesFields, wire.TEXT, _LOSSES)
 wire.declare(DropFields, wire.TEXT, wire.TEXT, wire.I64, wire.I64)
@@ -297,6 +302,7 @@
         int(msg.planner_until * 1000.0),
         msg.planner_term,
         int(msg.planner_confirmed_at * 1000.0),
+        msg.executors_digest,
     )
 
 
@@ -320,6 +326,7 @@
         fields.planner_until_ms / 1000.0,
         fields.planner_term,
         _confirmed_ms(fields) / 1000.0,
+        fields.executors_digest,
     )
 
 
@@ -362,6 +369,7 @@
         [_encode_loss(loss) for loss in msg.losses],
         msg.origin_started,
         msg.handover,
+        list(msg.former_executors),
     )
 
 
@@ -412,6 +420,7 @@
         _decode_losses(fields.losses),
         fields.origin_started,
         fields.handover,
+        tuple(fields.former_executors),
     )
 
 
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import queue
 import threading
 from collections.abc import Callable
@@ -39,7 +40,11 @@
 """Seconds between reads of the executors while only others plan."""
 REREGISTRATION_TIME = 2.5
 """Seconds after an outage of the store during which executors without a
-registration still count; they register again within about 2 s."""
+registration still count; they register again within about 2 s.  A process
+that has just started cannot know that there was none."""
+MAX_READ_GAP = 2.0
+"""Seconds between two reads within which an outage may go unnoticed; too short
+for an entry to expire in it, which takes three intervals of 1.5 s."""
 MEMBER_INTERVAL = 2.0
 """Seconds between the first two reads of the registered members; each
 later interval is twice as long, as members also learn of one another
@@ -74,6 +79,7 @@
                     loguru.logger.warning(
                         "store: {}: unavailable: {}", self.name, exc
                     )
+                    self._on_store_unavailable()
                 self._unavailable = True
                 pause = RETRY_DELAY
             except Exception:
@@ -91,6 +97,9 @@
     def _poll(self) -> float:
         raise NotImplementedError
 
+    def _on_store_unavailable(self) -> None:
+        """Handle the begin of an outage of the store."""
+
     def _on_store_available(self) -> None:
         """Handle the end of an outage of the store."""
 
@@ -175,7 +184,14 @@
         self._offset: int | None = None
         self._executors: dict[str, executors.Executor] = {}
         self._missing_since: dict[str, float] = {}
-        self._available_at = -REREGISTRATION_TIME
+        """When the entries of executors that still count were found to be
+        removed."""
+        self._available_since: float | None = None
+        """Since when no entry can have expired in an outage of the store."""
+        self._read_at = -math.inf
+        """When the store last answered."""
+        self._complete = False
+        """Whether the list that was sent last was complete."""
         self._planning = False
         self._invalid_keys: set[str] = set()
         self._listing_due = False
@@ -191,11 +207,13 @@
         self._planning = msg
         self._listing_due = msg
 
-    def _on_store_available(self):
-        self._available_at = self._clock()
+    def _on_store_unavailable(self):
+        self._available_since = None
+        self._complete = False
+        if self._offset is not None:
+            self._send_list()
 
     def _poll(self):
-        began = self._clock()
         if self._offset is None or not self._planning:
             records, self._offset = self._client.read_newest(EXECUTOR_TOPIC)
             present = {entry.key for entry in records}
@@ -210,18 +228,30 @@
             except errors.RecordsExpired:
                 self._offset = None
                 return 0.0
-        before = dict(self._executors)
+        self._note_answer()
+        before = dict(self._executors), self._complete
         for record in records:
             self._apply(record)
         self._remove_missing()
-        if before != self._executors or self._listing_due:
+        self._complete = self._is_reregistration_over()
+        if before != (self._executors, self._complete) or self._listing_due:
             self._listing_due = False
-            listed = tuple(self._executors.values())
-            self._tell(pool_messages.ExecutorsListed(listed, began))
-        elif self._planning:
-            self._tell(pool_messages.ListingConfirmed(began))
+            self._send_list()
         return PLANNING_INTERVAL if self._planning else IDLE_INTERVAL
 
+    def _note_answer(self):
+        now = self._clock()
+        if self._available_since is None or now > self._read_at + MAX_READ_GAP:
+            self._available_since = now
+        self._read_at = now
+
+    def _send_list(self):
+        listed = tuple(self._executors.values())
+        self._tell(pool_messages.ExecutorsListed(listed, self._complete))
+
+    def _is_reregistration_over(self):
+        return self._clock() >= self._available_since + REREGISTRATION_TIME
+
     def _apply(self, record):
         if not record.key:
             return
@@ -244,9 +274,11 @@
         self._executors[record.key] = spec
 
     def _remove_missing(self):
-        now = self._clock()
+        found_before = self._clock()
+        if not self._is_reregistration_over():
+            found_before -= REREGISTRATION_TIME
         for name, since in list(self._missing_since.items()):
-            if now >= max(since, self._available_at + REREGISTRATION_TIME):
+            if since <= found_before:
                 self._executors.pop(name, None)
                 del self._missing_since[name]
 
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from cardamompath_core import batches
+from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompath_core import routes
@@ -30,6 +31,7 @@
     "DropsPending",
     "EXECUTORS",
     "EndedRun",
+    "ExecutorsHeld",
     "ExecutorsListed",
     "FLEET",
     "FleetChanged",
@@ -42,7 +44,6 @@
     "LISTINGS",
     "Leave",
     "LinkFailed",
-    "ListingConfirmed",
     "LossesReported",
     "OfferConfiguration",
     "Origin",
@@ -220,6 +221,9 @@
     handover: int = 0
     """Number of the hand-over at the origin; it grows with each change of the
     planner.  0 if the origin does not tell."""
+    former_executors: tuple[int, ...] = ()
+    """Digest of the executors of each earlier planner, see
+    `executor_digests`; one of them may still run tasks there."""
 
 
 class DropBatch(NamedTuple):
@@ -278,6 +282,8 @@
     """Number of the term that this extends, see `FleetChanged`."""
     planner_confirmed_at: float = 0.0
     """See `PlanningPermitted`."""
+    executors_digest: int = executor_digests.UNKNOWN
+    """Digest of the executors that the planner of the sender holds."""
 
 
 class PlanningPermitted(NamedTuple):
@@ -359,6 +365,21 @@
     """Seconds that its executors need for the waiting tasks."""
 
 
+class ExecutorsHeld(NamedTuple):
+    """The executors that a planner holds changed.
+
+    A planner starts tasks of an instance only where that instance knows it to
+    hold the executor, or on one that it has held since it began to plan.
+    """
+
+    name: str
+    """Name of the planner."""
+    started: int
+    """Start time of its process, in milliseconds since 1970."""
+    digest: int
+    """See `executor_digests`; `UNKNOWN` once it no longer plans."""
+
+
 class DropsPending(NamedTuple):
     """Whether a planner has yet to acknowledge a drop of this instance."""
 
@@ -412,16 +433,9 @@
     """The current list of registered executors."""
 
     executors: tuple[executors.Executor, ...]
-    as_of: float
-    """When its reading began, in seconds of this instance's clock; an executor
-    that was registered by then is listed, unless it was removed."""
-
-
-class ListingConfirmed(NamedTuple):
-    """The list of registered executors was read again and is unchanged."""
-
-    as_of: float
-    """As in `ExecutorsListed`."""
+    is_complete: bool = True
+    """Whether every live executor is listed.  After an outage of the store
+    some have yet to register again."""
 
 
 class RoutesConfigured(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -304,6 +304,8 @@
         self.lags = {}
         """Seconds by which instances handle all that arrives too late."""
         self.store_up = True
+        self.expired_entries = set()
+        """Names of executors whose entries the store has lost."""
         self.rejected_by_store = set()
         """Names of the instances that the store turns away."""
         self.duplicate_runs = []
@@ -349,10 +351,11 @@
                 executor.spec
                 for executor in self.executors.values()
                 if not executor.unreachable
+                and executor.spec.name not in self.expired_entries
             )
             instance.receive(
                 pool_messages.PLANNER,
-                pool_messages.ExecutorsListed(specs, self.now),
+                pool_messages.ExecutorsListed(specs),
             )
 
     def schedule(self, delay, action):
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -4,6 +4,7 @@
 import unittest
 
 from cardamompath_core import batches
+from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompathd import messages
@@ -22,6 +23,20 @@
 """Start time of the instance whose batch is planned."""
 
 
+EXECUTOR = executors.Executor(
+    "x-a", "desk", "a", ("x-a", 2), 1, "ready", CAPACITY, ("m",)
+)
+
+
+def digest_of(*names):
+    """Return the digest that a planner announces for executors."""
+    return executor_digests.digest_of(map(executor_digests.hash_of, names))
+
+
+SAME = (digest_of("x-a"),)
+"""Digests if the former planner held the same executors."""
+
+
 def make_member(name, started):
     return planner_election.Member(name, "a", (name, 1), started)
 
@@ -45,12 +60,9 @@
         self.now = 10.0
         self.running = ()
         self.ended = ()
-        spec = executors.Executor(
-            "x-a", "desk", "a", ("x-a", 2), 1, "ready", CAPACITY, ("m",)
-        )
         own = make_member("n-a", 1000)
         members = (own, make_member("n-b", ORIGIN_STARTED))
-        self.tell(pool_messages.ExecutorsListed((spec,), self.now))
+        self.tell(pool_messages.ExecutorsListed((EXECUTOR,)))
         self.tell(fleet_views.make_view(own, members, ()))
         self.answer_hold()
 
@@ -198,9 +210,11 @@
         # run: seed 40 of test_slow_planners, in a pool.
         self.permit(9.0)
         self.now += 0.1
-        sent = self.plan(round_number=1, shard_changed=False)
+        sent = self.plan(
+            round_number=1, shard_changed=False, former_executors=SAME
+        )
         self.assertEqual(self.started(sent), [])
-        self.assertEqual(self.started(self.confirm_listing()), [])
+        self.assertEqual(self.started(self.tick()), [])
         # The first answer is to a hold that was sent before.
         self.assertEqual(self.started(self.answer_hold()), [])
         self.assertEqual(len(self.started(self.answer_hold())), 1)
@@ -208,38 +222,97 @@
     def test_claim_proves_all_once_the_former_planner_has_ended(self):
         self.permit(9.0)
         sent = self.plan(
-            round_number=1, shard_changed=False, ended_planner="n-b"
+            round_number=1,
+            shard_changed=False,
+            ended_planner="n-b",
+            former_executors=SAME,
         )
         self.assertEqual(len(self.started(sent)), 1)
 
     def test_claim_waits_for_a_former_planner_that_may_go_on(self):
         self.permit(9.0)
-        self.plan(round_number=1, shard_changed=False, permitted_time=0.4)
+        self.plan(
+            round_number=1,
+            shard_changed=False,
+            permitted_time=0.4,
+            former_executors=SAME,
+        )
         self.now += 0.3
         self.answer_hold()
         self.assertEqual(self.started(self.answer_hold()), [])
         self.now += 0.2
-        self.confirm_listing()
         self.answer_hold()
         self.assertEqual(len(self.started(self.answer_hold())), 1)
 
-    def confirm_listing(self):
-        """Read the list of executors again."""
-        return self.tell(pool_messages.ListingConfirmed(self.now))
-
-    def test_claim_waits_for_a_list_that_was_read_after_the_hand_over(self):
+    def test_claim_waits_for_the_executors_of_the_former_planner(self):
+        # A list that lacked some was taken for complete, and tasks were
+        # started beside their runs on those.
         self.permit(9.0)
         self.now += 0.1
-        sent = self.plan(round_number=1, shard_changed=False)
+        sent = self.plan(
+            round_number=1,
+            shard_changed=False,
+            former_executors=(digest_of("x-a", "x-b"),),
+        )
         requests = self.kinds(sent, pool_messages.SetListingRate)
         self.assertEqual([msg.planning for msg in requests], [True])
-        as_of = self.now - 0.01
         self.now += 0.1
         self.answer_hold()
-        self.answer_hold()
-        late = pool_messages.ListingConfirmed(as_of)
-        self.assertEqual(self.started(self.tell(late)), [])
-        self.assertEqual(len(self.started(self.confirm_listing())), 1)
+        self.assertEqual(self.started(self.answer_hold()), [])
+        listed = (EXECUTOR, EXECUTOR._replace(name="x-b", state="draining"))
+        sent = self.tell(pool_messages.ExecutorsListed(listed))
+        self.assertEqual(self.started(sent), [])
+        claim = self.kinds(sent, pool_messages.HoldExecutor)[-1]
+        self.assertEqual(claim.executor.name, "x-b")
+        answer = pool_messages.HoldAnswered(
+            "x-b", claim.token, 1, self.now, (), ()
+        )
+        self.now += 0.01
+        self.assertEqual(len(self.started(self.tell(answer))), 1)
+
+    def test_unknown_executors_of_a_former_planner_cost_the_longest_lease(
+        self,
+    ):
+        # The former planner was lost before it had told what it held.
+        self.permit(9.0)
+        self.now += 0.1
+        unknown = (executor_digests.UNKNOWN,)
+        for fields in ({}, {"former_executors": unknown}):
+            with self.subTest(fields):
+                self.setUp()
+                self.permit(9.0)
+                self.plan(round_number=1, shard_changed=False, **fields)
+                self.answer_hold()
+                self.assertEqual(self.started(self.answer_hold()), [])
+                sent = self.tick(planner_runs.LAPSE_TIME - 0.01)
+                self.assertEqual(self.started(sent), [])
+                self.answer_hold()
+                self.assertEqual(len(self.started(self.tick(0.02))), 1)
+
+    def test_executor_is_used_once_the_origin_knows_of_it(self):
+        # If this planner is lost, the origin has to tell its successor of
+        # all executors that may have a task.
+        self.permit(0.4)
+        listed = (EXECUTOR._replace(state="draining"),)
+        listed += (EXECUTOR._replace(name="x-b"),)
+        self.now += 0.1
+        sent = self.tell(pool_messages.ExecutorsListed(listed))
+        held = self.kinds(sent, pool_messages.ExecutorsHeld)
+        self.assertEqual(
+            {msg.digest for msg in held}, {digest_of("x-a", "x-b")}
+        )
+        claim = self.kinds(sent, pool_messages.HoldExecutor)[-1]
+        answer = pool_messages.HoldAnswered(
+            "x-b", claim.token, 1, self.now, (), ()
+        )
+        self.now += 0.01
+        self.tell(answer)
+        self.assertEqual(self.started(self.plan()), [])
+        self.permit(0.4, timeout=0.45)
+        self.assertEqual(self.started(self.tick(0.01)), [])
+        self.now += 0.1
+        self.permit(0.4, timeout=0.41)
+        self.assertEqual(len(self.started(self.tick(0.01))), 1)
 
     def test_stopped_run_is_not_renewed_for_a_batch_that_comes_back(self):
         self.permit(0.4)
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -210,19 +210,48 @@
         self.assertEqual(len(self.sent), 2)
         self.assertIsInstance(self.sent[1], pool_messages.ExecutorsListed)
 
+    def read_for_a_while(self):
+        """Read the same entry until no outage can have been missed."""
+        for _ in range(8):
+            self.step(newest_response(("i-1", self.entry)))
+
     def test_missing_entry_still_counts_shortly_after_an_outage(self):
-        self.step(newest_response(("i-1", self.entry)))
-        self.task._on_store_available()
+        self.read_for_a_while()
+        self.task._on_store_unavailable()
         self.step(newest_response(), 0.1)
         self.assertEqual(self.names(), ["i-1"])
         self.step(newest_response(), followers.REREGISTRATION_TIME)
         self.assertEqual(self.names(), [])
 
     def test_missing_entry_is_removed_at_once_without_an_outage(self):
-        self.step(newest_response(("i-1", self.entry)))
+        self.read_for_a_while()
         self.step(newest_response())
         self.assertEqual(self.names(), [])
 
+    def test_missing_entry_still_counts_after_reads_far_apart(self):
+        # An instance that does not plan reads the list each 4 s, and took
+        # entries that expired in a short outage for those of executors that
+        # had left.
+        self.read_for_a_while()
+        self.step(newest_response(), followers.IDLE_INTERVAL)
+        self.assertEqual(self.names(), ["i-1"])
+        self.step(newest_response(), followers.IDLE_INTERVAL)
+        self.assertEqual(self.names(), [])
+
+    def test_list_is_complete_once_executors_have_registered_again(self):
+        # A process that started after an outage took what was listed then
+        # for all there is.
+        self.step(newest_response(("i-1", self.entry)))
+        self.assertFalse(self.sent[-1].is_complete)
+        self.read_for_a_while()
+        self.assertTrue(self.sent[-1].is_complete)
+        self.task._on_store_unavailable()
+        self.assertFalse(self.sent[-1].is_complete)
+        self.step(newest_response(("i-1", self.entry)))
+        self.assertFalse(self.sent[-1].is_complete)
+        self.read_for_a_while()
+        self.assertTrue(self.sent[-1].is_complete)
+
 
 class MemberFollowerTest(unittest.TestCase):
     def test_invalid_member_is_ignored_and_logged_once(self):
--- a/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
+++ b/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
@@ -73,6 +73,34 @@
         self.simulation.advance(4.0)
         self.assert_state(reply, batches.COMPLETE)
 
+    def test_successor_with_an_incomplete_list_starts_no_task_twice(self):
+        # It had been started while the store was away, and took the list
+        # without the expired entries for complete (case 1 of the review).
+        everything = set(self.simulation.executors)
+        for expired in ({"x-a0"}, {"x-b0", "x-c1"}, everything):
+            with self.subTest(expired=sorted(expired)):
+                self.setUp()
+                self.replace_planner_after_an_outage(expired)
+                self.tearDown()
+
+    def replace_planner_after_an_outage(self, expired):
+        """Restart the others while entries expire, then stop the planner."""
+        simulation = self.simulation
+        planner = self.planner_instance
+        simulation.rejected_by_store.add(planner.name)
+        simulation.expired_entries.update(expired)
+        for name in ("n-b", "n-c"):
+            simulation.restart_instance(name, 0.1)
+        simulation.advance(1.5)
+        simulation.run_time = 1.4
+        reply = simulation.submit(planner, "j", 8, 4.0)
+        simulation.advance(0.1)
+        planner.receive(pool_messages.FLEET, pool_messages.Leave())
+        simulation.advance(0.5)
+        simulation.expired_entries.clear()
+        simulation.advance(3.0)
+        self.assert_state(reply, batches.COMPLETE)
+
     def test_successor_starts_no_dependent_task_beside_its_adopted_run(self):
         for run_time in (0.7, 1.5, 3.0):
             for planner_dies in (True, False):
