Callers: what an instance says of them is as old as its last look

Cause: the time limit, the permission of planners and the leases under it counted from when the instance read or sent something, not from when it knew that the caller was there. The same held for heartbeats, repeated hand-overs and the planner of the instance itself.

Now a request is as old as the last time at which its channel was known to be empty, its caller is looked at before it is submitted, and one task looks at all waiting callers each 0.1 s. Hand-overs and heartbeats carry when that was, by the planner's own clock, and the planner computes its leases from it. So a pause anywhere shortens leases or keeps a batch from starting.

--- a/packages/daemon/src/cardamompathd/callers/connections.py
+++ b/packages/daemon/src/cardamompathd/callers/connections.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import json
+import math
+import select
 import socket
 import time
 
@@ -137,6 +139,8 @@
         """
         if self.server.draining or getattr(self.rfile, "remaining", 0):
             self.close_connection = True
+        if self.server.clock is not None:
+            self.conn.note_if_empty(self.server.clock())
         super().send_headers()
 
     def simple_response(self, status: str, msg: str = "") -> None:
@@ -170,6 +174,17 @@
         self.rfile.close()
         self.rfile = BoundedReader(sock, self.rbufsize)
         self.has_unread = False
+        self.empty_at = -math.inf
+        """When it was last known that no request waits here."""
+        self.registered_at = math.inf
+        """When the selector got it."""
+
+    def note_if_empty(self, now: float) -> None:
+        """Note that no request waits here, if that is so."""
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        if not poll.poll(0) and not self.rfile.has_data():
+            self.empty_at = now
 
     def close(self) -> None:
         """Discard the unread bytes, then close."""
--- a/packages/daemon/src/cardamompathd/callers/server.py
+++ b/packages/daemon/src/cardamompathd/callers/server.py
@@ -4,6 +4,7 @@
 
 import functools
 import json
+import math
 import queue
 import select
 import socket
@@ -16,6 +17,7 @@
 from cheroot import wsgi
 from cheroot.workers import threadpool
 
+from cardamompathd.callers import arrivals
 from cardamompathd.callers import connections
 from cardamompathd.filters import chain
 from cardamompathd.filters import errors
@@ -33,6 +35,10 @@
 SELECT_TIMEOUT = 0.5
 """Longest time in seconds for which the selector of a listener waits."""
 
+ARRIVAL_SELECT_TIMEOUT = 0.1
+"""The same for a listener that tells when requests arrived, and about how much
+earlier than they did it may say that."""
+
 MIN_THREADS = 2
 """Threads of a listener that wait for requests from the start."""
 
@@ -43,6 +49,9 @@
 IS_DISCONNECTED_KEY = "cardamompath.gone"
 """Key in the WSGI environment of `Request.is_disconnected`."""
 
+ARRIVED_AT_KEY = "cardamompath.arrived_at"
+"""Key in the WSGI environment of `Request.arrived_at`."""
+
 
 class ListenerLimits(NamedTuple):
     """Bounds of a listener."""
@@ -123,6 +132,7 @@
         environ[IS_DISCONNECTED_KEY] = functools.partial(
             _is_closed_by_peer, self.req.conn.socket
         )
+        environ[ARRIVED_AT_KEY] = self.req.conn.empty_at
         return environ
 
 
@@ -189,6 +199,7 @@
         read,
         length,
         is_disconnected=environ.get(IS_DISCONNECTED_KEY, bool),
+        arrived_at=environ.get(ARRIVED_AT_KEY, -math.inf),
     )
 
 
@@ -209,6 +220,9 @@
     ConnectionClass = connections.BoundedConnection
     draining = False
     header_timeout = 10.0
+    arrivals: arrivals.ArrivalClock | None = None
+    clock: Callable[[], float] | None = None
+    """The clock of `arrivals`; both are None if they are not noted."""
 
     def drain(self) -> None:
         """Close each connection after its next response."""
@@ -221,6 +235,8 @@
         sends nothing does not occupy a thread.
         """
         if conn.last_used is None:
+            if self.arrivals is not None:
+                conn.empty_at = self.arrivals.accepted_after
             self.put_conn(conn)
             return
         try:
@@ -228,6 +244,13 @@
         except queue.Full:
             self._refuse(conn)
 
+    def put_conn(self, conn) -> None:
+        """Give a connection to the selector."""
+        if self.arrivals is None:
+            super().put_conn(conn)
+        else:
+            self.arrivals.register(conn, super().put_conn, self.clock)
+
     def error_log(self, msg="", level=20, traceback=False) -> None:
         """Log the errors of the server."""
         if level >= 40 or traceback:
@@ -269,11 +292,31 @@
     selector.select = lambda timeout=None: select(SELECT_TIMEOUT)
 
 
+def _track_arrivals(server, clock, opened_at):
+    """Have the selector note when connections were empty."""
+    selector = server._connections._selector
+    select = selector.select
+    server.clock = clock
+    server.arrivals = arrivals.ArrivalClock(server, opened_at)
+
+    def select_and_note(timeout=None):
+        began_at = clock()
+        selected = list(select(ARRIVAL_SELECT_TIMEOUT))
+        waited = 0.0 if selected else ARRIVAL_SELECT_TIMEOUT
+        server.arrivals.note_selected(
+            [conn for _, conn in selected], began_at, waited
+        )
+        return selected
+
+    selector.select = select_and_note
+
+
 def start(
     name: str,
     address: tuple[str, int],
     handler: chain.Handler,
     limits: ListenerLimits,
+    clock: Callable[[], float] | None = None,
 ) -> Listener:
     """Start a listener.
 
@@ -287,6 +330,9 @@
         Handles the requests.
     limits : ListenerLimits
         Bounds of the listener.
+    clock : callable, optional
+        Returns the present time in seconds.  If it is given, requests tell
+        when they can have arrived at the earliest.
 
     Raises
     ------
@@ -306,8 +352,12 @@
     server.keep_alive_conn_limit = limits.connections
     server.expiration_interval = EXPIRY_INTERVAL
     server.gateway = _Gateway
+    opened_at = clock() if clock else 0.0
     server.prepare()
-    _lengthen_select(server)
+    if clock is None:
+        _lengthen_select(server)
+    else:
+        _track_arrivals(server, clock, opened_at)
     thread = threading.Thread(target=server.serve, name=name, daemon=True)
     thread.start()
     host, port = server.bind_addr[:2]
--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -101,7 +101,7 @@
         interval = state.intervals.get(address, fleet_state.HEARTBEAT_INTERVAL)
         if now >= sent_at + interval - TIMER_TOLERANCE:
             state.addresses[address] = now
-            permission = permissions.get(address, (0.0, 0, 0.0))
+            permission = permissions.get(address, ())
             lists = lists_all or address in new_addresses
             groups[interval, permission, lists].append(address)
     return [
@@ -127,10 +127,13 @@
     """Return until when batches stay with each planner, and on what ground.
 
     Each permission has the time at which this instance takes the planner for
-    failed unless it hears of it again, the term, and the time of the planner's
-    last heartbeat, or of the last one before a drop that it has not
-    acknowledged.  Times are in seconds of the planner's clock.
+    failed unless it hears of it again, the term, when the callers of the
+    batches were seen, the time of the planner's last heartbeat, and the number
+    of the last hand-over.  As long as the planner has not acknowledged a drop,
+    the callers count as seen before that.  Times are in seconds of the
+    planner's clock.
     """
+    seen_at, handover = state.batches_confirmed
     permissions = {}
     for planner in state.assignment.planners:
         peer = state.peers.get(planner.name)
@@ -139,8 +142,17 @@
             continue
         if peer.sent_at > 0.0 and peer.member.started == planner.started:
             until = peer.sent_at + peer.timeout
-            confirmed_at = state.drops_pending.get(planner.name, peer.sent_at)
-            permissions[peer.member.address] = (until, term, confirmed_at)
+            confirmed_at = min(
+                state.drops_pending.get(planner.name, peer.sent_at),
+                peer.sent_at + seen_at - peer.heard_at,
+            )
+            permissions[peer.member.address] = (
+                until,
+                term,
+                max(0.0, confirmed_at),
+                peer.sent_at,
+                handover,
+            )
     return permissions
 
 
@@ -160,8 +172,7 @@
         state.backlog,
         now if state.own_member.shard_number >= 0 else 0.0,
         *permission,
-        state.executors_digest,
-    )
+    )._replace(executors_digest=state.executors_digest)
     msg = pool_messages.SendToMembers(addresses, heartbeat)
     return messages.Send(pool_messages.LINKS, msg)
 
@@ -196,6 +207,11 @@
     peer.timeout = fleet_rates.timeout_of(msg.interval)
     peer.sent_at = msg.sent_at
     sends = []
+    if msg.sent_at > 0.0:
+        heard = pool_messages.PlannerHeard(
+            member.name, member.started, msg.sent_at
+        )
+        sends.append(messages.Send(pool_messages.GATEWAY, heard))
     if msg.planner_until > now:
         permitted = pool_messages.PlanningPermitted(
             member.name,
@@ -203,6 +219,8 @@
             msg.planner_term,
             msg.planner_until,
             msg.planner_confirmed_at,
+            msg.planner_heard_at,
+            msg.planner_handover,
         )
         sends.append(messages.Send(pool_messages.PLANNER, permitted))
     if peer.reported_backlog != msg.backlog:
@@ -290,6 +308,11 @@
     return ()
 
 
+def _confirm_batches(state, msg, _):
+    state.batches_confirmed = msg
+    return ()
+
+
 def _note_pending_drops(state, msg, _):
     if not msg.pending:
         state.drops_pending.pop(msg.planner, None)
@@ -316,6 +339,7 @@
     pool_messages.ConfigurationInForce: _set_config_version,
     pool_messages.BacklogMeasured: _set_backlog,
     pool_messages.ExecutorsHeld: _set_executors,
+    pool_messages.BatchesConfirmed: _confirm_batches,
     pool_messages.DropsPending: _note_pending_drops,
     pool_messages.RemotePeerUsed: _add_remote_peer,
     pool_messages.ShardChanged: _set_shard,
--- a/packages/daemon/src/cardamompathd/controllers/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet_state.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
+from cardamompathd import pool_messages
 
 __all__ = [
     "HEARTBEAT_INTERVAL",
@@ -43,8 +45,9 @@
     planner_term: int = 0
     """Number of the term that this extends, see `FleetChanged`."""
     planner_confirmed_at: float = 0.0
-    """When the receiver sent the last heartbeat that had arrived before, in
-    seconds of its clock."""
+    planner_heard_at: float = 0.0
+    planner_handover: int = -1
+    """See `PlanningPermitted`."""
     executors_digest: int = executor_digests.UNKNOWN
     """See `ExecutorsHeld`."""
 
@@ -89,6 +92,8 @@
         self.backlog = 0.0
         self.executors_digest = executor_digests.UNKNOWN
         """Of the executors that the planner of this instance holds."""
+        self.batches_confirmed = pool_messages.BatchesConfirmed(-math.inf, 0)
+        """When the callers of the batches of this instance were seen."""
         self.peers: dict[str, Peer] = {}
         self.addresses: dict[tuple[str, int], float] = {}
         """When the last heartbeat was sent to each address."""
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -31,6 +31,9 @@
 NO_ROUTES_RETRY_AFTER = 1.0
 """Seconds after which a caller may retry if no configuration has been read
 yet."""
+LATE_RETRY_AFTER = 0.1
+"""Seconds after which a caller may retry whose request was read too late, as
+after a pause of this process."""
 STOPPING_RETRY_AFTER = 0.1
 """Seconds after which a caller may retry at another instance."""
 OFFER_INTERVAL = 0.5
@@ -41,6 +44,9 @@
 _UNCONFIGURED = batches.Outcome(
     batches.REFUSED, "no configuration yet", NO_ROUTES_RETRY_AFTER
 )
+_ARRIVED_LATE = batches.Outcome(
+    batches.REFUSED, "read after its time limit", LATE_RETRY_AFTER
+)
 _STOPPING = batches.Outcome(
     batches.REFUSED, "shutting down", STOPPING_RETRY_AFTER
 )
@@ -71,18 +77,20 @@
         return _refuse(
             msg, batches.Outcome(batches.UNKNOWN_ROUTE, "no such route")
         )
-    timeout = min(msg.timeout, state.answer_by - now)
-    if timeout <= 0.0:
+    deadline = msg.arrived_at + msg.timeout
+    if now >= deadline:
+        return _refuse(msg, _ARRIVED_LATE)
+    if now >= state.answer_by:
         return _refuse(msg, _STOPPING)
     name = msg.path[len(route.prefix) :]
     state.batch_by_waiter[msg.reply_to] = name
     existing = state.pending.get(name)
     if existing is not None:
-        existing.waiters.append(msg.reply_to)
+        existing.waiters[msg.reply_to] = msg.seen_at
         return ()
     batch = batches.Batch(name, msg.spec, msg.steps, route.policy)
     pending = state.pending[name] = gateway_state.PendingBatch(
-        batch, msg.reply_to, timeout, now
+        batch, msg, min(deadline, state.answer_by), now
     )
     sends = gateway_planners.hand_over(state, pending, now)
     sends += gateway_drops.cancel(state, name, pending.planner)
@@ -206,10 +214,35 @@
     pending = state.pending.get(state.batch_by_waiter.pop(msg.reply_to, ""))
     if pending is None or msg.reply_to not in pending.waiters:
         return ()
-    pending.waiters.remove(msg.reply_to)
-    if pending.waiters:
-        return ()
-    return _drop_batch(state, pending, "caller left", now)
+    del pending.waiters[msg.reply_to]
+    outcome = batches.Outcome(batches.TIMED_OUT, "the caller disconnected")
+    reply = messages.Reply(msg.reply_to, outcome)
+    sends = [messages.Send(messages.CALLERS, reply)]
+    if not pending.waiters:
+        sends += _drop_batch(state, pending, "caller left", now)
+    return sends
+
+
+def _note_callers(state, msg, _):
+    """Process which callers were there, and tell what follows from it."""
+    for waiter in msg.waiting:
+        pending = state.pending.get(state.batch_by_waiter.get(waiter, ""))
+        if pending is not None and waiter in pending.waiters:
+            pending.waiters[waiter] = max(pending.waiters[waiter], msg.as_of)
+    seen_at = min(
+        (pending.seen_at for pending in state.pending.values()),
+        default=msg.as_of,
+    )
+    confirmed = pool_messages.BatchesConfirmed(seen_at, state.last_handover)
+    return [
+        messages.Send(pool_messages.FLEET, confirmed),
+        messages.Send(pool_messages.PLANNER, confirmed),
+    ]
+
+
+def _note_planner_heard(state, msg, now):
+    state.planners_heard[msg.name, msg.started] = (msg.sent_at, now)
+    return ()
 
 
 def _drop_batch(state, pending, reason, now):
@@ -217,15 +250,19 @@
     fields = {"reason": reason, "planner": _planner_name(pending.planner)}
     fields["age_ms"] = round((now - pending.submitted_at) * 1000.0)
     sends = [_log("withdrawn", pending.batch.name, fields)]
-    planners = state.assignment.planners
-    if any(
+    return sends + _drop_at_planner(state, pending, now)
+
+
+def _drop_at_planner(state, pending, now):
+    """Drop a batch at its planner, unless that lost its role."""
+    if not any(
         gateway_planners.is_same_incarnation(planner, pending.planner)
-        for planner in planners
+        for planner in state.assignment.planners
     ):
-        sends += gateway_drops.drop(
-            state, pending.planner, pending.batch.name, pending.handover, now
-        )
-    return sends
+        return []
+    return gateway_drops.drop(
+        state, pending.planner, pending.batch.name, pending.handover, now
+    )
 
 
 def _handle_end(state, msg, now):
@@ -246,7 +283,11 @@
         # An earlier planner may have started tasks of it.
         outcome = outcome._replace(state=batches.TIMED_OUT)
     del state.pending[msg.name]
-    return _answer(state, pending, outcome, now)
+    sends = _answer(state, pending, outcome, now)
+    if pending.round > 0:
+        # The outcome may be that of an earlier planner.
+        sends += _drop_at_planner(state, pending, now)
+    return sends
 
 
 def _retry_elsewhere(state, pending, now):
@@ -293,12 +334,12 @@
     planners = state.assignment.planners
     sends = reports + gateway_drops.forget_former_planners(state)
     for pending in state.pending.values():
-        if not any(
+        if now < pending.deadline and not any(
             gateway_planners.is_same_incarnation(planner, pending.planner)
             for planner in planners
         ):
             sends += gateway_planners.hand_over(state, pending, now)
-    _forget_executors(state)
+    _forget_former_members(state)
     return sends
 
 
@@ -339,14 +380,15 @@
     return ()
 
 
-def _forget_executors(state):
-    """Forget what planners held that are neither alive nor missing."""
+def _forget_former_members(state):
+    """Forget what is known of processes neither alive nor missing."""
     members = {
         (member.name, member.started)
         for member in (*state.alive, *state.missing)
     }
-    for key in state.executors_held.keys() - members:
-        del state.executors_held[key]
+    for facts in (state.executors_held, state.planners_heard):
+        for key in facts.keys() - members:
+            del facts[key]
 
 
 def _note_losses(state, msg, _):
@@ -371,7 +413,7 @@
             and now >= pending.submitted_at + NO_PLANNER_TIMEOUT
         ):
             sends += _refuse_unassigned(state, pending, now)
-        elif now >= pending.resend_at:
+        elif pending.resend_at <= now < pending.deadline:
             pending.resend_at = (
                 now
                 + gateway_planners.RESEND_INTERVAL
@@ -421,9 +463,11 @@
     pool_messages.OfferConfiguration: _offer_configuration,
     pool_messages.Leave: _leave,
     pool_messages.WithdrawBatch: _withdraw_caller,
+    pool_messages.CallersChecked: _note_callers,
     pool_messages.BatchEnded: _handle_end,
     pool_messages.FleetChanged: _update_fleet,
     pool_messages.BacklogChanged: _update_backlog,
+    pool_messages.PlannerHeard: _note_planner_heard,
     pool_messages.ExecutorsHeld: _note_executors,
     pool_messages.LossesReported: _note_losses,
     messages.TimerFired: _handle_timer,
--- a/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
@@ -63,11 +63,26 @@
         state.losses.of_batch(pending.batch.name),
         state.started,
         pending.handover,
+        _to_planner_clock(state, planner, pending.seen_at),
         tuple(sorted(pending.former_executors)),
     )
     return [*sends, send_to(state, planner, msg)]
 
 
+def _to_planner_clock(state, planner, at):
+    """Return a time in seconds of a planner's clock, or an earlier one.
+
+    The planner's last heartbeat was sent before it arrived here.
+    """
+    if planner.name == state.name:
+        return at
+    heard = state.planners_heard.get((planner.name, planner.started))
+    if heard is None:
+        return 0.0
+    sent_at, heard_at = heard
+    return max(0.0, sent_at + at - heard_at)
+
+
 def _leave_planner(state, pending, now):
     """Note what the former planner of a batch may still do."""
     former = pending.planner
--- a/packages/daemon/src/cardamompathd/controllers/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_state.py
@@ -40,12 +40,13 @@
         "waiters",
     )
 
-    def __init__(self, batch, waiter, timeout, now):
+    def __init__(self, batch, msg, deadline, now):
         self.batch: batches.Batch = batch
-        self.waiters: list[Any] = [waiter]
-        """The `reply_to` of each caller that waits for the outcome."""
-        self.submitted_at = now
-        self.deadline = now + timeout
+        self.waiters: dict[Any, float] = {msg.reply_to: msg.seen_at}
+        """When each caller that waits for the outcome was last seen, by its
+        `reply_to`."""
+        self.submitted_at = msg.arrived_at
+        self.deadline = deadline
         self.planner: planner_election.Member | None = None
         self.shard: planner_election.Shard | None = None
         self.shard_changed = False
@@ -65,6 +66,11 @@
         """Name of the only one of these, if it told that it does not plan."""
         self.resend_at = now + gateway_planners.RESEND_INTERVAL
 
+    @property
+    def seen_at(self) -> float:
+        """Return when a caller was last there and had time left."""
+        return min(self.deadline, max(self.waiters.values()))
+
 
 class GatewayState:
     """The routes, the pending batches and the known planners."""
@@ -93,6 +99,9 @@
         self.executors_held: dict[tuple[str, int], int] = {}
         """Digest of the executors that a planner holds, by its name and start
         time; see `ExecutorsHeld`."""
+        self.planners_heard: dict[tuple[str, int], tuple[float, float]] = {}
+        """When a planner sent its last heartbeat, in seconds of its clock, and
+        when that arrived, by the planner's name and start time."""
         self.last_handover = 0
         """Number of the last hand-over of any batch."""
         self.drops: dict[tuple[str, str, int], gateway_drops.PendingDrop] = {}
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -76,7 +76,7 @@
         if handler is None:
             return ()
         sends = [*handler(state, msg, now)]
-        if type(msg) is pool_messages.PlanningPermitted:
+        if type(msg) in _CONFIRMATIONS:
             # So frequent that tasks that may start now wait for the tick.
             return sends
         if type(msg) in (messages.TimerFired, pool_messages.FleetChanged):
@@ -231,6 +231,7 @@
 def _add_origin(state, plan, origin, msg, now):
     """Add an instance that also answers a caller of a batch."""
     plan.handovers[origin] = max(plan.handovers.get(origin, 0), msg.handover)
+    plan.seen_at[origin] = max(plan.seen_at.get(origin, 0.0), msg.seen_at)
     if origin not in plan.origins:
         plan.origins[origin] = msg.term
         plan.round = max(plan.round, msg.round)
@@ -411,12 +412,17 @@
     return [decision, *planner_runs.drop_plan(state, plan)]
 
 
+_CONFIRMATIONS = (
+    pool_messages.BatchesConfirmed,
+    pool_messages.PlanningPermitted,
+)
 _HANDLERS = {
     messages.TimerFired: _tick,
     pool_messages.FleetChanged: _update_fleet,
     pool_messages.ExecutorsListed: _update_listing,
     pool_messages.PlanBatch: _plan_batch,
     pool_messages.PlanningPermitted: planner_permissions.handle_permission,
+    pool_messages.BatchesConfirmed: planner_permissions.note_confirmation,
     pool_messages.DropBatch: _handle_drop,
     pool_messages.StartAnswered: planner_runs.handle_start_answer,
     pool_messages.StopAnswered: planner_runs.handle_stop_answer,
--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
@@ -24,6 +24,7 @@
     "is_announced",
     "is_permitted",
     "lease_time",
+    "note_confirmation",
     "renewal_time",
     "start_lease_end",
     "update_common_lease",
@@ -38,7 +39,12 @@
 def handle_permission(state, msg, now):
     """Keep until when an instance leaves its batches with this planner."""
     given = planner_state.Permission(
-        msg.started, msg.term, msg.until, msg.confirmed_at
+        msg.started,
+        msg.term,
+        msg.until,
+        msg.confirmed_at,
+        msg.heard_at,
+        msg.handover,
     )
     last = state.permissions.get(msg.origin, given)
     # A message that was under way on a broken link may arrive late.
@@ -46,6 +52,12 @@
     return []
 
 
+def note_confirmation(state, msg, _):
+    """Keep when the callers of the batches of this instance were seen."""
+    state.batches_confirmed = msg
+    return []
+
+
 def is_permitted(state, plan, now):
     """Return whether no other planner may run a batch at present."""
     return any(
@@ -69,12 +81,12 @@
     """Return for how many seconds a run of a batch may be leased.
 
     The run ends, also if its executor's clock is slow and no stop arrives,
-    before a caller whose instance was lost submits the batch again.  The
-    result is not above 0 if the batch is not permitted.
+    before a caller that has left, or whose instance was lost, submits the
+    batch again.  The result is not above 0 if the batch is not permitted.
     """
     latest_end = max(
         (
-            _confirmed_at(state, origin, now)
+            _confirmed_at(state, plan, origin, now)
             for origin, term in plan.origins.items()
             if _leaves_batch(state, origin, term, now)
         ),
@@ -84,11 +96,24 @@
     return min(planner_runs.LEASE, longest)
 
 
-def _confirmed_at(state, origin, now):
-    """Return when an instance surely left its batches with this planner."""
+def _confirmed_at(state, plan, origin, now):
+    """Return when the caller of a batch was surely there.
+
+    What an origin says of its callers holds for the batches that it had
+    handed over by then, and for none that was still on its way to it.
+    """
+    number = plan.handovers.get(origin, 0)
+    seen_at = plan.seen_at.get(origin, 0.0)
     if origin.name == state.name:
-        return now
-    return state.permissions[origin.name].confirmed_at
+        if not number:
+            return now
+        confirmed_at, handover = state.batches_confirmed
+    else:
+        given = state.permissions[origin.name]
+        confirmed_at, handover = given.confirmed_at, given.handover
+    if handover == -1 or number <= handover:
+        return max(seen_at, confirmed_at)
+    return seen_at
 
 
 def is_announced(state, executor, plan):
@@ -110,7 +135,7 @@
     return (
         given is not None
         and given.started == origin.started
-        and given.confirmed_at > since
+        and (given.heard_at or given.confirmed_at) > since
     )
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -53,9 +53,14 @@
     until: float
     """In seconds of the clock of this planner."""
     confirmed_at: float
-    """When this planner sent the heartbeat that the instance answered with
-    it, in the same seconds.  The instance lived and left the batches here
-    then or later."""
+    """When the instance lived, left its batches here and saw their callers,
+    or earlier, in the same seconds."""
+    heard_at: float = 0.0
+    """When this planner sent the last heartbeat that the instance had received
+    by then, in the same seconds; 0 if it does not tell."""
+    handover: int = -1
+    """Number of the last hand-over that `confirmed_at` is true of; -1 for
+    all of them."""
 
 
 class Task:
@@ -116,6 +121,7 @@
         "pool_time",
         "received_at",
         "round",
+        "seen_at",
         "shard_changed",
         "size_samples",
         "step_remaining",
@@ -134,10 +140,12 @@
     ):
         self.batch = msg.batch
         self.origins = {origin: msg.term}
-        self.handovers = {origin: msg.handover}
-        """Number of the last hand-over by each origin."""
         """The instances that answer the callers, and the term of this planner
         in which each sent the batch."""
+        self.handovers = {origin: msg.handover}
+        """Number of the last hand-over by each origin."""
+        self.seen_at = {origin: msg.seen_at}
+        """When the caller was there, by the last hand-over of each origin."""
         self.received_at = now
         self.submitted_at = now - msg.age
         self.deadline = now + msg.time_left
@@ -366,6 +374,8 @@
         self.plans: dict[str, Plan] = {}
         self.common_lease = math.inf
         """Seconds of the longest lease that is given or renewed at present."""
+        self.batches_confirmed = pool_messages.BatchesConfirmed(-math.inf, 0)
+        """When the callers of the batches of this instance were seen."""
         self.permissions: dict[str, Permission] = {}
         """The last permission of each instance to run its batches."""
         self.early_batches: dict[
--- a/packages/daemon/src/cardamompathd/filters/chain.py
+++ b/packages/daemon/src/cardamompathd/filters/chain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -46,6 +47,9 @@
     """Whether the handler may wait for the answer."""
     is_disconnected: Callable[[], bool] = bool
     """Returns whether the caller has closed the connection."""
+    arrived_at: float = -math.inf
+    """Earliest time at which it can have arrived, in seconds of the clock of
+    the controllers; not known to every front end."""
 
 
 class JobOwner(NamedTuple):
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -54,6 +54,8 @@
     planner_until_ms: int = 0
     planner_term: int = 0
     planner_confirmed_ms: int = 0
+    planner_heard_ms: int = 0
+    planner_handover: int = -1
     executors_digest: int = 0
 
 
@@ -109,6 +111,7 @@
     losses: list[LossFields] = []
     origin_started: int = 0
     handover: int = 0
+    seen_ms: int = 0
     former_executors: list[int] = []
 
 
@@ -169,6 +172,8 @@
     wire.I64,
     wire.I64,
     wire.I64,
+    wire.I64,
+    wire.I64,
 )
 wire.declare(
     StepFields,
@@ -220,6 +225,7 @@
     _LOSSES,
     wire.I64,
     wire.I64,
+    wire.I64,
     _I64_LIST,
 )
 wire.declare(LossesFields, wire.TEXT, _LOSSES)
@@ -302,6 +308,8 @@
         int(msg.planner_until * 1000.0),
         msg.planner_term,
         int(msg.planner_confirmed_at * 1000.0),
+        int(msg.planner_heard_at * 1000.0),
+        msg.planner_handover,
         msg.executors_digest,
     )
 
@@ -326,6 +334,8 @@
         fields.planner_until_ms / 1000.0,
         fields.planner_term,
         _confirmed_ms(fields) / 1000.0,
+        fields.planner_heard_ms / 1000.0,
+        fields.planner_handover,
         fields.executors_digest,
     )
 
@@ -340,7 +350,8 @@
 
 def _confirmed_ms(fields):
     """Return what a permission rests on; earlier versions do not tell it."""
-    if fields.planner_confirmed_ms or not fields.planner_until_ms:
+    is_told = fields.planner_confirmed_ms or fields.planner_heard_ms
+    if is_told or not fields.planner_until_ms:
         return fields.planner_confirmed_ms
     return fields.planner_until_ms - int(fleet_state.HEARTBEAT_TIMEOUT * 1e3)
 
@@ -369,6 +380,7 @@
         [_encode_loss(loss) for loss in msg.losses],
         msg.origin_started,
         msg.handover,
+        int(msg.seen_at * 1000.0),
         list(msg.former_executors),
     )
 
@@ -420,6 +432,7 @@
         _decode_losses(fields.losses),
         fields.origin_started,
         fields.handover,
+        fields.seen_ms / 1000.0,
         tuple(fields.former_executors),
     )
 
--- a/packages/daemon/src/cardamompathd/platform/frontend.py
+++ b/packages/daemon/src/cardamompathd/platform/frontend.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from typing import Any
+from typing import NamedTuple
 
 import pykka
 
@@ -15,6 +16,7 @@
 from cardamompathd.platform import errors
 
 __all__ = [
+    "Tasks",
     "make_chain",
     "make_metrics",
     "make_readiness",
@@ -27,8 +29,6 @@
 """Longest deadline that a caller may send, in seconds."""
 BODY_LIMIT = 262144
 """Largest request body in bytes; the usual bound in the desired state."""
-DISCONNECT_CHECK_INTERVAL = 0.1
-"""Seconds between checks whether a waiting caller has disconnected."""
 REPLY_TIMEOUT = 2.0
 """Seconds for the reply of a controller, in addition to the time that the
 request itself waits."""
@@ -45,31 +45,36 @@
 Tell = Callable[[Any], None]
 
 
-def make_chain(tell: Tell) -> chain.Handler:
-    """Make the filter chain and the handler for callers' requests.
+class Tasks(NamedTuple):
+    """The tasks that serve the requests of callers, and their clock."""
 
-    Parameters
-    ----------
-    tell : callable
-        Sends a message to the gateway.
-    """
+    gateway: Tell
+    """Sends a message to the gateway."""
+    watch: Tell
+    """Sends a message to the watch of callers."""
+    clock: Callable[[], float]
+    """Returns the present time in seconds."""
+
+
+def make_chain(tasks: Tasks) -> chain.Handler:
+    """Make the filter chain and the handler for callers' requests."""
     return chain.compose(
         (
             filters.exceptions.make_filter("frontend"),
             filters.json_bodies.make_filter(BODY_LIMIT),
         ),
-        _make_handler(tell),
+        _make_handler(tasks),
     )
 
 
-def _make_handler(tell):
+def _make_handler(tasks):
     handlers = {"POST": _submit, "GET": _get_pending, "DELETE": _cancel}
 
     def handle(req: chain.Request) -> chain.Response:
         handler = handlers.get(req.method)
         if handler is None:
             return chain.error_response(405, "bad_method", f"{req.method!r}")
-        return handler(tell, req)
+        return handler(tasks, req)
 
     return handle
 
@@ -78,7 +83,7 @@
     return req.headers.get("host", "").partition(":")[0]
 
 
-def _submit(tell, req):
+def _submit(tasks, req):
     try:
         wait = _parse_wait(req.headers.get(DEADLINE_HEADER))
         spec, steps = documents.parse_job(req.body)
@@ -89,16 +94,27 @@
         return chain.error_response(
             503, "not_served", f"not supported: {feature}", 60.0
         )
+    seen_at = tasks.clock()
+    if req.is_disconnected():
+        return chain.error_response(504, "no_answer", "the caller has left")
     fut = pykka.ThreadingFuture()
-    host = _host(req)
-    tell(pool_messages.SubmitBatch(host, req.path, spec, steps, wait, fut))
-    outcome = _await_outcome(tell, req, fut, wait + REPLY_TIMEOUT)
+    submission = pool_messages.SubmitBatch(
+        _host(req),
+        req.path,
+        spec,
+        steps,
+        wait,
+        fut,
+        req.arrived_at,
+        seen_at,
+    )
+    tasks.gateway(submission)
+    tasks.watch(pool_messages.WatchCaller(fut, req.is_disconnected))
+    outcome = _await_outcome(tasks, fut, wait + REPLY_TIMEOUT)
+    tasks.watch(pool_messages.UnwatchCaller(fut))
     if outcome is None:
-        return chain.error_response(
-            504,
-            "no_answer",
-            "the caller disconnected, or no outcome came in time",
-        )
+        reason = "no outcome came in time"
+        return chain.error_response(504, "no_answer", reason)
     return _respond(outcome)
 
 
@@ -116,21 +132,13 @@
     return wait
 
 
-def _await_outcome(tell, req, fut, wait):
-    """Return the outcome, or None if it did not come in time.
-
-    A caller that disconnects ends the wait.  In both cases the batch is
-    withdrawn.
-    """
-    while wait > 0.0:
-        try:
-            return fut.get(timeout=DISCONNECT_CHECK_INTERVAL)
-        except pykka.Timeout:
-            wait -= DISCONNECT_CHECK_INTERVAL
-        if req.is_disconnected():
-            break
-    tell(pool_messages.WithdrawBatch(fut))
-    return None
+def _await_outcome(tasks, fut, wait):
+    """Return the outcome; withdraw the batch if it does not come in time."""
+    try:
+        return fut.get(timeout=wait)
+    except pykka.Timeout:
+        tasks.gateway(pool_messages.WithdrawBatch(fut))
+        return None
 
 
 def _respond(outcome):
@@ -152,9 +160,9 @@
     return fut.get(timeout=REPLY_TIMEOUT)
 
 
-def _get_pending(tell, req):
+def _get_pending(tasks, req):
     count = _ask(
-        tell,
+        tasks.gateway,
         lambda fut: pool_messages.CountWaiting(_host(req), req.path, fut),
     )
     if isinstance(count, batches.Outcome):
@@ -166,9 +174,10 @@
     return chain.error_response(410, "no_job", "no such job is stored")
 
 
-def _cancel(tell, req):
+def _cancel(tasks, req):
     known = _ask(
-        tell, lambda fut: pool_messages.CancelBatch(_host(req), req.path, fut)
+        tasks.gateway,
+        lambda fut: pool_messages.CancelBatch(_host(req), req.path, fut),
     )
     if isinstance(known, batches.Outcome):
         return _respond(known)
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -176,8 +176,9 @@
     tell_fleet(pool_messages.AddressesFound(cfg.seeds, "settings"))
     for task in tasks:
         task.start()
+    caller_tasks = frontend.Tasks(tell_gateway, app.watch, clock)
     return _RunningInstance(
-        app, _start_listeners(cfg, tell_gateway, app.scrape), tasks
+        app, _start_listeners(cfg, caller_tasks, app.scrape), tasks
     )
 
 
@@ -209,7 +210,7 @@
     return handle
 
 
-def _start_listeners(cfg, tell, scrape):
+def _start_listeners(cfg, tasks, scrape):
     limits = server.ListenerLimits(
         threads=CALLER_THREADS,
         connections=MAX_CONNECTIONS,
@@ -218,12 +219,16 @@
     probe_limits = server.ListenerLimits(threads=PROBE_THREADS)
     return (
         server.start(
-            "callers", cfg.caller_address, frontend.make_chain(tell), limits
+            "callers",
+            cfg.caller_address,
+            frontend.make_chain(tasks),
+            limits,
+            tasks.clock,
         ),
         server.start(
             "ready",
             cfg.readiness_address,
-            frontend.make_readiness(tell),
+            frontend.make_readiness(tasks.gateway),
             probe_limits,
         ),
         server.start(
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -16,6 +16,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.backends import call_connections
 from cardamompathd.backends import connections
+from cardamompathd.callers import watch
 from cardamompathd.controllers import fleet
 from cardamompathd.controllers import gateway
 from cardamompathd.controllers import planner
@@ -53,6 +54,8 @@
     platform adapter adds those of its own tasks."""
     controllers: dict[str, Callable[[Any], None]]
     """Functions that send a message to a controller, by its address."""
+    watch: Callable[[Any], None]
+    """Sends a message to the watch of callers."""
     leave: Callable[[float], None]
     """Hands over the work before a shutdown, and answers the callers within
     that many seconds."""
@@ -148,6 +151,10 @@
         pool_messages.PLANNER,
     )
     controllers = {name: actors.make_tell(actor_ref, name) for name in names}
+    watch_ref = actors.ControllerActor.start(
+        [watch.make_controller()], deliver, clock
+    )
+    tell_watch = actors.make_tell(watch_ref, pool_messages.CALLER_WATCH)
     receivers.update(controllers)
     for name in (pool_messages.FLEET, pool_messages.PLANNER):
         controllers[name](messages.TimerFired("start"))
@@ -158,10 +165,11 @@
         controllers[pool_messages.GATEWAY](msg)
 
     def stop():
+        watch_ref.stop(block=False)
         actor_ref.stop(block=False)
 
     scrape = pool_metrics.make_scrape(counts)
-    return Instance(receivers, controllers, leave, stop, scrape)
+    return Instance(receivers, controllers, tell_watch, leave, stop, scrape)
 
 
 def _make_decision_logger(counts, log_decision):
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import Any
 from typing import Literal
 from typing import NamedTuple
@@ -21,7 +22,10 @@
     "BacklogChanged",
     "BacklogMeasured",
     "BatchEnded",
+    "BatchesConfirmed",
+    "CALLER_WATCH",
     "CONFIGURATIONS",
+    "CallersChecked",
     "CancelBatch",
     "ConfigurationOffered",
     "DECISION_LOG",
@@ -49,6 +53,7 @@
     "Origin",
     "PLANNER",
     "PlanBatch",
+    "PlannerHeard",
     "PlanningPermitted",
     "ProbeAnswered",
     "ProbeExecutor",
@@ -67,6 +72,8 @@
     "StopAnswered",
     "StopRun",
     "SubmitBatch",
+    "UnwatchCaller",
+    "WatchCaller",
     "WithdrawBatch",
 ]
 
@@ -79,6 +86,8 @@
 """Reads configurations that other instances send."""
 LISTINGS = "listings"
 """Polls the list of registered executors."""
+CALLER_WATCH = "caller_watch"
+"""Notices callers that disconnect."""
 DECISION_LOG = "decisions"
 """Writes the decision log."""
 
@@ -135,6 +144,40 @@
     timeout: float
     """Seconds for which the caller waits for the outcome."""
     reply_to: Any
+    arrived_at: float
+    """Earliest time at which the request can have arrived."""
+    seen_at: float
+    """When the caller was still there."""
+
+
+class WatchCaller(NamedTuple):
+    """Have a batch withdrawn once its caller has disconnected."""
+
+    reply_to: Any
+    is_disconnected: Callable[[], bool]
+
+
+class UnwatchCaller(NamedTuple):
+    """The caller that waits on `reply_to` got its answer."""
+
+    reply_to: Any
+
+
+class CallersChecked(NamedTuple):
+    """Callers that were still there."""
+
+    as_of: float
+    waiting: tuple[Any, ...]
+    """The `reply_to` of each of them."""
+
+
+class BatchesConfirmed(NamedTuple):
+    """The callers of the batches of this instance were seen."""
+
+    seen_at: float
+    """When each of them was still there."""
+    handover: int
+    """Number of the last hand-over that this is true of."""
 
 
 class WithdrawBatch(NamedTuple):
@@ -221,6 +264,9 @@
     handover: int = 0
     """Number of the hand-over at the origin; it grows with each change of the
     planner.  0 if the origin does not tell."""
+    seen_at: float = 0.0
+    """When the caller was still there, in seconds of the planner's clock, or
+    earlier; 0 if the origin does not tell."""
     former_executors: tuple[int, ...] = ()
     """Digest of the executors of each earlier planner, see
     `executor_digests`; one of them may still run tasks there."""
@@ -281,6 +327,8 @@
     planner_term: int = 0
     """Number of the term that this extends, see `FleetChanged`."""
     planner_confirmed_at: float = 0.0
+    planner_heard_at: float = 0.0
+    planner_handover: int = -1
     """See `PlanningPermitted`."""
     executors_digest: int = executor_digests.UNKNOWN
     """Digest of the executors that the planner of the sender holds."""
@@ -300,8 +348,25 @@
     until: float
     """In seconds of the clock of this instance."""
     confirmed_at: float
-    """When this instance sent the heartbeat that the other one had received
-    when it extended the permission, in seconds of the clock of this one."""
+    """When the other instance surely left its batches here and their callers
+    were there, in the same seconds."""
+    heard_at: float = 0.0
+    """When this instance sent the last heartbeat that the other one had
+    received, in the same seconds; 0 if it does not tell."""
+    handover: int = -1
+    """Number of the last hand-over that `confirmed_at` is true of; -1 for
+    all of them."""
+
+
+class PlannerHeard(NamedTuple):
+    """A heartbeat of a planner arrived."""
+
+    name: str
+    """Name of the planner."""
+    started: int
+    """Start time of its process, in milliseconds since 1970."""
+    sent_at: float
+    """When it was sent, in seconds of the planner's clock."""
 
 
 class AddressesFound(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -134,10 +134,29 @@
             harness.sent.clear()
             harness.now += 0.5
             harness.receive_heartbeats(members[:1], sent_at=harness.now)
+            harness.tell(pool_messages.BatchesConfirmed(harness.now, 1))
             harness.tell(messages.TimerFired("heartbeat"))
             confirmed.append(harness.confirmed_to(members[0].address))
         self.assertEqual(confirmed, [101.5, 101.5, 101.5, 103.0])
 
+    def test_nothing_is_confirmed_later_than_the_callers_were_seen(self):
+        # A process that woke from a freeze confirmed batches whose callers
+        # had left meanwhile.
+        members = make_members()
+        harness = self.start(members[9], members)
+        confirmed = []
+        for seen_at in (100.9, 101.2, 101.4):
+            harness.tell(pool_messages.BatchesConfirmed(seen_at, 1))
+            harness.sent.clear()
+            harness.now += 0.5
+            # The planner's clock shows 50 s less.
+            sent_at = harness.now - 50.0
+            harness.receive_heartbeats(members[:1], sent_at=sent_at)
+            harness.tell(messages.TimerFired("heartbeat"))
+            confirmed.append(harness.confirmed_to(members[0].address))
+        for found, expected in zip(confirmed, (50.9, 51.2, 51.4), strict=True):
+            self.assertAlmostEqual(found, expected)
+
     def test_planner_asks_often_whether_a_remote_origin_lives(self):
         members = make_members(24)
         harness = self.start(members[0], members)
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -54,6 +54,8 @@
             pool_simulation.make_steps(),
             5.0,
             name,
+            self.now,
+            self.now,
         )
         return self.handed_over(self.tell(msg))
 
@@ -211,6 +213,8 @@
             pool_simulation.make_steps(),
             5.0,
             "j1",
+            self.now,
+            self.now,
         )
         self.assertEqual(
             self.answers(self.tell(msg))[0].state, batches.REFUSED
@@ -242,6 +246,8 @@
             pool_simulation.make_steps(),
             5.0,
             "r",
+            self.now,
+            self.now,
         )
         sent = self.tell(msg)
         used = [msg for to, msg in sent if to == pool_messages.FLEET]
@@ -340,3 +346,51 @@
         former, _, msg = self.hand_over_from_leaving_planner(shard_number=-1)
         self.assertEqual(msg.permitted_time, 0.0)
         self.assertEqual(msg.ended_planner, former)
+
+    def test_outcome_of_an_earlier_planner_drops_the_batch_at_the_present(
+        self,
+    ):
+        # The present one went on with it, beside the runs of its next
+        # submission elsewhere (seed 4 of random_freezes_start_no_task_twice).
+        self.configure()
+        self.update_fleet(self.members)
+        first = self.submit()[0][0]
+        present = [
+            member for member in self.members if member.address[0] != first
+        ]
+        successor = self.update_fleet(present)[0][0]
+        sent = self.end_batch(batches.COMPLETE, first)
+        self.assertEqual(self.answers(sent)[0].state, batches.COMPLETE)
+        self.assertEqual(self.drops(sent), [(successor, "j1")])
+
+    def test_request_is_refused_that_was_read_after_its_time_limit(self):
+        self.configure()
+        self.update_fleet(self.members)
+        msg = pool_messages.SubmitBatch(
+            pool_simulation.HOST,
+            "/jobs/j1",
+            "s",
+            pool_simulation.make_steps(),
+            1.5,
+            "r",
+            self.now - 1.5,
+            self.now,
+        )
+        sent = self.tell(msg)
+        self.assertEqual(self.handed_over(sent), [])
+        self.assertEqual(self.answers(sent)[0].state, batches.REFUSED)
+
+    def test_hand_over_tells_when_the_caller_was_seen_by_the_planner(self):
+        # The planner's clock shows 3 s more than that of this instance.
+        self.configure()
+        self.update_fleet(self.members)
+        for number in (0, 1):
+            heard = pool_messages.PlannerHeard(f"a-{number}", number, 12.9)
+            self.tell(heard)
+        self.now += 0.5
+        self.assertAlmostEqual(self.submit()[0][1].seen_at, 13.4)
+        self.tell(pool_messages.CallersChecked(self.now + 0.1, ("j1",)))
+        handed_over = self.handed_over(
+            self.tell(messages.TimerFired(None), 0.5)
+        )
+        self.assertAlmostEqual(handed_over[0][1].seen_at, 13.5)
--- a/packages/daemon/src/cardamompathd/tests/test_resubmissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_resubmissions.py
@@ -4,6 +4,7 @@
 connection broke or its time limit passed.
 """
 
+import random
 import unittest
 
 from cardamompathd import pool_messages
@@ -152,5 +153,79 @@
         self.simulation.advance(6.0)
 
 
+class FrozenInstanceTest(unittest.TestCase):
+    """An instance wakes from a freeze with batches that came elsewhere."""
+
+    def setUp(self):
+        self.simulation = test_large_fleet.make_simulation()
+        self.simulation.run_time = 1.2
+        self.frozen = self.simulation.instances["n-a5"]
+
+    def tearDown(self):
+        self.assertEqual(self.simulation.duplicate_runs, [])
+
+    def domains_with_runs(self, name):
+        return {
+            executor.spec.domain
+            for executor in self.simulation.executors.values()
+            if (name, 0, 0) in executor.started_tasks
+        }
+
+    def test_request_that_was_not_read_in_time_runs_only_elsewhere(self):
+        # The instance handed it on as it woke, though its caller had left
+        # and submitted it in the other domain (case 2 of the review).
+        for length in (2.9, 3.2, 3.6, 4.0):
+            for hides_departures in (False, True):
+                with self.subTest(length=length, hidden=hides_departures):
+                    self.setUp()
+                    self.simulation.hides_departures = hides_departures
+                    self.simulation.freeze(self.frozen, length)
+                    self.simulation.advance(0.2)
+                    self.simulation.call(["n-a5", "n-b5"], "j", 1)
+                    self.simulation.advance(7.0)
+                    self.assertEqual(self.domains_with_runs("j"), {"b"})
+                    self.tearDown()
+
+    def test_request_that_was_read_runs_only_elsewhere_after_a_freeze(self):
+        # The instance was frozen between its look at the caller and the
+        # hand-over.
+        for length in (0.5, 0.9, 1.4, 2.9, 3.2):
+            for at in (0.0, 0.001, 0.05, 0.3):
+                with self.subTest(length=length, at=at):
+                    self.setUp()
+                    self.simulation.call(["n-a5", "n-b5"], "j", 1)
+                    self.simulation.advance(at)
+                    self.simulation.freeze(self.frozen, length)
+                    self.simulation.break_connections(self.frozen)
+                    self.simulation.advance(7.0)
+                    self.tearDown()
+
+    def test_random_freezes_start_no_task_twice(self):
+        planners = ("n-a", "n-a1", "n-b", "n-b1")
+        origins = ("n-a5", "n-a6", "n-b5", "n-b6")
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.simulation.hides_departures = seed % 2 == 0
+                self.play(random.Random(seed), planners, origins)
+                self.tearDown()
+
+    def play(self, rng, planners, origins):
+        simulation = self.simulation
+        for number in range(24):
+            name = rng.choice((*planners, *origins, *origins))
+            simulation.freeze(
+                simulation.instances[name], rng.uniform(0.1, 4.0)
+            )
+            if rng.random() < 0.3:
+                simulation.break_connections(simulation.instances[name])
+            for number_of_origin, origin in enumerate(origins):
+                others = rng.sample(origins, len(origins))
+                job = f"j{number}.{number_of_origin}"
+                simulation.call([origin, *others], job, 1)
+            simulation.advance(rng.uniform(0.05, 0.6))
+        simulation.advance(6.0)
+
+
 if __name__ == "__main__":
     unittest.main()
