Planner: an executor's entry is of one incarnation

The planner learned of the new process from the answer to a hold, replaced only the incarnation of the entry that it knew, and took its labels, capacity and service for those of the new process until the list was next read.

Now an executor of which a new incarnation is known gets no task until an entry of that incarnation has been read. The list is asked for at once, so that an ordinary restart waits for one read of the store. Failures, slowdown and ejections of the former process are forgotten.

--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -19,6 +19,7 @@
 from cardamompathd.controllers import planner_dispatch
 from cardamompathd.controllers import planner_health
 from cardamompathd.controllers import planner_leases
+from cardamompathd.controllers import planner_listings
 from cardamompathd.controllers import planner_log
 from cardamompathd.controllers import planner_permissions
 from cardamompathd.controllers import planner_roles
@@ -283,7 +284,7 @@
     _reattach_runs(state, plan, now)
     listing = []
     if planner_leases.former_executors(state, plan) is None:
-        listing = planner_roles.request_listing(state, now)
+        listing = planner_listings.request(state, now)
     return [
         *listing,
         *_report_remote_origin(state, msg, plan),
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -277,6 +277,7 @@
     """Return whether tasks may be started on an executor."""
     if (
         not executor.claimed
+        or not executor.described
         or executor.suspect
         or executor.unregistered
         or executor.orphans
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_leases.py
@@ -14,6 +14,7 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import planner_crashes
+from cardamompathd.controllers import planner_listings
 from cardamompathd.controllers import planner_log
 from cardamompathd.controllers import planner_permissions
 from cardamompathd.controllers import planner_runs
@@ -92,8 +93,9 @@
     sends = []
     executor.hold_pending = False
     if msg.incarnation and executor.spec.incarnation != msg.incarnation:
-        spec = executor.spec._replace(incarnation=msg.incarnation)
-        sends += _handle_restart(state, executor, spec, now)
+        sends += _handle_unlisted_restart(
+            state, executor, msg.incarnation, now
+        )
         return sends + _hold(state, executor, 0.0, now)
     planner_crashes.record_answer(state, executor)
     if not executor.claimed or executor.suspect:
@@ -136,6 +138,18 @@
     return sends + _hold(state, executor, HOLD_POLL_TIME, now)
 
 
+def _handle_unlisted_restart(state, executor, incarnation, now):
+    """Handle a restart of which there is no entry yet; read the list.
+
+    It gets no tasks until then, as the entry of the former process says
+    nothing of it.
+    """
+    spec = executor.spec._replace(incarnation=incarnation)
+    sends = _handle_restart(state, executor, spec, now)
+    executor.described = False
+    return sends + planner_listings.request(state, now)
+
+
 def _handle_restart(state, executor, spec, now):
     """Claim a restarted executor anew; return the messages.
 
@@ -147,7 +161,9 @@
     sends = planner_crashes.record_losses(state, executor, now)
     sends += planner_crashes.record_restart(state, executor)
     executor.spec = spec
+    executor.described = True
     executor.restarted = True
+    executor.forget_results(now)
     executor.acknowledged = 0
     executor.lease_end = 0.0
     executor.orphans.clear()
@@ -257,8 +273,7 @@
         sends += planner_runs.lose_runs(
             state, executor, "it was restarted", now
         )
-        spec = executor.spec._replace(incarnation=0)
-        sends += _handle_restart(state, executor, spec, now)
+        sends += _handle_unlisted_restart(state, executor, 0, now)
     if not executor.suspect:
         sends.append(
             planner_log.decision(
@@ -424,6 +439,7 @@
     if spec.capacity != previous.capacity:
         sends += _change_capacity(executor, spec)
     executor.spec = spec
+    executor.described = True
     return sends
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_roles.py
@@ -14,6 +14,7 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers import planner_leases
+from cardamompathd.controllers import planner_listings
 from cardamompathd.controllers import planner_log
 
 __all__ = [
@@ -25,7 +26,6 @@
     "is_assigned",
     "is_passive",
     "is_undecided",
-    "request_listing",
     "report_backlog",
     "update_role",
 ]
@@ -42,9 +42,6 @@
 PROBE_TIMEOUT = 0.3
 """Seconds until the results of all probes are known; a probe times out after
 0.25 s."""
-LISTING_REQUEST_INTERVAL = 0.1
-"""Minimum number of seconds between two requests to read the list of executors
-at once."""
 MAX_PROBES = 3
 """Maximum number of executors of other failure domains that are probed."""
 
@@ -203,7 +200,8 @@
         "missing": len(state.fleet.missing),
     }
     decision = planner_log.decision("began to plan", **fields)
-    return [decision, _set_listing_rate(True), *claim_assigned(state, now)]
+    rate = planner_listings.set_rate(True)
+    return [decision, rate, *claim_assigned(state, now)]
 
 
 def idle_members(view):
@@ -211,23 +209,6 @@
     return {member.name for member in view.alive if member.shard_number < 0}
 
 
-def request_listing(state, now):
-    """Have the list of executors read at once, unless it was just asked for.
-
-    A planner that takes over a batch has to know every executor on which its
-    predecessor may have started a task.
-    """
-    if now < state.listing_requested_at + LISTING_REQUEST_INTERVAL:
-        return []
-    state.listing_requested_at = now
-    return [_set_listing_rate(True)]
-
-
-def _set_listing_rate(planning):
-    msg = pool_messages.SetListingRate(planning)
-    return messages.Send(pool_messages.LISTINGS, msg)
-
-
 def _end_planning(state, now):
     state.active_since = None
     sends = [
@@ -245,7 +226,7 @@
     sends += report_backlog(state, 0.0)
     sends += announce_executors(state)
     decision = planner_log.decision("ended to plan", batches=dropped_count)
-    return [*sends, decision, _set_listing_rate(False)]
+    return [*sends, decision, planner_listings.set_rate(False)]
 
 
 def report_backlog(state, backlog):
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -237,6 +237,7 @@
         "clock",
         "confirmed_at",
         "clock_read_at",
+        "described",
         "ejected_until",
         "ejections",
         "failure_rate",
@@ -261,6 +262,10 @@
 
     def __init__(self, spec: executors.Executor, token: int, now: float):
         self.spec = spec
+        """Its entry in the listing, with the incarnation that answers."""
+        self.described = True
+        """Whether the entry is of that incarnation.  A new one may have other
+        labels, another capacity and another service."""
         self.hash = executor_digests.hash_of(spec.name)
         self.added_at = now
         """Since when this planner holds it."""
@@ -313,6 +318,14 @@
         """Number of ejections so far."""
         self.ejected_until = 0.0
 
+    def forget_results(self, now: float) -> None:
+        """Forget the results of the runs of a former process."""
+        self.failure_rate = 0.0
+        self.log_slowdown = 0.0
+        self.last_end_at = now
+        self.ejections = 0
+        self.ejected_until = 0.0
+
     def executor_clock(self, now: float) -> float:
         """Return a lower bound of the executor's clock, in seconds."""
         return self.clock + (now - self.clock_read_at) * (1.0 - CLOCK_ERROR)
--- a/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
@@ -46,9 +46,7 @@
         return self.tell(messages.TimerFired("tick"), later)
 
     def list_executors(self):
-        listed = pool_messages.ExecutorsListed(
-            tuple(self.specs.values()), self.now
-        )
+        listed = pool_messages.ExecutorsListed(tuple(self.specs.values()))
         return self.tell(listed)
 
     def answer_hold(self, name, running=(), incarnation=1):
@@ -63,14 +61,17 @@
         )
         return self.tell(failed, later)
 
-    def make_batch(self):
-        step = batches.Step(1, executors.Resources(8000, 1), 0.2)
-        policy = batches.RoutePolicy("r", "desk", slack=9.0)
+    def make_batch(self, label=""):
+        step = batches.Step(1, executors.Resources(8000, 1), 0.2, label=label)
+        policy = batches.RoutePolicy("r", "desk", max_attempts=9, slack=9.0)
         return batches.Batch("j", "", (step,), policy)
 
+    def plan(self, label=""):
+        batch = self.make_batch(label)
+        return self.tell(pool_messages.PlanBatch(batch, "n-a", 0.0, 9.0, 0))
+
     def start_task(self):
-        plan = pool_messages.PlanBatch(self.make_batch(), "n-a", 0.0, 9.0, 0)
-        return self.starts(self.tell(plan))[0]
+        return self.starts(self.plan())[0]
 
     def answer_start(self, start, result):
         name = start.executor.name
@@ -200,6 +201,73 @@
         sent = self.answer_hold(name, (), 2)
         self.assertEqual(len(self.starts(sent)), 1)
 
+    def restart_unlisted(self):
+        """Have "x-a" answer as a new process; return the messages."""
+        sent = self.answer_hold("x-a", (), 2)
+        return sent + self.answer_hold("x-a", (), 2)
+
+    def test_new_process_gets_no_task_by_the_labels_of_the_former(self):
+        # Tasks that need a label started on a process of another model (case
+        # 3 of the review).
+        del self.specs["x-b"]
+        self.list_executors()
+        sent = self.restart_unlisted()
+        requests = [
+            msg
+            for msg in sent
+            if isinstance(msg, pool_messages.SetListingRate)
+        ]
+        self.assertEqual(len(requests), 1)
+        self.assertEqual(self.starts(self.plan("m")), [])
+        # The entry of the former process is read once more.
+        self.assertEqual(self.starts(self.list_executors()), [])
+        self.specs["x-a"] = self.specs["x-a"]._replace(
+            incarnation=2, labels=("n",)
+        )
+        self.assertEqual(self.starts(self.list_executors()), [])
+        self.assertEqual(self.starts(self.tick()), [])
+
+    def test_new_process_gets_tasks_as_soon_as_its_entry_is_read(self):
+        del self.specs["x-b"]
+        self.list_executors()
+        self.restart_unlisted()
+        self.assertEqual(self.starts(self.plan("m")), [])
+        self.specs["x-a"] = self.specs["x-a"]._replace(incarnation=2)
+        self.assertEqual(len(self.starts(self.list_executors())), 1)
+
+    def test_new_process_has_the_capacity_of_its_own_entry(self):
+        del self.specs["x-b"]
+        self.list_executors()
+        self.restart_unlisted()
+        self.plan()
+        small = executors.Resources(4000, 1024)
+        self.specs["x-a"] = self.specs["x-a"]._replace(
+            incarnation=2, capacity=small
+        )
+        self.assertEqual(self.starts(self.list_executors()), [])
+
+    def test_failures_of_the_former_process_do_not_count(self):
+        del self.specs["x-b"]
+        self.list_executors()
+        sent = self.plan()
+        for number in range(1, 5):
+            run = self.starts(sent)[0].run
+            ended = pool_messages.EndedRun(number, run, "failed")
+            answer = pool_messages.HoldAnswered(
+                "x-a", self.holds["x-a"].token, 1, self.now, (), (ended,)
+            )
+            sent = self.tell(answer)
+        run = self.starts(sent)[0].run
+        self.tick(0.3)
+        ended = pool_messages.EndedRun(5, run, "failed")
+        answer = pool_messages.HoldAnswered(
+            "x-a", self.holds["x-a"].token, 1, self.now, (), (ended,)
+        )
+        self.assertEqual(self.starts(self.tell(answer)), [])
+        self.restart_unlisted()
+        self.specs["x-a"] = self.specs["x-a"]._replace(incarnation=2)
+        self.assertEqual(len(self.starts(self.list_executors())), 1)
+
     def test_executor_that_was_removed_gets_a_higher_token(self):
         first = self.holds["x-a"].token
         spec = self.specs.pop("x-a")
