Gateway: a job is looked for at every instance before it is denied

The instance decided by the callers that wait there, and by today's routes.

Now a DELETE, and a GET of a job, are asked of all instances. Each looks at its callers and its planner, drops the job and answers. 410 needs an answer of all; if one is missing, or this instance has only just seen the fleet, the answer is 503. A DELETE with a body, or without a valid identifier, changes nothing and is answered with 400.

--- a/packages/core/src/cardamompath_core/batches.py
+++ b/packages/core/src/cardamompath_core/batches.py
@@ -11,11 +11,14 @@
 from cardamompath_core import executors
 
 __all__ = [
+    "ACTIVE",
     "CANCELLED",
     "COMPLETE",
     "FAILED",
+    "INVALID",
     "REFUSED",
     "TIMED_OUT",
+    "UNKNOWN",
     "UNKNOWN_ROUTE",
     "Batch",
     "Outcome",
@@ -23,13 +26,19 @@
     "Step",
 ]
 
+ACTIVE = "active"
+"""A caller waits for it."""
 CANCELLED = "cancelled"
 COMPLETE = "complete"
 FAILED = "failed"
+INVALID = "invalid"
+"""The request has no valid identifier of a batch."""
 REFUSED = "refused"
 """No task has started, and none will."""
 TIMED_OUT = "given up"
 """The time limit was reached; some tasks may have run."""
+UNKNOWN = "unknown"
+"""No instance has such a batch."""
 UNKNOWN_ROUTE = "unknown route"
 
 
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from cardamompath_core import batches
 from cardamompath_core import executor_digests
@@ -15,6 +16,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers import gateway_drops
 from cardamompathd.controllers import gateway_planners
+from cardamompathd.controllers import gateway_queries
 from cardamompathd.controllers import gateway_state
 
 __all__ = [
@@ -47,20 +49,29 @@
 _ARRIVED_LATE = batches.Outcome(
     batches.REFUSED, "read after its time limit", LATE_RETRY_AFTER
 )
+_NO_ROUTE = batches.Outcome(batches.UNKNOWN_ROUTE, "no such route")
+_INVALID_NAME = batches.Outcome(
+    batches.INVALID, "the path has no valid identifier of a job"
+)
+_CANCELLED = batches.Outcome(batches.CANCELLED, "cancelled")
 _STOPPING = batches.Outcome(
     batches.REFUSED, "shutting down", STOPPING_RETRY_AFTER
 )
 
 
-def make_controller(name: str, domain: str = "") -> messages.Controller:
+def make_controller(
+    name: str, domain: str = "", is_batch_name: Callable[[str], bool] = bool
+) -> messages.Controller:
     """Make the controller of the batches whose callers wait here.
 
     Parameters
     ----------
     name, domain : str
         Name of this instance and of its failure domain.
+    is_batch_name : callable
+        Returns whether a text is a valid name of a batch.
     """
-    state = gateway_state.GatewayState(name, domain)
+    state = gateway_state.GatewayState(name, domain, is_batch_name)
 
     def receive(msg, now):
         handler = _HANDLERS.get(type(msg))
@@ -74,15 +85,15 @@
         return _refuse(msg, _UNCONFIGURED)
     route = state.route_table.find(msg.host, msg.path)
     if route is None or len(route.prefix) == len(msg.path):
-        return _refuse(
-            msg, batches.Outcome(batches.UNKNOWN_ROUTE, "no such route")
-        )
+        return _refuse(msg, _NO_ROUTE)
     deadline = msg.arrived_at + msg.timeout
     if now >= deadline:
         return _refuse(msg, _ARRIVED_LATE)
     if now >= state.answer_by:
         return _refuse(msg, _STOPPING)
     name = msg.path[len(route.prefix) :]
+    if not state.is_batch_name(name):
+        return _refuse(msg, _INVALID_NAME)
     state.batch_by_waiter[msg.reply_to] = name
     existing = state.pending.get(name)
     if existing is not None:
@@ -132,18 +143,52 @@
 
 
 def _cancel(state, msg, now):
+    return _look_up(state, msg, True, now)
+
+
+def _find_batch(state, msg, now):
+    return _look_up(state, msg, False, now)
+
+
+def _look_up(state, msg, cancel, now):
+    """Ask all instances for a batch by its name.
+
+    Its route may have been removed since it was submitted.
+    """
     if state.route_table is None:
         return _refuse(msg, _UNCONFIGURED)
     route = state.route_table.find(msg.host, msg.path)
-    name = msg.path[len(route.prefix) :] if route else ""
+    if route is None:
+        name = msg.path.rpartition("/")[2]
+    else:
+        name = msg.path[len(route.prefix) :]
+    if not state.is_batch_name(name):
+        outcome = _INVALID_NAME if route else _NO_ROUTE
+        return _refuse(msg, outcome)
+    return gateway_queries.ask(
+        state, name, cancel, msg.reply_to, route is not None, now
+    )
+
+
+def _handle_query(state, msg, now):
+    """Look for a batch here; the planner of this instance does so next."""
+    found = ""
+    if msg.name in state.pending:
+        found = batches.ACTIVE
+    sends = _cancel_here(state, msg.name, now) if msg.cancel else []
+    query = msg._replace(state=found)
+    return [*sends, messages.Send(pool_messages.PLANNER, query)]
+
+
+def _cancel_here(state, name, now):
+    """Cancel a batch at this instance."""
     pending = state.pending.get(name)
-    reply = messages.Reply(msg.reply_to, pending is not None)
-    sends = [messages.Send(messages.CALLERS, reply)]
-    if pending is not None:
-        outcome = batches.Outcome(batches.CANCELLED, "cancelled")
-        sends += _drop_batch(state, pending, "cancelled", now)
-        sends += _answer(state, pending, outcome, now)
-    return sends
+    if pending is None:
+        return []
+    return [
+        *_drop_batch(state, pending, "cancelled", now),
+        *_answer(state, pending, _CANCELLED, now),
+    ]
 
 
 def _set_routes(state, msg, _):
@@ -268,7 +313,9 @@
 def _handle_end(state, msg, now):
     outcome = msg.outcome
     if outcome.state == batches.CANCELLED:
-        return gateway_drops.acknowledge(state, msg)
+        if msg.handover:
+            return gateway_drops.acknowledge(state, msg)
+        return _cancel_here(state, msg.name, now)
     pending = state.pending.get(msg.name)
     if pending is None:
         return ()
@@ -325,6 +372,9 @@
 
 def _update_fleet(state, msg, now):
     state.started = msg.own_member.started
+    state.address = msg.own_member.address
+    if state.viewed_since is None:
+        state.viewed_since = now
     reports = _report_losses(state, msg)
     state.alive = msg.alive
     state.missing = msg.missing
@@ -340,7 +390,7 @@
         ):
             sends += gateway_planners.hand_over(state, pending, now)
     _forget_former_members(state)
-    return sends
+    return sends + gateway_queries.update_members(state, now)
 
 
 def _report_losses(state, msg):
@@ -360,14 +410,15 @@
     )
     if not is_planner or not addresses:
         return []
+    reports = [
+        pool_messages.LossesReported(batch, losses)
+        for batch, losses in state.losses.recent_crashes().items()
+    ]
     return [
         messages.Send(
-            pool_messages.LINKS,
-            pool_messages.SendToMembers(
-                addresses, pool_messages.LossesReported(batch, losses)
-            ),
+            pool_messages.LINKS, pool_messages.SendToMembers(addresses, report)
         )
-        for batch, losses in state.losses.recent_crashes().items()
+        for report in reports
     ]
 
 
@@ -404,6 +455,8 @@
 def _handle_timer(state, msg, now):
     if msg.key == gateway_drops.TIMER_KEY:
         return gateway_drops.resend(state, now)
+    if msg.key == gateway_queries.TIMER_KEY:
+        return gateway_queries.resend(state, now)
     if msg.key is not None:
         return _handle_deadline(state, state.pending.get(msg.key), now)
     sends = []
@@ -457,6 +510,9 @@
 _HANDLERS = {
     pool_messages.SubmitBatch: _submit,
     pool_messages.CancelBatch: _cancel,
+    pool_messages.FindBatch: _find_batch,
+    pool_messages.BatchQuery: _handle_query,
+    pool_messages.BatchQueryAnswered: gateway_queries.handle_answer,
     pool_messages.CountWaiting: _count_waiting,
     pool_messages.GetReadiness: _report_readiness,
     pool_messages.RoutesConfigured: _set_routes,
--- a/packages/daemon/src/cardamompathd/controllers/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 from cardamompath_core import batches
@@ -11,6 +12,7 @@
 from cardamompath_core import routes
 from cardamompathd.controllers import gateway_drops
 from cardamompathd.controllers import gateway_planners
+from cardamompathd.controllers import gateway_queries
 from cardamompathd.controllers import run_losses
 
 __all__ = [
@@ -75,9 +77,23 @@
 class GatewayState:
     """The routes, the pending batches and the known planners."""
 
-    def __init__(self, name: str, domain: str):
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        is_batch_name: Callable[[str], bool] = bool,
+    ):
         self.name = name
         self.domain = domain
+        self.is_batch_name = is_batch_name
+        """Returns whether a text is a valid name of a batch."""
+        self.address = ("", 0)
+        """Address on which this instance listens for the others."""
+        self.viewed_since: float | None = None
+        """When the first view of the fleet was published."""
+        self.queries: dict[int, gateway_queries.Query] = {}
+        """Questions that not every instance has answered, by number."""
+        self.last_query = 0
         self.started = 0
         """Start time of this process, in milliseconds since 1970."""
         self.route_table: routes.RouteTable | None = None
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -413,6 +413,54 @@
     return [decision, *planner_runs.drop_plan(state, plan)]
 
 
+def _handle_query(state, msg, now):
+    """Look for a batch here, drop it if it is cancelled, and answer."""
+    if state.fleet is None:
+        return []
+    plan = state.plans.get(msg.name)
+    is_early = msg.name in state.early_batches
+    found = msg.state
+    if plan is not None or is_early:
+        found = found or batches.ACTIVE
+    sends = []
+    if msg.cancel:
+        sends += _cancel_batch(state, msg.name, now)
+    answer = pool_messages.BatchQueryAnswered(
+        msg.name,
+        msg.number,
+        state.name,
+        state.fleet.own_member.started,
+        found,
+    )
+    if msg.origin == state.name:
+        return [*sends, messages.Send(pool_messages.GATEWAY, answer)]
+    to_member = pool_messages.SendToMember(msg.address, answer)
+    return [*sends, messages.Send(pool_messages.LINKS, to_member)]
+
+
+def _cancel_batch(state, name, now):
+    """Drop a batch, and tell its origins."""
+    state.early_batches.pop(name, None)
+    plan = state.plans.get(name)
+    if plan is None:
+        return []
+    outcome = batches.Outcome(batches.CANCELLED, "cancelled")
+    sends = [
+        planner_log.decision(
+            "batch cancelled",
+            plan.name,
+            done=plan.done_count,
+            tasks=len(plan.tasks),
+            age_ms=round((now - plan.submitted_at) * 1000.0),
+        )
+    ]
+    for origin in plan.origins:
+        sends.append(
+            planner_runs.report_outcome(state, plan.name, origin, outcome)
+        )
+    return sends + planner_runs.drop_plan(state, plan)
+
+
 _CONFIRMATIONS = (
     pool_messages.BatchesConfirmed,
     pool_messages.PlanningPermitted,
@@ -425,6 +473,7 @@
     pool_messages.PlanningPermitted: planner_permissions.handle_permission,
     pool_messages.BatchesConfirmed: planner_permissions.note_confirmation,
     pool_messages.DropBatch: _handle_drop,
+    pool_messages.BatchQuery: _handle_query,
     pool_messages.StartAnswered: planner_runs.handle_start_answer,
     pool_messages.StopAnswered: planner_runs.handle_stop_answer,
     pool_messages.HoldAnswered: planner_leases.handle_hold_answer,
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -143,6 +143,27 @@
     losses: list[LossFields]
 
 
+class QueryFields(NamedTuple):
+    """A question whether an instance has a batch."""
+
+    name: str
+    cancel: int
+    number: int
+    origin: str
+    host: str
+    port: int
+
+
+class QueryAnswerFields(NamedTuple):
+    """The answer to it."""
+
+    name: str
+    number: int
+    member: str
+    member_started: int
+    state: str
+
+
 class ConfigurationFields(NamedTuple):
     """A published version of the desired configuration."""
 
@@ -240,6 +261,18 @@
     wire.TEXT,
     wire.I64,
 )
+wire.declare(
+    QueryFields,
+    wire.TEXT,
+    wire.I32,
+    wire.I64,
+    wire.TEXT,
+    wire.TEXT,
+    wire.I32,
+)
+wire.declare(
+    QueryAnswerFields, wire.TEXT, wire.I64, wire.TEXT, wire.I64, wire.TEXT
+)
 wire.declare(ConfigurationFields, wire.I64, wire.BINARY)
 
 _HEARTBEAT = wire.Method("hello", HeartbeatFields, HeartbeatFields)
@@ -247,6 +280,8 @@
 _DROP = wire.Method("drop", DropFields, DropFields)
 _ENDED = wire.Method("ended", EndedFields, EndedFields)
 _LOST = wire.Method("lost", LossesFields, LossesFields)
+_QUERY = wire.Method("query", QueryFields, QueryFields)
+_QUERY_ANSWER = wire.Method("found", QueryAnswerFields, QueryAnswerFields)
 _CONFIGURATION = wire.Method(
     "configuration", ConfigurationFields, ConfigurationFields
 )
@@ -258,6 +293,8 @@
         _DROP,
         _ENDED,
         _LOST,
+        _QUERY,
+        _QUERY_ANSWER,
         _CONFIGURATION,
     )
 }
@@ -514,6 +551,26 @@
     )
 
 
+def _encode_query(msg):
+    return QueryFields(
+        msg.name, int(msg.cancel), msg.number, msg.origin, *msg.address
+    )
+
+
+def _decode_query(fields):
+    return pool_messages.BatchQuery(
+        fields.name,
+        bool(fields.cancel),
+        fields.number,
+        fields.origin,
+        _check_address(fields.host, fields.port),
+    )
+
+
+def _decode_query_answer(fields):
+    return pool_messages.BatchQueryAnswered(*fields)
+
+
 def _decode_configuration(fields):
     return pool_messages.ConfigurationOffered(fields.version, fields.document)
 
@@ -524,6 +581,11 @@
     pool_messages.DropBatch: (_DROP, lambda msg: DropFields(*msg)),
     pool_messages.BatchEnded: (_ENDED, _encode_ended),
     pool_messages.LossesReported: (_LOST, _encode_reported_losses),
+    pool_messages.BatchQuery: (_QUERY, _encode_query),
+    pool_messages.BatchQueryAnswered: (
+        _QUERY_ANSWER,
+        lambda msg: QueryAnswerFields(*msg),
+    ),
     pool_messages.ConfigurationOffered: (
         _CONFIGURATION,
         lambda msg: ConfigurationFields(*msg),
@@ -535,5 +597,7 @@
     "drop": (pool_messages.PLANNER, _decode_drop),
     "ended": (pool_messages.GATEWAY, _decode_ended),
     "lost": (pool_messages.GATEWAY, _decode_reported_losses),
+    "query": (pool_messages.GATEWAY, _decode_query),
+    "found": (pool_messages.GATEWAY, _decode_query_answer),
     "configuration": (pool_messages.CONFIGURATIONS, _decode_configuration),
 }
--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -13,6 +13,7 @@
 from cardamompathd.platform import settings
 
 __all__ = [
+    "is_job_name",
     "parse_configuration",
     "parse_executor",
     "parse_job",
@@ -43,6 +44,8 @@
 EXECUTOR_NAME = re.compile(r"[!-~]+")
 """Names that can be sent in a header: visible ASCII characters."""
 
+JOB_NAME = re.compile(r"[0-9a-fA-F]{16}")
+
 UNSUPPORTED_STEP_FIELDS = {
     "gang": "gang-scheduled tasks",
     "rack_local": "tasks that must share a rack",
@@ -58,6 +61,11 @@
 """The same for the fields of a job."""
 
 
+def is_job_name(text: str) -> bool:
+    """Return whether a text is an identifier of a job."""
+    return JOB_NAME.fullmatch(text) is not None
+
+
 def parse_configuration(raw: bytes) -> routes.RouteTable:
     """Parse a published configuration.
 
--- a/packages/daemon/src/cardamompathd/platform/frontend.py
+++ b/packages/daemon/src/cardamompathd/platform/frontend.py
@@ -34,11 +34,14 @@
 request itself waits."""
 
 STATUSES = {
+    batches.ACTIVE: 200,
     batches.COMPLETE: 200,
     batches.FAILED: 200,
     batches.CANCELLED: 200,
+    batches.INVALID: 400,
     batches.REFUSED: 503,
     batches.TIMED_OUT: 504,
+    batches.UNKNOWN: 410,
     batches.UNKNOWN_ROUTE: 404,
 }
 
@@ -68,7 +71,7 @@
 
 
 def _make_handler(tasks):
-    handlers = {"POST": _submit, "GET": _get_pending, "DELETE": _cancel}
+    handlers = {"POST": _submit, "GET": _get, "DELETE": _cancel}
 
     def handle(req: chain.Request) -> chain.Response:
         handler = handlers.get(req.method)
@@ -160,7 +163,9 @@
     return fut.get(timeout=REPLY_TIMEOUT)
 
 
-def _get_pending(tasks, req):
+def _get(tasks, req):
+    if not req.path.endswith("/"):
+        return _look_up(tasks, req, pool_messages.FindBatch)
     count = _ask(
         tasks.gateway,
         lambda fut: pool_messages.CountWaiting(_host(req), req.path, fut),
@@ -169,21 +174,21 @@
         return _respond(count)
     if count is None:
         return chain.error_response(404, "no_route", "no such route")
-    if req.path.endswith("/"):
-        return chain.Response(200, {"pending": count})
-    return chain.error_response(410, "no_job", "no such job is stored")
+    return chain.Response(200, {"pending": count})
 
 
 def _cancel(tasks, req):
-    known = _ask(
-        tasks.gateway,
-        lambda fut: pool_messages.CancelBatch(_host(req), req.path, fut),
+    if req.length:
+        reason = "a DELETE has no body"
+        return chain.error_response(400, "bad_request", reason)
+    return _look_up(tasks, req, pool_messages.CancelBatch)
+
+
+def _look_up(tasks, req, message_type):
+    outcome = _ask(
+        tasks.gateway, lambda fut: message_type(_host(req), req.path, fut)
     )
-    if isinstance(known, batches.Outcome):
-        return _respond(known)
-    if known:
-        return chain.Response(200, {"state": batches.CANCELLED})
-    return chain.error_response(410, "no_job", "no such job is stored")
+    return _respond(outcome)
 
 
 def make_readiness(tell: Tell) -> chain.Handler:
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -18,6 +18,7 @@
 from cardamompathd import pool_app
 from cardamompathd import pool_messages
 from cardamompathd.callers import server
+from cardamompathd.platform import documents
 from cardamompathd.platform import errors
 from cardamompathd.platform import executor_protocol
 from cardamompathd.platform import followers
@@ -148,6 +149,7 @@
         log.record,
         cfg.remote_rack_factor,
         cfg.resubmit_delay,
+        documents.is_job_name,
     )
     tell_planner = app.controllers[pool_messages.PLANNER]
     tell_fleet = app.controllers[pool_messages.FLEET]
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -92,6 +92,7 @@
     log_decision: Callable[[pool_messages.Decision], None],
     remote_rack_factor: float = 1.0,
     resubmit_delay: float = planner_state.RESUBMIT_DELAY,
+    is_batch_name: Callable[[str], bool] = bool,
 ) -> Instance:
     """Start the tasks of an instance.
 
@@ -111,6 +112,8 @@
         Factor on the run time of a task on a rack without its data.
     resubmit_delay : float
         Seconds after which a caller without an answer submits a batch again.
+    is_batch_name : callable
+        Returns whether a text is a valid name of a batch.
 
     Raises
     ------
@@ -135,7 +138,9 @@
     actor_ref = sockets.SocketActor.start(
         [
             fleet.make_controller(own_member),
-            gateway.make_controller(own_member.name, own_member.domain),
+            gateway.make_controller(
+                own_member.name, own_member.domain, is_batch_name
+            ),
             planner_controller,
         ],
         deliver,
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -22,6 +22,8 @@
     "BacklogChanged",
     "BacklogMeasured",
     "BatchEnded",
+    "BatchQuery",
+    "BatchQueryAnswered",
     "BatchesConfirmed",
     "CALLER_WATCH",
     "CONFIGURATIONS",
@@ -38,6 +40,7 @@
     "ExecutorsHeld",
     "ExecutorsListed",
     "FLEET",
+    "FindBatch",
     "FleetChanged",
     "GATEWAY",
     "HeartbeatReceived",
@@ -187,16 +190,59 @@
 
 
 class CancelBatch(NamedTuple):
-    """Cancel a batch; the reply is whether the batch was known.
+    """Cancel a batch, at whichever instance it is.
 
-    The reply is a `batches.Outcome` if no routes are known yet.
+    The reply is a `batches.Outcome`: ``cancelled``, ``unknown``, or why that
+    cannot be told.
     """
 
     host: str
     path: str
+    """Prefix of a route, also of one that was removed, followed by the name
+    of the batch."""
     reply_to: Any
 
 
+class FindBatch(NamedTuple):
+    """Ask for the state of a batch, at whichever instance it is.
+
+    The reply is a `batches.Outcome`.
+    """
+
+    host: str
+    path: str
+    reply_to: Any
+
+
+class BatchQuery(NamedTuple):
+    """Ask an instance whether it has a batch, or cancel it there."""
+
+    name: str
+    cancel: bool
+    number: int
+    """Number of the question at the instance that asks."""
+    origin: str
+    """Name of that instance."""
+    address: tuple[str, int]
+    """Its address."""
+    state: str = ""
+    """What the gateway of an instance tells its planner: the state of the
+    batch there; empty if it has none."""
+
+
+class BatchQueryAnswered(NamedTuple):
+    """The answer to a `BatchQuery`."""
+
+    name: str
+    number: int
+    member: str
+    """Name of the instance that answers."""
+    member_started: int
+    """Start time of its process, in milliseconds since 1970."""
+    state: str
+    """``active``, ``cancelled``, or empty if it does not have the batch."""
+
+
 class CountWaiting(NamedTuple):
     """Ask how many batches of a route have not started.
 
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -35,6 +35,13 @@
 """Seconds between looks of a caller at its connection."""
 FIRST_RESTART = 9000
 """Start times of restarted instances are later than this."""
+GATEWAY_MESSAGES = (
+    pool_messages.BatchEnded,
+    pool_messages.BatchQuery,
+    pool_messages.BatchQueryAnswered,
+    pool_messages.LossesReported,
+)
+"""Messages between instances that their gateways receive."""
 HOST = "desk.example"
 POLICY = batches.RoutePolicy("r-1", "desk", 0, 2, 1.6, 0.06)
 TABLE = routes.make_table(
@@ -462,6 +469,20 @@
             checked = pool_messages.CallersChecked(self.now, present)
             instance.receive(pool_messages.GATEWAY, checked)
 
+    def cancel(self, instance, name):
+        """Cancel a batch at an instance; return the `reply_to`."""
+        return self._look_up(instance, name, pool_messages.CancelBatch)
+
+    def find(self, instance, name):
+        """Ask an instance for a batch; return the `reply_to`."""
+        return self._look_up(instance, name, pool_messages.FindBatch)
+
+    def _look_up(self, instance, name, message_type):
+        reply_to = f"{message_type.__name__}{next(self.sequence)}"
+        msg = message_type(HOST, f"/jobs/{name}", reply_to)
+        instance.receive(pool_messages.GATEWAY, msg)
+        return reply_to
+
     def call(self, names, name, count=2, timeout=1.5):
         """Submit a batch, and again if no answer comes, as callers do.
 
@@ -560,7 +581,7 @@
         if isinstance(payload, fleet_state.Heartbeat):
             heartbeat = pool_messages.HeartbeatReceived(*payload)
             target.receive(pool_messages.FLEET, heartbeat)
-        elif isinstance(payload, pool_messages.BatchEnded):
+        elif isinstance(payload, GATEWAY_MESSAGES):
             target.receive(pool_messages.GATEWAY, payload)
         elif not isinstance(payload, pool_messages.ConfigurationOffered):
             target.receive(pool_messages.PLANNER, payload)
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/tests/test_cancellations.py
@@ -0,0 +1,135 @@
+"""A cancelled batch is cancelled at whichever instance or planner it is."""
+
+import unittest
+
+from cardamompath_core import batches
+from cardamompathd import pool_messages
+from cardamompathd.tests import pool_simulation
+from cardamompathd.tests import test_large_fleet
+
+STOP_MARGIN = 0.1
+"""Seconds in which the runs of a cancelled batch end in a calm simulation."""
+
+
+class CancellationTest(unittest.TestCase):
+    def setUp(self):
+        self.simulation = test_large_fleet.make_simulation()
+        self.simulation.run_time = 0.5
+        self.instances = self.simulation.instances
+
+    def assert_answer(self, reply, state):
+        outcome = self.simulation.answers.get(reply)
+        self.assertIsNotNone(outcome, reply)
+        self.assertEqual(outcome.state, state, outcome)
+
+    def submit(self, origin="n-a5", name="j", count=30, timeout=20.0):
+        return self.simulation.submit(
+            self.instances[origin], name, count, timeout
+        )
+
+    def cancel(self, instance, name="j"):
+        reply = self.simulation.cancel(self.instances[instance], name)
+        self.simulation.advance(0.02)
+        return reply
+
+    def starts(self, name="j"):
+        """Return how many tasks of a batch were started so far."""
+        return sum(
+            task[0] == name
+            for executor in self.simulation.executors.values()
+            for task in executor.started_tasks
+        )
+
+    def assert_stopped(self, name="j"):
+        """Check that no task of a batch runs or is started any more."""
+        self.simulation.advance(STOP_MARGIN)
+        before = self.starts(name)
+        self.simulation.advance(4.0)
+        self.assertEqual(self.starts(name), before)
+        for executor in self.simulation.executors.values():
+            self.assertEqual(list(executor.runs), [])
+
+    def test_batch_is_cancelled_at_any_instance(self):
+        # Another instance than that of the caller said that there was no such
+        # job, and it went on (case 5 of the review).
+        for name in ("n-a5", "n-a", "n-a6", "n-b", "n-b7"):
+            with self.subTest(name):
+                self.setUp()
+                submitted = self.submit()
+                self.simulation.advance(0.3)
+                reply = self.cancel(name)
+                self.assert_answer(reply, batches.CANCELLED)
+                self.assert_answer(submitted, batches.CANCELLED)
+                self.assert_stopped()
+
+    def test_batch_is_cancelled_while_its_planner_changes(self):
+        for delay in (0.0, 0.2, 0.45, 0.5, 0.6):
+            for leaves in (False, True):
+                with self.subTest(delay=delay, leaves=leaves):
+                    self.setUp()
+                    submitted = self.submit()
+                    self.simulation.advance(0.3)
+                    for name in ("n-a", "n-a1"):
+                        if leaves:
+                            self.instances[name].receive(
+                                pool_messages.FLEET, pool_messages.Leave()
+                            )
+                        else:
+                            self.instances[name].alive = False
+                    self.simulation.advance(delay)
+                    reply = self.cancel("n-b6")
+                    self.assert_answer(submitted, batches.CANCELLED)
+                    self.simulation.advance(2.0)
+                    self.assert_answer(reply, batches.CANCELLED)
+                    self.assert_stopped()
+
+    def test_no_batch_is_denied_that_a_silent_instance_may_have(self):
+        self.submit(count=400, timeout=60.0)
+        self.simulation.advance(0.3)
+        self.simulation.partition("a", "b")
+        for wait in (0.0, 1.0):
+            self.simulation.advance(wait)
+            reply = self.cancel("n-b6")
+            self.simulation.advance(2.0)
+            self.assert_answer(reply, batches.REFUSED)
+
+    def test_unknown_batch_is_denied_by_all(self):
+        self.assert_answer(self.cancel("n-a5", "other"), batches.UNKNOWN)
+        found = self.simulation.find(self.instances["n-b7"], "another")
+        self.simulation.advance(0.02)
+        self.assert_answer(found, batches.UNKNOWN)
+
+    def test_batch_is_found_at_any_instance(self):
+        self.submit()
+        self.simulation.advance(0.3)
+        for name in ("n-a5", "n-b7"):
+            found = self.simulation.find(self.instances[name], "j")
+            self.simulation.advance(0.02)
+            self.assert_answer(found, batches.ACTIVE)
+
+    def test_batch_of_a_removed_route_is_cancelled(self):
+        submitted = self.submit()
+        self.simulation.advance(0.3)
+        table = pool_simulation.TABLE._replace(version=2, by_host={})
+        configured = pool_messages.RoutesConfigured(table, b"", "store")
+        for instance in self.instances.values():
+            instance.receive(pool_messages.GATEWAY, configured)
+        self.assert_answer(self.cancel("n-b6"), batches.CANCELLED)
+        self.assert_answer(submitted, batches.CANCELLED)
+        self.assert_stopped()
+        self.assert_answer(self.cancel("n-b6", "other"), batches.UNKNOWN_ROUTE)
+
+    def test_invalid_name_changes_nothing(self):
+        instance = self.instances["n-a5"]
+        gateway = instance.controllers[pool_messages.GATEWAY]
+        for path in ("/jobs/", "/other"):
+            msg = pool_messages.CancelBatch(pool_simulation.HOST, path, path)
+            sent = gateway(msg, self.simulation.now)
+            states = [
+                send.msg.answer.state for send in sent if send.to == "callers"
+            ]
+            self.assertEqual(len(states), 0 if path == "/other" else 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -171,7 +171,7 @@
         self.assertEqual([to for to, _ in self.submit()], [address])
         self.assertEqual(self.drops(self.pass_drop_interval()), [])
         # The acknowledgment of the drop arrives after that.
-        sent = self.end_batch(batches.CANCELLED, address)
+        sent = self.acknowledge(address, 1)
         self.assertEqual(self.answers(sent), [])
         sent = self.end_batch(batches.COMPLETE, address)
         self.assertEqual(len(self.answers(sent)), 1)
--- a/packages/daemon/src/cardamompathd/tests/test_platform_frontend.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_frontend.py
@@ -121,13 +121,29 @@
 
     def test_pending_count_and_cancellation(self):
         self.answers[pool_messages.CountWaiting] = 0
-        self.answers[pool_messages.CancelBatch] = True
         response = self.call("GET", "/x/")
         self.assertEqual(response.body, {"pending": 0})
-        self.assertEqual(self.call("GET", "/x/5c0e").status, 410)
-        self.assertEqual(self.call("DELETE", "/x/5c0e").status, 200)
-        self.answers[pool_messages.CancelBatch] = False
-        self.assertEqual(self.call("DELETE", "/x/5c0e").status, 410)
+        cases = (
+            (batches.ACTIVE, 200),
+            (batches.CANCELLED, 200),
+            (batches.UNKNOWN, 410),
+            (batches.UNKNOWN_ROUTE, 404),
+            (batches.REFUSED, 503),
+            (batches.INVALID, 400),
+        )
+        methods = {
+            "GET": pool_messages.FindBatch,
+            "DELETE": pool_messages.CancelBatch,
+        }
+        for method, message_type in methods.items():
+            for state, status in cases:
+                with self.subTest(method=method, state=state):
+                    outcome = batches.Outcome(state, "why")
+                    self.answers[message_type] = outcome
+                    response = self.call(method, "/x/5c0e")
+                    self.assertEqual(response.status, status)
+                    if status == 200:
+                        self.assertEqual(response.body, {"state": state})
         self.answers[pool_messages.CountWaiting] = None
         self.assertEqual(self.call("GET", "/y/").status, 404)
 
@@ -138,6 +154,11 @@
         for method, path in (("GET", "/x/"), ("DELETE", "/x/5c0e")):
             self.assertEqual(self.call(method, path).status, 503)
 
+    def test_cancellation_with_a_body_is_rejected(self):
+        response = self.call("DELETE", "/x/5c0e7a21d94b36f8", {"why": "x"})
+        self.assertEqual(response.status, 400)
+        self.assertEqual(self.sent, [])
+
     def test_readiness(self):
         ready = frontend.make_readiness(self.tell)
         for reason, status in (("", 200), ("shutting down", 503)):
