Gateway: cancellations are remembered by all instances

Planners tell instances that are new or were cut off; one that has the job drops it then. The log tells how many are remembered at each look-up.

--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -94,6 +94,9 @@
     name = msg.path[len(route.prefix) :]
     if not state.is_batch_name(name):
         return _refuse(msg, _INVALID_NAME)
+    if state.cancellations.find(name, now):
+        state.cancellations.add(name, now, True)
+        return _refuse(msg, _CANCELLED)
     state.batch_by_waiter[msg.reply_to] = name
     existing = state.pending.get(name)
     if existing is not None:
@@ -173,16 +176,20 @@
 def _handle_query(state, msg, now):
     """Look for a batch here; the planner of this instance does so next."""
     found = ""
+    known = state.cancellations.find(msg.name, now)
     if msg.name in state.pending:
         found = batches.ACTIVE
-    sends = _cancel_here(state, msg.name, now) if msg.cancel else []
+    elif known is not None and known.existed:
+        found = batches.CANCELLED
+    sends = _cancel_here(state, msg.name, now, now) if msg.cancel else []
     query = msg._replace(state=found)
     return [*sends, messages.Send(pool_messages.PLANNER, query)]
 
 
-def _cancel_here(state, name, now):
-    """Cancel a batch at this instance."""
+def _cancel_here(state, name, cancelled_at, now):
+    """Cancel a batch at this instance, and remember that."""
     pending = state.pending.get(name)
+    state.cancellations.add(name, cancelled_at, pending is not None)
     if pending is None:
         return []
     return [
@@ -191,6 +198,14 @@
     ]
 
 
+def _note_cancellations(state, msg, now):
+    """Process cancellations of which this instance did not know."""
+    sends = []
+    for name, age in zip(msg.names, msg.ages, strict=True):
+        sends += _cancel_here(state, name, now - age, now)
+    return [*sends, messages.Send(pool_messages.PLANNER, msg)]
+
+
 def _set_routes(state, msg, _):
     table = msg.table
     if (
@@ -315,7 +330,7 @@
     if outcome.state == batches.CANCELLED:
         if msg.handover:
             return gateway_drops.acknowledge(state, msg)
-        return _cancel_here(state, msg.name, now)
+        return _cancel_here(state, msg.name, now, now)
     pending = state.pending.get(msg.name)
     if pending is None:
         return ()
@@ -375,7 +390,7 @@
     state.address = msg.own_member.address
     if state.viewed_since is None:
         state.viewed_since = now
-    reports = _report_losses(state, msg)
+    reports = _report_to_new_members(state, msg, now)
     state.alive = msg.alive
     state.missing = msg.missing
     state.assignment = msg.assignment
@@ -393,10 +408,10 @@
     return sends + gateway_queries.update_members(state, now)
 
 
-def _report_losses(state, msg):
-    """Tell instances that are new of recent crashes.
+def _report_to_new_members(state, msg, now):
+    """Tell instances that are new of recent crashes and cancellations.
 
-    Only the planners do so; all of them know of all crashes.
+    Only the planners do so; all of them know of all.
     """
     is_planner = any(
         planner.name == state.name for planner in state.assignment.planners
@@ -414,6 +429,11 @@
         pool_messages.LossesReported(batch, losses)
         for batch, losses in state.losses.recent_crashes().items()
     ]
+    recent = state.cancellations.recent(now)
+    if recent:
+        names = tuple(each.name for each in recent)
+        ages = tuple(now - each.cancelled_at for each in recent)
+        reports.append(pool_messages.CancellationsReported(names, ages))
     return [
         messages.Send(
             pool_messages.LINKS, pool_messages.SendToMembers(addresses, report)
@@ -513,6 +533,7 @@
     pool_messages.FindBatch: _find_batch,
     pool_messages.BatchQuery: _handle_query,
     pool_messages.BatchQueryAnswered: gateway_queries.handle_answer,
+    pool_messages.CancellationsReported: _note_cancellations,
     pool_messages.CountWaiting: _count_waiting,
     pool_messages.GetReadiness: _report_readiness,
     pool_messages.RoutesConfigured: _set_routes,
--- a/packages/daemon/src/cardamompathd/controllers/gateway_queries.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_queries.py
@@ -177,6 +177,7 @@
         "complete": query.is_complete,
         "took_ms": round((now - query.give_up_at + QUERY_TIMEOUT) * 1000.0),
         "answer": outcome.state,
+        "remembered": len(state.cancellations),
     }
     decision = pool_messages.Decision(
         "gateway", "batch looked up", query.msg.name, fields
--- a/packages/daemon/src/cardamompathd/controllers/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_state.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from cardamompath_core import batches
+from cardamompath_core import cancellations
 from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
 from cardamompath_core import routes
@@ -94,6 +95,7 @@
         self.queries: dict[int, gateway_queries.Query] = {}
         """Questions that not every instance has answered, by number."""
         self.last_query = 0
+        self.cancellations = cancellations.CancellationMemory()
         self.started = 0
         """Start time of this process, in milliseconds since 1970."""
         self.route_table: routes.RouteTable | None = None
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -204,6 +204,9 @@
         return [
             planner_runs.report_outcome(state, name, origin, ended_outcome)
         ]
+    if state.cancellations.find(name, now):
+        outcome = batches.Outcome(batches.CANCELLED, "cancelled")
+        return [planner_runs.report_outcome(state, name, origin, outcome)]
     plan = state.plans.get(name)
     sends = []
     if plan is not None:
@@ -424,7 +427,7 @@
         found = found or batches.ACTIVE
     sends = []
     if msg.cancel:
-        sends += _cancel_batch(state, msg.name, now)
+        sends += _cancel_batch(state, msg.name, now, now)
     answer = pool_messages.BatchQueryAnswered(
         msg.name,
         msg.number,
@@ -438,8 +441,9 @@
     return [*sends, messages.Send(pool_messages.LINKS, to_member)]
 
 
-def _cancel_batch(state, name, now):
-    """Drop a batch, and tell its origins."""
+def _cancel_batch(state, name, cancelled_at, now):
+    """Drop a batch, remember that, and tell its origins."""
+    state.cancellations.add(name, cancelled_at, False)
     state.early_batches.pop(name, None)
     plan = state.plans.get(name)
     if plan is None:
@@ -461,6 +465,13 @@
     return sends + planner_runs.drop_plan(state, plan)
 
 
+def _note_cancellations(state, msg, now):
+    sends = []
+    for name, age in zip(msg.names, msg.ages, strict=True):
+        sends += _cancel_batch(state, name, now - age, now)
+    return sends
+
+
 _CONFIRMATIONS = (
     pool_messages.BatchesConfirmed,
     pool_messages.PlanningPermitted,
@@ -474,6 +485,7 @@
     pool_messages.BatchesConfirmed: planner_permissions.note_confirmation,
     pool_messages.DropBatch: _handle_drop,
     pool_messages.BatchQuery: _handle_query,
+    pool_messages.CancellationsReported: _note_cancellations,
     pool_messages.StartAnswered: planner_runs.handle_start_answer,
     pool_messages.StopAnswered: planner_runs.handle_stop_answer,
     pool_messages.HoldAnswered: planner_leases.handle_hold_answer,
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -11,6 +11,7 @@
 
 from cardamompath_core import batch_order
 from cardamompath_core import batches
+from cardamompath_core import cancellations
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompath_core import planner_election
@@ -410,6 +411,7 @@
             tuple[pool_messages.Origin, str], int
         ] = collections.OrderedDict()
         """The last hand-over of a batch that each origin has revoked."""
+        self.cancellations = cancellations.CancellationMemory()
         self.losses = run_losses.LossMemory()
         self.lost_boots: dict[tuple[str, int], Any] = {}
         """Executors that were lost with runs and of which it is not known
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -164,6 +164,13 @@
     state: str
 
 
+class CancellationsFields(NamedTuple):
+    """Batches that were cancelled lately."""
+
+    names: list[str]
+    ages_ms: list[int]
+
+
 class ConfigurationFields(NamedTuple):
     """A published version of the desired configuration."""
 
@@ -273,6 +280,7 @@
 wire.declare(
     QueryAnswerFields, wire.TEXT, wire.I64, wire.TEXT, wire.I64, wire.TEXT
 )
+wire.declare(CancellationsFields, _TEXT_LIST, _I64_LIST)
 wire.declare(ConfigurationFields, wire.I64, wire.BINARY)
 
 _HEARTBEAT = wire.Method("hello", HeartbeatFields, HeartbeatFields)
@@ -282,6 +290,9 @@
 _LOST = wire.Method("lost", LossesFields, LossesFields)
 _QUERY = wire.Method("query", QueryFields, QueryFields)
 _QUERY_ANSWER = wire.Method("found", QueryAnswerFields, QueryAnswerFields)
+_CANCELLATIONS = wire.Method(
+    "cancelled", CancellationsFields, CancellationsFields
+)
 _CONFIGURATION = wire.Method(
     "configuration", ConfigurationFields, ConfigurationFields
 )
@@ -295,6 +306,7 @@
         _LOST,
         _QUERY,
         _QUERY_ANSWER,
+        _CANCELLATIONS,
         _CONFIGURATION,
     )
 }
@@ -571,6 +583,18 @@
     return pool_messages.BatchQueryAnswered(*fields)
 
 
+def _encode_cancellations(msg):
+    ages = [round(age * 1000.0) for age in msg.ages]
+    return CancellationsFields(list(msg.names), ages)
+
+
+def _decode_cancellations(fields):
+    if len(fields.names) != len(fields.ages_ms):
+        raise ValueError(f"{len(fields.ages_ms)} ages")
+    ages = tuple(age / 1000.0 for age in fields.ages_ms)
+    return pool_messages.CancellationsReported(tuple(fields.names), ages)
+
+
 def _decode_configuration(fields):
     return pool_messages.ConfigurationOffered(fields.version, fields.document)
 
@@ -586,6 +610,10 @@
         _QUERY_ANSWER,
         lambda msg: QueryAnswerFields(*msg),
     ),
+    pool_messages.CancellationsReported: (
+        _CANCELLATIONS,
+        _encode_cancellations,
+    ),
     pool_messages.ConfigurationOffered: (
         _CONFIGURATION,
         lambda msg: ConfigurationFields(*msg),
@@ -599,5 +627,6 @@
     "lost": (pool_messages.GATEWAY, _decode_reported_losses),
     "query": (pool_messages.GATEWAY, _decode_query),
     "found": (pool_messages.GATEWAY, _decode_query_answer),
+    "cancelled": (pool_messages.GATEWAY, _decode_cancellations),
     "configuration": (pool_messages.CONFIGURATIONS, _decode_configuration),
 }
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -28,6 +28,7 @@
     "CALLER_WATCH",
     "CONFIGURATIONS",
     "CallersChecked",
+    "CancellationsReported",
     "CancelBatch",
     "ConfigurationOffered",
     "DECISION_LOG",
@@ -215,7 +216,11 @@
 
 
 class BatchQuery(NamedTuple):
-    """Ask an instance whether it has a batch, or cancel it there."""
+    """Ask an instance whether it has a batch, or cancel it there.
+
+    An instance that is to cancel a batch remembers that also if it does not
+    have it.
+    """
 
     name: str
     cancel: bool
@@ -243,6 +248,14 @@
     """``active``, ``cancelled``, or empty if it does not have the batch."""
 
 
+class CancellationsReported(NamedTuple):
+    """Batches that were cancelled lately, for an instance that is new."""
+
+    names: tuple[str, ...]
+    ages: tuple[float, ...]
+    """Seconds since each was cancelled."""
+
+
 class CountWaiting(NamedTuple):
     """Ask how many batches of a route have not started.
 
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -39,6 +39,7 @@
     pool_messages.BatchEnded,
     pool_messages.BatchQuery,
     pool_messages.BatchQueryAnswered,
+    pool_messages.CancellationsReported,
     pool_messages.LossesReported,
 )
 """Messages between instances that their gateways receive."""
--- a/packages/daemon/src/cardamompathd/tests/test_cancellations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_cancellations.py
@@ -3,6 +3,7 @@
 import unittest
 
 from cardamompath_core import batches
+from cardamompath_core import cancellations
 from cardamompathd import pool_messages
 from cardamompathd.tests import pool_simulation
 from cardamompathd.tests import test_large_fleet
@@ -62,6 +63,68 @@
                 self.assert_answer(submitted, batches.CANCELLED)
                 self.assert_stopped()
 
+    def test_cancelled_batch_never_runs_again(self):
+        # It ran whole when its request arrived once more (case 4 of the
+        # review).
+        self.submit()
+        self.simulation.advance(0.3)
+        self.cancel("n-a5")
+        self.simulation.advance(4.5)
+        before = self.starts()
+        for origin in ("n-a5", "n-b6", "n-a"):
+            again = self.submit(origin)
+            self.simulation.advance(0.5)
+            self.assert_answer(again, batches.CANCELLED)
+        self.assertEqual(self.starts(), before)
+
+    def test_cancellation_is_known_after_restarts_in_turn(self):
+        self.submit()
+        self.simulation.advance(0.3)
+        self.cancel("n-b7")
+        before = self.starts()
+        for name in sorted(self.instances):
+            self.simulation.restart_instance(name, 0.1)
+            self.simulation.advance(0.9)
+        self.simulation.advance(1.0)
+        for origin in ("n-a5", "n-b6"):
+            again = self.submit(origin)
+            self.simulation.advance(0.5)
+            self.assert_answer(again, batches.CANCELLED)
+        self.assertEqual(self.starts(), before)
+
+    def test_instance_that_took_the_cancellation_may_be_lost(self):
+        self.submit()
+        self.simulation.advance(0.3)
+        self.cancel("n-b7")
+        self.instances["n-b7"].alive = False
+        self.instances["n-a5"].alive = False
+        self.simulation.advance(3.0)
+        again = self.submit("n-b6")
+        self.simulation.advance(0.5)
+        self.assert_answer(again, batches.CANCELLED)
+
+    def test_cancellation_that_overtakes_its_request_counts(self):
+        reply = self.cancel("n-b6")
+        self.assert_answer(reply, batches.UNKNOWN)
+        submitted = self.submit()
+        self.simulation.advance(0.5)
+        self.assert_answer(submitted, batches.CANCELLED)
+        self.assertEqual(self.starts(), 0)
+
+    def test_cancellations_at_two_instances_are_one(self):
+        submitted = self.submit()
+        self.simulation.advance(0.3)
+        replies = [
+            self.simulation.cancel(self.instances[name], "j")
+            for name in ("n-b7", "n-a6", "n-b7")
+        ]
+        self.simulation.advance(0.1)
+        for reply in replies:
+            self.assert_answer(reply, batches.CANCELLED)
+        self.assert_answer(submitted, batches.CANCELLED)
+        self.assert_answer(self.cancel("n-b"), batches.CANCELLED)
+        self.assert_stopped()
+
     def test_batch_is_cancelled_while_its_planner_changes(self):
         for delay in (0.0, 0.2, 0.45, 0.5, 0.6):
             for leaves in (False, True):
@@ -92,6 +155,13 @@
             reply = self.cancel("n-b6")
             self.simulation.advance(2.0)
             self.assert_answer(reply, batches.REFUSED)
+        self.simulation.heal()
+        self.simulation.advance(1.0)
+        before = self.starts()
+        self.simulation.advance(2.0)
+        # The domain that was cut off learned of it as it came back.
+        self.assertEqual(self.starts(), before)
+        self.assert_answer(self.cancel("n-b6"), batches.CANCELLED)
 
     def test_unknown_batch_is_denied_by_all(self):
         self.assert_answer(self.cancel("n-a5", "other"), batches.UNKNOWN)
@@ -106,6 +176,10 @@
             found = self.simulation.find(self.instances[name], "j")
             self.simulation.advance(0.02)
             self.assert_answer(found, batches.ACTIVE)
+        self.cancel("n-b6")
+        found = self.simulation.find(self.instances["n-a7"], "j")
+        self.simulation.advance(0.02)
+        self.assert_answer(found, batches.CANCELLED)
 
     def test_batch_of_a_removed_route_is_cancelled(self):
         submitted = self.submit()
@@ -131,5 +205,19 @@
             self.assertEqual(len(states), 0 if path == "/other" else 1)
 
 
+class CancellationMemoryTest(unittest.TestCase):
+    def test_cancellations_are_forgotten_by_time_and_count(self):
+        memory = cancellations.CancellationMemory()
+        memory.add("a", 10.0, True)
+        memory.add("a", 30.0, False)
+        self.assertTrue(memory.find("a", 39.9).existed)
+        self.assertIsNone(memory.find("a", 40.1))
+        for number in range(cancellations.MAX_CANCELLATIONS + 5):
+            memory.add(f"j{number}", 50.0, False)
+        self.assertEqual(len(memory), cancellations.MAX_CANCELLATIONS)
+        self.assertIsNone(memory.find("j4", 50.0))
+        self.assertIsNotNone(memory.find("j5", 50.0))
+
+
 if __name__ == "__main__":
     unittest.main()
