Planner: an adopted run may have a lease until now

lease_until was not set where a run of another planner is adopted, so that its executor counted as lapsed as soon as it fell silent.

test_planner_claims, adopted_run_is_not_over_as_soon_as..., fails without the change.

--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -140,6 +140,8 @@
     task.run = run
     if task in plan.waiting:
         plan.waiting.remove(task)
+    # The other planner may have renewed its lease until now.
+    executor.lease_until = max(executor.lease_until, now + LAPSE_TIME)
     executor.runs[run] = (plan, task)
     executor.free_resources = executors.subtract(
         executor.free_resources, resources_of(plan, task)
--- a/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
@@ -9,6 +9,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers import fleet_views
 from cardamompathd.controllers import planner
+from cardamompathd.controllers import planner_runs
 
 CAPACITY = executors.Resources(8000, 1024)
 TOKEN = 7
@@ -201,6 +202,20 @@
         sent = self.answer_hold(name, (), 2)
         self.assertEqual(len(self.starts(sent)), 1)
 
+    def test_adopted_run_is_not_over_as_soon_as_its_executor_is_silent(self):
+        # No lease was known to be on an executor of which a run was adopted.
+        run = pool_messages.Run("j", 0, 0, 1)
+        self.answer_hold("x-a", (run,))
+        self.assertEqual(self.starts(self.plan()), [])
+        began_at = self.now
+        while self.now < began_at + planner_runs.LAPSE_TIME - 0.1:
+            sent = self.fail_hold("x-a") + self.answer_hold("x-b")
+            sent += self.tick()
+            self.assertEqual(self.starts(sent), [])
+        for _ in range(4):
+            sent += self.fail_hold("x-a") + self.tick(0.1)
+        self.assertEqual(len(self.starts(sent)), 1)
+
     def restart_unlisted(self):
         """Have "x-a" answer as a new process; return the messages."""
         sent = self.answer_hold("x-a", (), 2)
