Fleet: a restarted member may have started earlier by the time of day

A heartbeat of another process now replaces one that is silent, whatever its start time, unless it is of a process that was replaced before.

test_fleet, RestartTest: two of three tests fail without the change.

--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet.py
@@ -32,6 +32,8 @@
 NEW_MEMBER_TIME = 1.0
 """Seconds after a new member was heard in which every heartbeat to it lists
 the addresses.  It then makes itself known to the others."""
+MAX_FORMER_STARTS = 16
+"""Former processes of a member that are remembered."""
 TIMER_TOLERANCE = 0.02
 """Seconds by which a heartbeat may be early.  Timers fire a little late, and
 a heartbeat that is almost due must not wait for the next one."""
@@ -191,13 +193,17 @@
 def _handle_heartbeat(state, msg, now):
     member = msg.member
     peer = state.peers.get(member.name)
-    if peer is None or peer.member.started < member.started:
+    if peer is None or _is_successor(peer, member):
         state.last_found_at = now
         if peer is None:
             state.last_new_member_at = now
-        peer = state.peers[member.name] = fleet_state.Peer(member, now)
-        peer.alive = False
-    elif peer.member.started > member.started:
+        successor = fleet_state.Peer(member, now)
+        successor.alive = False
+        if peer is not None:
+            former = [*peer.former_starts, peer.member.started]
+            successor.former_starts = tuple(former[-MAX_FORMER_STARTS:])
+        peer = state.peers[member.name] = successor
+    elif peer.member.started != member.started:
         return ()
     changed = not peer.alive or peer.member != member
     peer.member = member
@@ -240,6 +246,19 @@
     return sends + _report_executors(peer, msg)
 
 
+def _is_successor(peer, member):
+    """Return whether a heartbeat is of a later process of a member.
+
+    The time of day may have gone back meanwhile.  Then the known process has
+    to be silent, and a late heartbeat of one before it does not count.
+    """
+    if member.started == peer.member.started:
+        return False
+    if member.started in peer.former_starts:
+        return False
+    return member.started > peer.member.started or not peer.alive
+
+
 def _report_executors(peer, msg):
     """Tell the gateway which executors a planner holds, if that changed.
 
--- a/packages/daemon/src/cardamompathd/controllers/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet_state.py
@@ -59,6 +59,7 @@
         "alive",
         "dead",
         "executors_digest",
+        "former_starts",
         "found_at",
         "heard_at",
         "member",
@@ -69,6 +70,8 @@
 
     def __init__(self, member, now):
         self.member = member
+        self.former_starts: tuple[int, ...] = ()
+        """Start times of its former processes."""
         self.found_at = now
         self.heard_at = now
         self.alive = True
--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
@@ -47,8 +47,10 @@
         msg.handover,
     )
     last = state.permissions.get(msg.origin, given)
-    # A message that was under way on a broken link may arrive late.
-    state.permissions[msg.origin] = max(last, given)
+    if last.started == given.started:
+        # A message that was under way on a broken link may arrive late.
+        given = max(last, given)
+    state.permissions[msg.origin] = given
     return []
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -44,7 +44,7 @@
 class Permission(NamedTuple):
     """Until when an instance leaves its batches with this planner.
 
-    Of two from one instance the greater one is newer.
+    Of two from one process the greater one is newer.
     """
 
     started: int
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -82,6 +82,53 @@
     ]
 
 
+class RestartTest(unittest.TestCase):
+    """A member restarts while its time of day goes back."""
+
+    def setUp(self):
+        self.members = make_members()
+        others = self.members[1:]
+        self.harness = FleetHarness(self.members[0], others)
+        self.harness.advance(1.0)
+        self.former = others[3]._replace(started=5000)
+        self.receive(self.former)
+        self.restarted = self.former._replace(started=4000)
+
+    def receive(self, member):
+        self.harness.receive_heartbeats([member])
+
+    def known_starts(self):
+        return [
+            member.started
+            for member in self.harness.published_views()[-1].alive
+            if member.name == self.former.name
+        ]
+
+    def test_restarted_member_is_alive_though_it_started_earlier(self):
+        # It was ignored for 20 s, and its callers got no answer in time.
+        self.harness.tell(
+            pool_messages.LinkFailed(self.former.address, True)
+        )
+        self.assertEqual(self.known_starts(), [])
+        self.receive(self.restarted)
+        self.assertEqual(self.known_starts(), [4000])
+
+    def test_late_heartbeat_of_a_former_process_does_not_count(self):
+        self.harness.tell(
+            pool_messages.LinkFailed(self.former.address, True)
+        )
+        self.receive(self.restarted)
+        self.receive(self.former)
+        self.assertEqual(self.known_starts(), [4000])
+        self.receive(self.restarted._replace(started=6000))
+        self.receive(self.restarted)
+        self.assertEqual(self.known_starts(), [6000])
+
+    def test_process_that_is_alive_is_not_replaced_by_an_earlier_one(self):
+        self.receive(self.restarted)
+        self.assertEqual(self.known_starts(), [5000])
+
+
 class IntervalTest(unittest.TestCase):
     def start(self, own_member, members):
         others = [member for member in members if member != own_member]
