Run times: long tasks teach nothing of short ones, and are forgotten

After long tasks on a route all requests with a short time limit on it were refused without end, as a refused batch teaches nothing (seen by the review: 50 ms tasks after jobs of 2 s).

--- a/packages/core/src/cardamompath_core/tests/test_executors.py
+++ b/packages/core/src/cardamompath_core/tests/test_executors.py
@@ -60,23 +60,23 @@
 class RunTimesTest(unittest.TestCase):
     def test_estimate_is_used_for_unknown_routes_only(self):
         times = run_times.RunTimes()
-        self.assertAlmostEqual(times.expected("r", "a", 0.2), 0.2)
+        self.assertAlmostEqual(times.expected("r", "a", 0.2, 10.0), 0.2)
         for _ in range(50):
-            times.observe("r", "a", 0.1)
-        self.assertAlmostEqual(times.expected("r", "a", 0.2), 0.1, 2)
+            times.observe("r", "a", 0.0, 0.1, 10.0)
+        self.assertAlmostEqual(times.expected("r", "a", 0.2, 10.0), 0.1, 2)
 
     def test_factor_of_a_model_applies_to_other_routes(self):
         times = run_times.RunTimes()
         for _ in range(100):
-            times.observe("r", "fast", 0.1)
-            times.observe("r", "slow", 0.3)
-        fast = times.expected("new", "fast", 1.0)
-        slow = times.expected("new", "slow", 1.0)
+            times.observe("r", "fast", 0.0, 0.1, 10.0)
+            times.observe("r", "slow", 0.0, 0.3, 10.0)
+        fast = times.expected("new", "fast", 1.0, 10.0)
+        slow = times.expected("new", "slow", 1.0, 10.0)
         self.assertGreater(slow / fast, 2.0)
 
     def test_straggler_changes_an_estimate_little(self):
         times = run_times.RunTimes()
         for _ in range(50):
-            times.observe("r", "a", 0.1)
-        times.observe("r", "a", 50.0)
-        self.assertLess(times.expected("r", "a", 0.0), 0.11)
+            times.observe("r", "a", 0.0, 0.1, 10.0)
+        times.observe("r", "a", 0.0, 50.0, 10.0)
+        self.assertLess(times.expected("r", "a", 0.0, 10.0), 0.11)
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -277,7 +277,7 @@
     if reason:
         outcome = batches.Outcome(batches.FAILED, reason)
         return planner_runs.finish_batch(state, plan, outcome, now)
-    planner_dispatch.estimate_plan(state, plan)
+    planner_dispatch.estimate_plan(state, plan, now)
     planner_dispatch.record_demand(state, plan, now)
     if not plan.may_have_started and planner_dispatch.would_be_late(
         state, plan, now
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
@@ -50,7 +50,7 @@
             spec = executor.spec
             state.pool[spec.service, spec.model, spec.capacity] += 1
     for plan in state.plans.values():
-        estimate_plan(state, plan)
+        estimate_plan(state, plan, now)
 
 
 def report_backlog(state):
@@ -64,7 +64,7 @@
     return planner_roles.report_backlog(state, backlog)
 
 
-def estimate_plan(state, plan):
+def estimate_plan(state, plan, now):
     """Estimate the run time and the pool time of the tasks of a batch."""
     policy = plan.batch.policy
     step = plan.batch.steps[0]
@@ -73,7 +73,9 @@
     for (service, model, capacity), count in state.pool.items():
         if service != policy.service:
             continue
-        run_time = state.run_times.expected(policy.route, model, step.estimate)
+        run_time = state.run_times.expected(
+            policy.route, model, step.estimate, now
+        )
         best_time = min(best_time, run_time)
         rate += (
             count
@@ -81,7 +83,9 @@
             / run_time
         )
     if best_time is math.inf:
-        best_time = state.run_times.expected(policy.route, "", step.estimate)
+        best_time = state.run_times.expected(
+            policy.route, "", step.estimate, now
+        )
     plan.expected_time = best_time
     plan.pool_time = 1.0 / rate if rate > 0.0 else 0.0
 
@@ -115,7 +119,7 @@
     """Return whether a task of a batch fits on an executor at present."""
     usable = _find_usable(state, plan.min_cpu, now)
     return bool(plan.waiting) and (
-        _choose_executor(state, plan, plan.waiting[0], usable) is not None
+        _choose_executor(state, plan, plan.waiting[0], usable, now) is not None
     )
 
 
@@ -308,7 +312,7 @@
     candidates = usable
     while plan.waiting:
         task = plan.waiting[0]
-        executor = _choose_executor(state, plan, task, candidates)
+        executor = _choose_executor(state, plan, task, candidates, now)
         if executor is None:
             break
         lease_end = None
@@ -347,7 +351,7 @@
     return None if since is None else round((now - since) * 1000.0)
 
 
-def _choose_executor(state, plan, task, usable):
+def _choose_executor(state, plan, task, usable, now):
     """Return the usable executor that is expected to run a task fastest.
 
     Among equal ones, return the one that has the least CPU left over.
@@ -373,7 +377,7 @@
         run_time = run_times.get(spec.model)
         if run_time is None:
             run_time = state.run_times.expected(
-                route, spec.model, step.estimate
+                route, spec.model, step.estimate, now
             )
             run_times[spec.model] = run_time
         run_time *= planner_health.slowdown(executor) * (
--- a/packages/daemon/src/cardamompathd/controllers/planner_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_health.py
@@ -96,7 +96,7 @@
     for run, (plan, task) in executor.runs.items():
         step = plan.batch.steps[task.step]
         expected = state.run_times.expected(
-            plan.batch.policy.route, executor.spec.model, step.estimate
+            plan.batch.policy.route, executor.spec.model, step.estimate, now
         )
         limit = max(
             OVERDUE_FACTOR * expected * slowdown(executor), MIN_OVERDUE_TIME
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -246,7 +246,7 @@
     executor.last_end_at = now
     if ended.state == "done":
         if not task.adopted and not task.stopping:
-            _learn_run_time(state, executor, plan, task, elapsed)
+            _learn_run_time(state, executor, plan, task, elapsed, now)
         return _complete_task(state, plan, task, now)
     sends = [
         planner_log.decision(
@@ -272,7 +272,7 @@
     return sends
 
 
-def _learn_run_time(state, executor, plan, task, elapsed):
+def _learn_run_time(state, executor, plan, task, elapsed, now):
     """Learn from the run time of a successful run.
 
     Tasks of a batch are of similar size.  The slowdown of an executor is
@@ -282,7 +282,8 @@
     executor.failure_rate -= FAILURE_RATE_GAIN * executor.failure_rate
     route = plan.batch.policy.route
     estimate = plan.batch.steps[task.step].estimate
-    usual = state.run_times.expected(route, executor.spec.model, estimate)
+    model = executor.spec.model
+    usual = state.run_times.expected(route, model, estimate, now)
     size = math.log(max(elapsed, MIN_RUN_TIME) / usual) - executor.log_slowdown
     if plan.size_samples:
         deviation = max(
@@ -292,7 +293,7 @@
     plan.size_samples += 1
     plan.log_size += (size - plan.log_size) / plan.size_samples
     normal = elapsed / math.exp(executor.log_slowdown)
-    state.run_times.observe(route, executor.spec.model, normal)
+    state.run_times.observe(route, model, estimate, normal, now)
 
 
 def _handle_untracked_end(state, ended, now):
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -106,17 +106,13 @@
 
     def test_restarted_member_is_alive_though_it_started_earlier(self):
         # It was ignored for 20 s, and its callers got no answer in time.
-        self.harness.tell(
-            pool_messages.LinkFailed(self.former.address, True)
-        )
+        self.harness.tell(pool_messages.LinkFailed(self.former.address, True))
         self.assertEqual(self.known_starts(), [])
         self.receive(self.restarted)
         self.assertEqual(self.known_starts(), [4000])
 
     def test_late_heartbeat_of_a_former_process_does_not_count(self):
-        self.harness.tell(
-            pool_messages.LinkFailed(self.former.address, True)
-        )
+        self.harness.tell(pool_messages.LinkFailed(self.former.address, True))
         self.receive(self.restarted)
         self.receive(self.former)
         self.assertEqual(self.known_starts(), [4000])
