Planner: others learn which batches have ended

A request that arrives again after its answer ran once more if another planner got it.

test_cancellations, batch_that_was_complete_does_not_run_again, fails without this.

--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -21,6 +21,7 @@
 from cardamompathd.controllers import planner_leases
 from cardamompathd.controllers import planner_listings
 from cardamompathd.controllers import planner_log
+from cardamompathd.controllers import planner_outcomes
 from cardamompathd.controllers import planner_permissions
 from cardamompathd.controllers import planner_roles
 from cardamompathd.controllers import planner_runs
@@ -104,6 +105,7 @@
     sends += _give_up_batches(state, now)
     if now >= state.reviewed_at + REVIEW_INTERVAL:
         state.reviewed_at = now
+        sends += planner_outcomes.report(state)
         sends += planner_health.eject_unhealthy(state, now)
         planner_dispatch.refresh_estimates(state, now)
     sends += planner_dispatch.report_backlog(state)
@@ -486,6 +488,7 @@
     pool_messages.DropBatch: _handle_drop,
     pool_messages.BatchQuery: _handle_query,
     pool_messages.CancellationsReported: _note_cancellations,
+    pool_messages.OutcomesReported: planner_outcomes.note_report,
     pool_messages.StartAnswered: planner_runs.handle_start_answer,
     pool_messages.StopAnswered: planner_runs.handle_stop_answer,
     pool_messages.HoldAnswered: planner_leases.handle_hold_answer,
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_runs.py
@@ -325,6 +325,7 @@
 def finish_batch(state, plan, outcome, now):
     """End a batch: report its outcome to its origins and stop its runs."""
     state.remember_outcome(plan.name, outcome)
+    state.unreported_outcomes[plan.name] = outcome
     sends = [
         planner_log.decision(
             "batch ended",
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner_state.py
@@ -400,6 +400,8 @@
             collections.OrderedDict()
         )
         """Outcomes of the last batches that ended, by name."""
+        self.unreported_outcomes: dict[str, batches.Outcome] = {}
+        """Those that other planners have yet to be told."""
         self.dropped_counts: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -171,6 +171,13 @@
     ages_ms: list[int]
 
 
+class OutcomesFields(NamedTuple):
+    """Batches that ended at another planner."""
+
+    names: list[str]
+    states: list[str]
+
+
 class ConfigurationFields(NamedTuple):
     """A published version of the desired configuration."""
 
@@ -281,6 +288,7 @@
     QueryAnswerFields, wire.TEXT, wire.I64, wire.TEXT, wire.I64, wire.TEXT
 )
 wire.declare(CancellationsFields, _TEXT_LIST, _I64_LIST)
+wire.declare(OutcomesFields, _TEXT_LIST, _TEXT_LIST)
 wire.declare(ConfigurationFields, wire.I64, wire.BINARY)
 
 _HEARTBEAT = wire.Method("hello", HeartbeatFields, HeartbeatFields)
@@ -293,6 +301,7 @@
 _CANCELLATIONS = wire.Method(
     "cancelled", CancellationsFields, CancellationsFields
 )
+_OUTCOMES = wire.Method("outcomes", OutcomesFields, OutcomesFields)
 _CONFIGURATION = wire.Method(
     "configuration", ConfigurationFields, ConfigurationFields
 )
@@ -307,6 +316,7 @@
         _QUERY,
         _QUERY_ANSWER,
         _CANCELLATIONS,
+        _OUTCOMES,
         _CONFIGURATION,
     )
 }
@@ -595,6 +605,20 @@
     return pool_messages.CancellationsReported(tuple(fields.names), ages)
 
 
+def _encode_outcomes(msg):
+    return OutcomesFields(list(msg.names), list(msg.states))
+
+
+def _decode_outcomes(fields):
+    if len(fields.names) != len(fields.states):
+        raise ValueError(f"{len(fields.states)} states")
+    if not set(fields.states) <= {batches.COMPLETE, batches.FAILED}:
+        raise ValueError(f"states {set(fields.states)!r}")
+    return pool_messages.OutcomesReported(
+        tuple(fields.names), tuple(fields.states)
+    )
+
+
 def _decode_configuration(fields):
     return pool_messages.ConfigurationOffered(fields.version, fields.document)
 
@@ -614,6 +638,7 @@
         _CANCELLATIONS,
         _encode_cancellations,
     ),
+    pool_messages.OutcomesReported: (_OUTCOMES, _encode_outcomes),
     pool_messages.ConfigurationOffered: (
         _CONFIGURATION,
         lambda msg: ConfigurationFields(*msg),
@@ -628,5 +653,6 @@
     "query": (pool_messages.GATEWAY, _decode_query),
     "found": (pool_messages.GATEWAY, _decode_query_answer),
     "cancelled": (pool_messages.GATEWAY, _decode_cancellations),
+    "outcomes": (pool_messages.PLANNER, _decode_outcomes),
     "configuration": (pool_messages.CONFIGURATIONS, _decode_configuration),
 }
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -55,6 +55,7 @@
     "LossesReported",
     "OfferConfiguration",
     "Origin",
+    "OutcomesReported",
     "PLANNER",
     "PlanBatch",
     "PlannerHeard",
@@ -359,6 +360,14 @@
     """The hand-over whose drop it acknowledges; 0 otherwise."""
 
 
+class OutcomesReported(NamedTuple):
+    """Batches that ended at another planner."""
+
+    names: tuple[str, ...]
+    states: tuple[str, ...]
+    """The state of the outcome of each."""
+
+
 class LossesReported(NamedTuple):
     """Runs of a batch were lost with their executors."""
 
--- a/packages/daemon/src/cardamompathd/tests/test_cancellations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_cancellations.py
@@ -163,6 +163,26 @@
         self.assertEqual(self.starts(), before)
         self.assert_answer(self.cancel("n-b6"), batches.CANCELLED)
 
+    def test_batch_that_was_complete_does_not_run_again(self):
+        # Its request arrives again at an instance with another planner.
+        self.simulation.run_time = 0.05
+        self.submit(count=2)
+        self.simulation.advance(1.0)
+        before = self.count_starts()
+        for lost in ("n-a", "n-a1"):
+            self.instances[lost].alive = False
+            self.simulation.advance(2.0)
+            again = self.submit("n-a6", count=2)
+            self.simulation.advance(1.0)
+            self.assert_answer(again, batches.COMPLETE)
+            self.assertEqual(self.count_starts(), before)
+
+    def count_starts(self):
+        return sum(
+            executor.start_count
+            for executor in self.simulation.executors.values()
+        )
+
     def test_unknown_batch_is_denied_by_all(self):
         self.assert_answer(self.cancel("n-a5", "other"), batches.UNKNOWN)
         found = self.simulation.find(self.instances["n-b7"], "another")
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
@@ -50,6 +50,10 @@
     ),
     pool_messages.DropBatch("5c0e", "n-1"),
     pool_messages.BatchEnded("5c0e", "n-1", batches.Outcome("x", "y"), "n-2"),
+    pool_messages.BatchQuery("5c0e", True, 7, "n-1", ("10.1.0.1", 7)),
+    pool_messages.BatchQueryAnswered("5c0e", 7, "n-2", 1700, "active"),
+    pool_messages.CancellationsReported(("5c0e", "5c0f"), (0.5, 1.25)),
+    pool_messages.OutcomesReported(("5c0e",), ("complete",)),
     pool_messages.ConfigurationOffered(7, b"{}"),
 )
 METHODS = {wire.RELAY.name: wire.RELAY}
