--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -37,6 +37,8 @@
 SERVICE = "desk"
 HOST = "desk.example"
 PREFIX = "/jobs/"
+LABELS = ("a", "b")
+"""Labels of the hardware models of executors."""
 HEARTBEAT_INTERVAL = 0.8
 """Seconds between heartbeats of executors; short, so that registry entries
 expire and return within a soak."""
@@ -276,13 +278,21 @@
         args += ["--announce", f"127.0.0.1:{executor.proxy.port}"]
         if not self.enforces_capacity:
             args.append("--unguarded")
-        log = self.folder / f"{executor.name}-{len(executor.incarnations)}.log"
+        number = len(executor.incarnations)
+        args += ["--label", self._choose_label(executor, number)]
+        log = self.folder / f"{executor.name}-{number}.log"
         with open(log, "wb") as out:
             executor.process = processes.start(
                 executor.name, "cardamompath_standins.executor", args, out
             )
         executor.incarnations.append(Incarnation(clocks.boottime(), log))
 
+    def _choose_label(self, executor, number):
+        """Return the label of an incarnation; a later one may have another."""
+        if number == 0:
+            return LABELS[self.executors.index(executor) % len(LABELS)]
+        return random.Random(f"{executor.name}/{number}").choice(LABELS)
+
     def start_instance(self, instance: Instance) -> None:
         """Start the next incarnation of an instance."""
         path = self.folder / f"{instance.name}.toml"
--- a/packages/standins/src/cardamompath_standins/executor.py
+++ b/packages/standins/src/cardamompath_standins/executor.py
@@ -105,6 +105,8 @@
         self.cpu = incarnation.cpu
         self.write = incarnation.write
         self.highest_token = 0
+        self.is_held = False
+        """Whether it has answered a hold."""
         self.runs: dict[tuple[str, int], TaskRun] = {}
         self.ended_runs: list[list] = []
         self.end_indexes = itertools.count(1)
@@ -268,6 +270,9 @@
 def _hold(state, msg, now):
     if "fencing_token" in msg.doc and _is_fenced(state, msg):
         return _refuse(state, msg, "fence", now)
+    if not state.is_held:
+        state.is_held = True
+        state.write({"event": "held"})
     acknowledged = msg.doc.get("ack_index", 0)
     state.ended_runs = [
         run for run in state.ended_runs if run[0] > acknowledged
@@ -404,6 +409,7 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--announce", required=True, help="host:port")
     parser.add_argument("--cpu", type=int, default=8000)
+    parser.add_argument("--label", default="a", help="hardware model")
     parser.add_argument("--ping", type=float, default=1.5)
     parser.add_argument(
         "--unguarded", action="store_true", help="do not enforce the capacity"
@@ -421,7 +427,7 @@
         "state": "ready",
         "cold_left_ms": 0,
         "capacity": _capacity(args.cpu),
-        "labels": ["a", f"r-{args.domain}"],
+        "labels": [args.label, f"r-{args.domain}"],
         "born": born,
     }
     registration = _Registration(args.store, args.name, entry, args.ping)
@@ -434,6 +440,7 @@
         lambda cpu: registration.change(capacity=_capacity(cpu)),
         lambda: os.kill(os.getpid(), signal.SIGKILL),
     )
+    _write_line({"event": "boot", "label": args.label})
     start(incarnation, args.name, args.port)
     registration.start()
     signal.sigwait(signals)
