Gateway: a DELETE of a job that is known to have ended needs no other answer

As long as a member is missing, a DELETE was answered 503, also for a job of which a planner knows that it was complete or failed. A request that comes again after such a DELETE gets that outcome, and not 'cancelled'.

--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway.py
@@ -94,8 +94,9 @@
     name = msg.path[len(route.prefix) :]
     if not state.is_batch_name(name):
         return _refuse(msg, _INVALID_NAME)
-    if state.cancellations.find(name, now):
-        state.cancellations.add(name, now, True)
+    cancelled = state.cancellations.find(name, now)
+    if cancelled is not None and cancelled.existed:
+        # Otherwise the planner tells whether it had ended before.
         return _refuse(msg, _CANCELLED)
     state.batch_by_waiter[msg.reply_to] = name
     existing = state.pending.get(name)
--- a/packages/daemon/src/cardamompathd/controllers/gateway_queries.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_queries.py
@@ -41,8 +41,18 @@
     batches.REFUSED, "not every instance could be asked", RETRY_AFTER
 )
 _NO_ROUTE = batches.Outcome(batches.UNKNOWN_ROUTE, "no such route")
+_ENDED = batches.Outcome(batches.UNKNOWN, "the job has ended")
 _NO_BATCH = batches.Outcome(batches.UNKNOWN, "no such job")
 
+_STATES = (
+    "",
+    batches.FAILED,
+    batches.COMPLETE,
+    batches.CANCELLED,
+    batches.ACTIVE,
+)
+"""States of a batch at a member; a later one counts before an earlier one."""
+
 
 class Query:
     """A question that not every instance has answered."""
@@ -77,7 +87,8 @@
         self.is_complete = True
         """Whether all could be asked so far."""
         self.state = ""
-        """The state of the batch at a member that has it."""
+        """The state of the batch, by the answers so far; empty if no member
+        knows it."""
 
 
 def ask(state, name, cancel, reply_to, has_route, now):
@@ -129,7 +140,7 @@
     if query is None:
         return []
     query.awaited.pop((msg.member, msg.member_started), None)
-    query.state = query.state or msg.state
+    query.state = max(query.state, msg.state, key=_STATES.index)
     return [] if query.awaited else _finish(state, query, now)
 
 
@@ -191,7 +202,10 @@
 
 
 def _outcome_of(query):
-    if query.state and query.msg.cancel:
+    has_ended = query.state in (batches.COMPLETE, batches.FAILED)
+    if query.msg.cancel and has_ended:
+        return _ENDED
+    if query.msg.cancel and query.state:
         return batches.Outcome(batches.CANCELLED, "cancelled")
     if query.state:
         return batches.Outcome(query.state, "")
--- a/packages/daemon/src/cardamompathd/controllers/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner.py
@@ -427,6 +427,9 @@
     found = msg.state
     if plan is not None or is_early:
         found = found or batches.ACTIVE
+    ended = state.ended_outcomes.get(msg.name)
+    if not found and ended is not None and ended.state != batches.REFUSED:
+        found = ended.state
     sends = []
     if msg.cancel:
         sends += _cancel_batch(state, msg.name, now, now)
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -246,7 +246,8 @@
     member_started: int
     """Start time of its process, in milliseconds since 1970."""
     state: str
-    """``active``, ``cancelled``, or empty if it does not have the batch."""
+    """``active``, ``cancelled``, how the batch has ended, or empty if the
+    member does not know it."""
 
 
 class CancellationsReported(NamedTuple):
--- a/packages/daemon/src/cardamompathd/tests/test_cancellations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_cancellations.py
@@ -183,6 +183,21 @@
             for executor in self.simulation.executors.values()
         )
 
+    def test_batch_that_has_ended_is_denied_though_a_member_is_silent(self):
+        self.simulation.run_time = 0.05
+        self.submit(count=2)
+        self.simulation.advance(1.0)
+        self.simulation.freeze(self.instances["n-a7"], 5.0)
+        self.simulation.advance(3.0)
+        reply = self.cancel("n-b6")
+        found = self.simulation.find(self.instances["n-b6"], "j")
+        self.simulation.advance(2.0)
+        self.assert_answer(reply, batches.UNKNOWN)
+        self.assert_answer(found, batches.COMPLETE)
+        again = self.submit(count=2)
+        self.simulation.advance(0.1)
+        self.assert_answer(again, batches.COMPLETE)
+
     def test_unknown_batch_is_denied_by_all(self):
         self.assert_answer(self.cancel("n-a5", "other"), batches.UNKNOWN)
         found = self.simulation.find(self.instances["n-b7"], "another")
