--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/gateway_members.py
@@ -0,0 +1,89 @@
+"""What a gateway knows of the other members, and tells new ones."""
+
+from __future__ import annotations
+
+from cardamompath_core import executor_digests
+from cardamompathd import messages
+from cardamompathd import pool_messages
+
+__all__ = [
+    "forget_former",
+    "note_executors",
+    "note_losses",
+    "note_planner_heard",
+    "report_to_new",
+    "update_backlog",
+]
+
+
+def report_to_new(state, msg, now):
+    """Tell instances that are new of recent crashes and cancellations.
+
+    Only the planners do so; all of them know of all.
+    """
+    is_planner = any(
+        planner.name == state.name for planner in state.assignment.planners
+    )
+    known = {(member.name, member.started) for member in state.alive}
+    addresses = tuple(
+        member.address
+        for member in msg.alive
+        if (member.name, member.started) not in known
+        and member.name != state.name
+    )
+    if not is_planner or not addresses:
+        return []
+    reports = [
+        pool_messages.LossesReported(batch, losses)
+        for batch, losses in state.losses.recent_crashes().items()
+    ]
+    recent = state.cancellations.recent(now)
+    if recent:
+        names = tuple(each.name for each in recent)
+        ages = tuple(now - each.cancelled_at for each in recent)
+        reports.append(pool_messages.CancellationsReported(names, ages))
+    return [
+        messages.Send(
+            pool_messages.LINKS, pool_messages.SendToMembers(addresses, report)
+        )
+        for report in reports
+    ]
+
+
+def note_executors(state, msg, _):
+    """Keep which executors a planner holds."""
+    key = (msg.name, msg.started)
+    if msg.digest == executor_digests.UNKNOWN:
+        state.executors_held.pop(key, None)
+    else:
+        state.executors_held[key] = msg.digest
+    return ()
+
+
+def forget_former(state):
+    """Forget what is known of processes neither alive nor missing."""
+    members = {
+        (member.name, member.started)
+        for member in (*state.alive, *state.missing)
+    }
+    for facts in (state.executors_held, state.planners_heard):
+        for key in facts.keys() - members:
+            del facts[key]
+
+
+def note_losses(state, msg, _):
+    """Keep losses that a planner reported."""
+    state.losses.add(msg.batch, msg.losses)
+    return ()
+
+
+def update_backlog(state, msg, _):
+    """Keep the backlog that a planner reported."""
+    state.backlogs[msg.name] = msg.backlog
+    return ()
+
+
+def note_planner_heard(state, msg, now):
+    """Keep when a planner was last heard."""
+    state.planners_heard[msg.name, msg.started] = (msg.sent_at, now)
+    return ()
