--- a/packages/daemon/src/cardamompathd/app.py
+++ b/packages/daemon/src/cardamompathd/app.py
@@ -171,17 +171,19 @@
     )
     dispatch = DispatchActor.start(
         [
-            controllers.jobs.make_controller(
+            controllers.jobs.jobs.make_controller(
                 owner,
                 cfg["callers", "answer_ttl"],
                 cfg["callers", "answer_bytes"],
                 messages.QUOTAS,
             ),
-            controllers.quotas.make_controller(
+            controllers.jobs.quotas.make_controller(
                 owner, cfg["callers", "answer_bytes"]
             ),
-            controllers.backends.make_controller(owner, random.Random()),
-            controllers.journal.make_controller(
+            controllers.backends.backends.make_controller(
+                owner, random.Random()
+            ),
+            controllers.journal.journal.make_controller(
                 owner,
                 _draw_nonce,
                 _journal_settings(cfg),
@@ -192,7 +194,7 @@
         limits,
     )
     telemetry = actors.ControllerActor.start(
-        [controllers.observations.make_controller(owner.domain)],
+        [controllers.jobs.observations.make_controller(owner.domain)],
         deliver,
         clock,
     )
@@ -210,7 +212,7 @@
 
 def _journal_settings(cfg):
     ttl = cfg["callers", "answer_ttl"]
-    return controllers.journal_store.JournalSettings(
+    return controllers.journal.journal_store.JournalSettings(
         append_budget=cfg["platform", "append_budget"],
         settlement_ttl=ttl + codec.MAX_TIMEOUT,
         incarnation_ttl=2.0 * ttl + codec.MAX_TIMEOUT,
@@ -261,12 +263,12 @@
     receivers[messages.APPENDER] = appender_task.tell
     reader_task = reader.start(
         _make_client(cfg),
-        controllers.journal.STREAM,
+        controllers.journal.journal.STREAM,
         tell,
         random.Random(),
         JOURNAL_READ_WAIT,
     )
-    tell(messages.TimerFired(controllers.journal.COMMIT_TIMER))
+    tell(messages.TimerFired(controllers.journal.journal.COMMIT_TIMER))
     return [reader_task.stop, lambda: appender_task.tell(None)]
 
 
--- a/packages/daemon/src/cardamompathd/controllers/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/__init__.py
@@ -5,14 +5,11 @@
 __all__ = [
     "backends",
     "configuration",
-    "fence",
-    "job_reports",
+    "fleet",
+    "gateway",
     "jobs",
     "journal",
-    "journal_store",
-    "membership",
-    "observations",
-    "quotas",
+    "planner",
 ]
 
 __getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/controllers/backend_admission.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends/backend_admission.py
@@ -8,7 +8,7 @@
 from cardamompath_core import queueing
 from cardamompath_core import types
 from cardamompathd import messages
-from cardamompathd.controllers import service_state
+from cardamompathd.controllers.backends import service_state
 
 __all__ = [
     "check",
--- a/packages/daemon/src/cardamompathd/controllers/backend_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends/backend_health.py
@@ -8,7 +8,7 @@
 from cardamompath_core import outcomes
 from cardamompath_core import retries
 from cardamompath_core import types
-from cardamompathd.controllers import service_state
+from cardamompathd.controllers.backends import service_state
 
 __all__ = [
     "find_probe_target",
--- a/packages/daemon/src/cardamompathd/controllers/backend_results.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends/backend_results.py
@@ -8,8 +8,8 @@
 from cardamompath_core import queueing
 from cardamompath_core import types
 from cardamompathd import messages
-from cardamompathd.controllers import backend_retries
-from cardamompathd.controllers import service_state
+from cardamompathd.controllers.backends import backend_retries
+from cardamompathd.controllers.backends import service_state
 
 __all__ = [
     "is_retryable",
--- a/packages/daemon/src/cardamompathd/controllers/backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends/backends.py
@@ -19,14 +19,14 @@
 from cardamompath_core import subsets
 from cardamompath_core import types
 from cardamompathd import messages
-from cardamompathd.controllers import backend_admission
-from cardamompathd.controllers import backend_health
-from cardamompathd.controllers import backend_results
-from cardamompathd.controllers import backend_retries
-from cardamompathd.controllers import fence
-from cardamompathd.controllers import load_reports
-from cardamompathd.controllers import removed_backends
-from cardamompathd.controllers import service_state
+from cardamompathd.controllers.backends import backend_admission
+from cardamompathd.controllers.backends import backend_health
+from cardamompathd.controllers.backends import backend_results
+from cardamompathd.controllers.backends import backend_retries
+from cardamompathd.controllers.backends import removed_backends
+from cardamompathd.controllers.backends import service_state
+from cardamompathd.controllers.fleet import load_reports
+from cardamompathd.controllers.jobs import fence
 
 __all__ = [
     "BackendsState",
--- a/packages/daemon/src/cardamompathd/controllers/removed_backends.py
+++ b/packages/daemon/src/cardamompathd/controllers/backends/removed_backends.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from cardamompathd import messages
-from cardamompathd.controllers import service_state
+from cardamompathd.controllers.backends import service_state
 
 __all__ = [
     "find_backend",
--- a/packages/daemon/src/cardamompathd/controllers/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
@@ -12,9 +12,9 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_rates
-from cardamompathd.controllers import fleet_state
-from cardamompathd.controllers import fleet_views
+from cardamompathd.controllers.fleet import fleet_rates
+from cardamompathd.controllers.fleet import fleet_state
+from cardamompathd.controllers.fleet import fleet_views
 
 __all__ = [
     "make_controller",
--- a/packages/daemon/src/cardamompathd/controllers/fleet_rates.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet_rates.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from cardamompath_core import planner_election
-from cardamompathd.controllers import fleet_state
+from cardamompathd.controllers.fleet import fleet_state
 
 __all__ = [
     "interval_to",
--- a/packages/daemon/src/cardamompathd/controllers/fleet_views.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet_views.py
@@ -9,8 +9,8 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_rates
-from cardamompathd.controllers import fleet_state
+from cardamompathd.controllers.fleet import fleet_rates
+from cardamompathd.controllers.fleet import fleet_state
 
 __all__ = [
     "has_quorum",
--- a/packages/daemon/src/cardamompathd/controllers/membership.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/membership.py
@@ -17,7 +17,7 @@
 from cardamompath_core import release_notes
 from cardamompath_core import types
 from cardamompathd import messages
-from cardamompathd.controllers import membership_updates
+from cardamompathd.controllers.fleet import membership_updates
 
 __all__ = [
     "MembershipState",
--- a/packages/daemon/src/cardamompathd/controllers/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway.py
@@ -13,13 +13,13 @@
 from cardamompath_core import batches
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import gateway_answers
-from cardamompathd.controllers import gateway_drops
-from cardamompathd.controllers import gateway_lookups
-from cardamompathd.controllers import gateway_members
-from cardamompathd.controllers import gateway_planners
-from cardamompathd.controllers import gateway_queries
-from cardamompathd.controllers import gateway_state
+from cardamompathd.controllers.gateway import gateway_answers
+from cardamompathd.controllers.gateway import gateway_drops
+from cardamompathd.controllers.gateway import gateway_lookups
+from cardamompathd.controllers.gateway import gateway_members
+from cardamompathd.controllers.gateway import gateway_planners
+from cardamompathd.controllers.gateway import gateway_queries
+from cardamompathd.controllers.gateway import gateway_state
 
 __all__ = [
     "make_controller",
--- a/packages/daemon/src/cardamompathd/controllers/gateway_answers.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_answers.py
@@ -5,8 +5,8 @@
 from cardamompath_core import batches
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import gateway_drops
-from cardamompathd.controllers import gateway_planners
+from cardamompathd.controllers.gateway import gateway_drops
+from cardamompathd.controllers.gateway import gateway_planners
 
 __all__ = [
     "CANCELLED",
--- a/packages/daemon/src/cardamompathd/controllers/gateway_drops.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_drops.py
@@ -13,7 +13,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import gateway_planners
+from cardamompathd.controllers.gateway import gateway_planners
 
 __all__ = [
     "TIMER_KEY",
--- a/packages/daemon/src/cardamompathd/controllers/gateway_lookups.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_lookups.py
@@ -9,8 +9,8 @@
 from cardamompath_core import batches
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import gateway_answers
-from cardamompathd.controllers import gateway_queries
+from cardamompathd.controllers.gateway import gateway_answers
+from cardamompathd.controllers.gateway import gateway_queries
 
 __all__ = [
     "cancel",
--- a/packages/daemon/src/cardamompathd/controllers/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_planners.py
@@ -5,7 +5,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_rates
+from cardamompathd.controllers.fleet import fleet_rates
 
 __all__ = [
     "RESEND_INTERVAL",
--- a/packages/daemon/src/cardamompathd/controllers/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
@@ -11,10 +11,10 @@
 from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
 from cardamompath_core import routes
-from cardamompathd.controllers import gateway_drops
-from cardamompathd.controllers import gateway_planners
-from cardamompathd.controllers import gateway_queries
-from cardamompathd.controllers import run_losses
+from cardamompathd.controllers.gateway import gateway_drops
+from cardamompathd.controllers.gateway import gateway_planners
+from cardamompathd.controllers.gateway import gateway_queries
+from cardamompathd.controllers.planner import run_losses
 
 __all__ = [
     "GatewayState",
--- a/packages/daemon/src/cardamompathd/controllers/job_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs/job_leases.py
@@ -7,8 +7,8 @@
 from cardamompath_core import journal_fold
 from cardamompath_core import leases
 from cardamompathd import messages
-from cardamompathd.controllers import fence
-from cardamompathd.controllers import job_store
+from cardamompathd.controllers.jobs import fence
+from cardamompathd.controllers.jobs import job_store
 
 __all__ = [
     "change_owner",
--- a/packages/daemon/src/cardamompathd/controllers/job_waits.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs/job_waits.py
@@ -4,7 +4,7 @@
 
 from cardamompath_core import types
 from cardamompathd import messages
-from cardamompathd.controllers import job_store
+from cardamompathd.controllers.jobs import job_store
 
 __all__ = [
     "HOLD_TIMER",
--- a/packages/daemon/src/cardamompathd/controllers/jobs.py
+++ b/packages/daemon/src/cardamompathd/controllers/jobs/jobs.py
@@ -10,11 +10,11 @@
 from cardamompath_core import leases
 from cardamompath_core import types
 from cardamompathd import messages
-from cardamompathd.controllers import fence
-from cardamompathd.controllers import job_leases
-from cardamompathd.controllers import job_reports
-from cardamompathd.controllers import job_store
-from cardamompathd.controllers import job_waits
+from cardamompathd.controllers.jobs import fence
+from cardamompathd.controllers.jobs import job_leases
+from cardamompathd.controllers.jobs import job_reports
+from cardamompathd.controllers.jobs import job_store
+from cardamompathd.controllers.jobs import job_waits
 
 __all__ = [
     "make_controller",
--- a/packages/daemon/src/cardamompathd/controllers/journal.py
+++ b/packages/daemon/src/cardamompathd/controllers/journal/journal.py
@@ -16,8 +16,8 @@
 from cardamompath_core import journal_fold
 from cardamompath_core import types
 from cardamompathd import messages
-from cardamompathd.controllers import journal_leases
-from cardamompathd.controllers import journal_store
+from cardamompathd.controllers.journal import journal_leases
+from cardamompathd.controllers.journal import journal_store
 
 __all__ = [
     "COMMIT_TIMER",
--- a/packages/daemon/src/cardamompathd/controllers/journal_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/journal/journal_leases.py
@@ -8,7 +8,7 @@
 from cardamompath_core import journal_fold
 from cardamompath_core import leases
 from cardamompathd import messages
-from cardamompathd.controllers import journal_store
+from cardamompathd.controllers.journal import journal_store
 
 __all__ = [
     "apply_renewal",
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/planner/__init__.py
@@ -0,0 +1,22 @@
+"""Planner: runs batches on the executors that this instance claims."""
+
+from cardamompath_core import submodules
+
+__all__ = [
+    "planner",
+    "planner_cancellations",
+    "planner_crashes",
+    "planner_dispatch",
+    "planner_health",
+    "planner_leases",
+    "planner_listings",
+    "planner_log",
+    "planner_outcomes",
+    "planner_permissions",
+    "planner_roles",
+    "planner_runs",
+    "planner_state",
+    "run_losses",
+]
+
+__getattr__ = submodules.make_getattr(__name__, __all__)
--- a/packages/daemon/src/cardamompathd/controllers/planner_cancellations.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_cancellations.py
@@ -5,8 +5,8 @@
 from cardamompath_core import batches
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import planner_log
-from cardamompathd.controllers import planner_runs
+from cardamompathd.controllers.planner import planner_log
+from cardamompathd.controllers.planner import planner_runs
 
 __all__ = [
     "handle_query",
--- a/packages/daemon/src/cardamompathd/controllers/planner_crashes.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_crashes.py
@@ -20,7 +20,7 @@
 from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import planner_log
+from cardamompathd.controllers.planner import planner_log
 
 __all__ = [
     "LostBoot",
--- a/packages/daemon/src/cardamompathd/controllers/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -9,13 +9,13 @@
 from cardamompath_core import batch_order
 from cardamompath_core import batches
 from cardamompath_core import executors
-from cardamompathd.controllers import planner_crashes
-from cardamompathd.controllers import planner_health
-from cardamompathd.controllers import planner_leases
-from cardamompathd.controllers import planner_log
-from cardamompathd.controllers import planner_permissions
-from cardamompathd.controllers import planner_roles
-from cardamompathd.controllers import planner_runs
+from cardamompathd.controllers.planner import planner_crashes
+from cardamompathd.controllers.planner import planner_health
+from cardamompathd.controllers.planner import planner_leases
+from cardamompathd.controllers.planner import planner_log
+from cardamompathd.controllers.planner import planner_permissions
+from cardamompathd.controllers.planner import planner_roles
+from cardamompathd.controllers.planner import planner_runs
 
 __all__ = [
     "dispatch",
--- a/packages/daemon/src/cardamompathd/controllers/planner_health.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_health.py
@@ -10,8 +10,8 @@
 import math
 import statistics
 
-from cardamompathd.controllers import planner_log
-from cardamompathd.controllers import planner_runs
+from cardamompathd.controllers.planner import planner_log
+from cardamompathd.controllers.planner import planner_runs
 
 __all__ = [
     "eject_unhealthy",
--- a/packages/daemon/src/cardamompathd/controllers/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_leases.py
@@ -13,12 +13,12 @@
 from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import planner_crashes
-from cardamompathd.controllers import planner_listings
-from cardamompathd.controllers import planner_log
-from cardamompathd.controllers import planner_permissions
-from cardamompathd.controllers import planner_runs
-from cardamompathd.controllers import planner_state
+from cardamompathd.controllers.planner import planner_crashes
+from cardamompathd.controllers.planner import planner_listings
+from cardamompathd.controllers.planner import planner_log
+from cardamompathd.controllers.planner import planner_permissions
+from cardamompathd.controllers.planner import planner_runs
+from cardamompathd.controllers.planner import planner_state
 
 __all__ = [
     "all_claimed",
--- a/packages/daemon/src/cardamompathd/controllers/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_permissions.py
@@ -14,9 +14,9 @@
 
 import math
 
-from cardamompathd.controllers import planner_log
-from cardamompathd.controllers import planner_runs
-from cardamompathd.controllers import planner_state
+from cardamompathd.controllers.planner import planner_log
+from cardamompathd.controllers.planner import planner_runs
+from cardamompathd.controllers.planner import planner_state
 
 __all__ = [
     "drop_unpermitted",
--- a/packages/daemon/src/cardamompathd/controllers/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_roles.py
@@ -13,9 +13,9 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import planner_leases
-from cardamompathd.controllers import planner_listings
-from cardamompathd.controllers import planner_log
+from cardamompathd.controllers.planner import planner_leases
+from cardamompathd.controllers.planner import planner_listings
+from cardamompathd.controllers.planner import planner_log
 
 __all__ = [
     "PASSIVE_TIME",
--- a/packages/daemon/src/cardamompathd/controllers/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_runs.py
@@ -8,9 +8,9 @@
 from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import planner_crashes
-from cardamompathd.controllers import planner_log
-from cardamompathd.controllers import planner_state
+from cardamompathd.controllers.planner import planner_crashes
+from cardamompathd.controllers.planner import planner_log
+from cardamompathd.controllers.planner import planner_state
 
 __all__ = [
     "END_TIME",
--- a/packages/daemon/src/cardamompathd/controllers/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
@@ -17,7 +17,7 @@
 from cardamompath_core import planner_election
 from cardamompath_core import run_times
 from cardamompathd import pool_messages
-from cardamompathd.controllers import run_losses
+from cardamompathd.controllers.planner import run_losses
 
 __all__ = [
     "CLOCK_ERROR",
--- a/packages/daemon/src/cardamompathd/coordination.py
+++ b/packages/daemon/src/cardamompathd/coordination.py
@@ -85,10 +85,10 @@
     rng = random.Random()
     actor_ref = actors.ControllerActor.start(
         [
-            controllers.configuration.make_controller(
+            controllers.configuration.configuration.make_controller(
                 rng, cfg["platform", "retention"], CONFIGURATION_SUBSCRIBERS
             ),
-            controllers.membership.make_controller(
+            controllers.fleet.membership.make_controller(
                 owner, cfg["peers", "addresses"], rng, membership_subscribers
             ),
         ],
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -14,7 +14,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_state
+from cardamompathd.controllers.fleet import fleet_state
 from cardamompathd.peers import errors
 from cardamompathd.peers import wire
 
--- a/packages/daemon/src/cardamompathd/platform/settings.py
+++ b/packages/daemon/src/cardamompathd/platform/settings.py
@@ -9,7 +9,7 @@
 import tomllib
 from typing import NamedTuple
 
-from cardamompathd.controllers import planner_state
+from cardamompathd.controllers.planner import planner_state
 from cardamompathd.platform import errors
 
 __all__ = [
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -17,10 +17,10 @@
 from cardamompathd.backends import call_connections
 from cardamompathd.backends import connections
 from cardamompathd.callers import watch
-from cardamompathd.controllers import fleet
-from cardamompathd.controllers import gateway
-from cardamompathd.controllers import planner
-from cardamompathd.controllers import planner_state
+from cardamompathd.controllers.fleet import fleet
+from cardamompathd.controllers.gateway import gateway
+from cardamompathd.controllers.planner import planner
+from cardamompathd.controllers.planner import planner_state
 from cardamompathd.peers import links
 from cardamompathd.runtime import actors
 from cardamompathd.runtime import sockets
--- a/packages/daemon/src/cardamompathd/tests/fakes.py
+++ b/packages/daemon/src/cardamompathd/tests/fakes.py
@@ -129,16 +129,18 @@
         self.controllers = {
             controller.name: controller.receive
             for controller in (
-                controllers.jobs.make_controller(owner),
-                controllers.backends.make_controller(owner, random.Random(1)),
-                controllers.journal.make_controller(
+                controllers.jobs.jobs.make_controller(owner),
+                controllers.backends.backends.make_controller(
+                    owner, random.Random(1)
+                ),
+                controllers.journal.journal.make_controller(
                     owner, lambda: next(nonces).replace("-", "")
                 ),
             )
         }
         self.receive(messages.JOBS, messages.ConfigurationChanged(CFG))
         self.receive(messages.BACKENDS, messages.ConfigurationChanged(CFG))
-        commit = messages.TimerFired(controllers.journal.COMMIT_TIMER)
+        commit = messages.TimerFired(controllers.journal.journal.COMMIT_TIMER)
         self.receive(messages.JOURNAL, commit)
         simulation.schedule(simulation.now + POLL_INTERVAL / 2, self.poll)
 
--- a/packages/daemon/src/cardamompathd/tests/network.py
+++ b/packages/daemon/src/cardamompathd/tests/network.py
@@ -46,8 +46,10 @@
         self.controllers = {
             controller.name: controller.receive
             for controller in (
-                controllers.configuration.make_controller(rng),
-                controllers.membership.make_controller(owner, seeds, rng),
+                controllers.configuration.configuration.make_controller(rng),
+                controllers.fleet.membership.make_controller(
+                    owner, seeds, rng
+                ),
             )
         }
 
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -11,10 +11,10 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.callers import watch
-from cardamompathd.controllers import fleet
-from cardamompathd.controllers import fleet_state
-from cardamompathd.controllers import gateway
-from cardamompathd.controllers import planner
+from cardamompathd.controllers.fleet import fleet
+from cardamompathd.controllers.fleet import fleet_state
+from cardamompathd.controllers.gateway import gateway
+from cardamompathd.controllers.planner import planner
 
 LATENCY = 0.002
 """Seconds until a message arrives."""
--- a/packages/daemon/src/cardamompathd/tests/test_backends.py
+++ b/packages/daemon/src/cardamompathd/tests/test_backends.py
@@ -48,7 +48,7 @@
         self.running = {}
         self.settled = {}
         self.sends = []
-        self.controller = controllers.backends.make_controller(
+        self.controller = controllers.backends.backends.make_controller(
             OWNER, random.Random(1)
         )
 
--- a/packages/daemon/src/cardamompathd/tests/test_configuration.py
+++ b/packages/daemon/src/cardamompathd/tests/test_configuration.py
@@ -38,8 +38,10 @@
         self.restart()
 
     def restart(self):
-        self.controller = controllers.configuration.make_controller(
-            random.Random(1), 100.0
+        self.controller = (
+            controllers.configuration.configuration.make_controller(
+                random.Random(1), 100.0
+            )
         )
 
     def send(self, msg):
--- a/packages/daemon/src/cardamompathd/tests/test_exchanges.py
+++ b/packages/daemon/src/cardamompathd/tests/test_exchanges.py
@@ -46,8 +46,8 @@
         rng = random.Random(1)
         self.ref = actors.ControllerActor.start(
             [
-                controllers.configuration.make_controller(rng),
-                controllers.membership.make_controller(owner, (), rng),
+                controllers.configuration.configuration.make_controller(rng),
+                controllers.fleet.membership.make_controller(owner, (), rng),
             ],
             actors.make_router(table),
             clocks.boottime,
--- a/packages/daemon/src/cardamompathd/tests/test_fence.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fence.py
@@ -17,7 +17,7 @@
 
 class FenceTest(unittest.TestCase):
     def setUp(self):
-        self.backends = controllers.backends.make_controller(
+        self.backends = controllers.backends.backends.make_controller(
             identity.parse_incarnation(OWNER), random.Random(1)
         )
         self.backends.receive(messages.ConfigurationChanged(fakes.CFG), 0.0)
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -5,7 +5,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
+from cardamompathd.controllers.fleet import fleet
 
 
 def make_member(domain, number, thread_millicores=0):
--- a/packages/daemon/src/cardamompathd/tests/test_gateway.py
+++ b/packages/daemon/src/cardamompathd/tests/test_gateway.py
@@ -6,9 +6,9 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_views
-from cardamompathd.controllers import gateway
-from cardamompathd.controllers import gateway_drops
+from cardamompathd.controllers.fleet import fleet_views
+from cardamompathd.controllers.gateway import gateway
+from cardamompathd.controllers.gateway import gateway_drops
 from cardamompathd.tests import pool_simulation
 
 DOMAINS = "abcd"
--- a/packages/daemon/src/cardamompathd/tests/test_jobs.py
+++ b/packages/daemon/src/cardamompathd/tests/test_jobs.py
@@ -19,7 +19,7 @@
 
 class JobsTest(unittest.TestCase):
     def setUp(self):
-        self.jobs = controllers.jobs.make_controller(OWNER)
+        self.jobs = controllers.jobs.jobs.make_controller(OWNER)
         self.receive(messages.ConfigurationChanged(CFG))
 
     def receive(self, msg, now=0.0):
@@ -83,7 +83,7 @@
         self.assertEqual("unknown_job", answer[0].code)
 
     def test_kept_answers_are_bounded_in_bytes(self):
-        self.jobs = controllers.jobs.make_controller(OWNER, 300.0, 5000)
+        self.jobs = controllers.jobs.jobs.make_controller(OWNER, 300.0, 5000)
         self.receive(messages.ConfigurationChanged(CFG))
         done = types.TaskResult("finished", 200, b"x" * 1000)
         job_ids = [self.issue_id() for _ in range(5)]
--- a/packages/daemon/src/cardamompathd/tests/test_membership.py
+++ b/packages/daemon/src/cardamompathd/tests/test_membership.py
@@ -44,7 +44,7 @@
     def __init__(self, name="one", address=OWN, seeds=(SEED,)):
         self.now = 0.0
         owner = identity.Incarnation("a", name, "0123456789ab")
-        self.controller = controllers.membership.make_controller(
+        self.controller = controllers.fleet.membership.make_controller(
             owner, seeds, random.Random(1)
         )
         self.send(messages.PeerListenerStarted(address))
--- a/packages/daemon/src/cardamompathd/tests/test_observations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_observations.py
@@ -10,7 +10,7 @@
 from cardamompath_core import types
 from cardamompathd import controllers
 from cardamompathd import messages
-from cardamompathd.controllers import observations
+from cardamompathd.controllers.jobs import observations
 from cardamompathd.telemetry import logs
 
 OWNER = identity.Incarnation("pocitos", "entry-1", "0123456789ab")
@@ -102,7 +102,7 @@
 
 class JobReportsTest(unittest.TestCase):
     def setUp(self):
-        self.jobs = controllers.jobs.make_controller(OWNER)
+        self.jobs = controllers.jobs.jobs.make_controller(OWNER)
         service = types.ServiceSpec("booking")
         cfg = types.Configuration(1, 0, (service,))
         self.jobs.receive(messages.ConfigurationChanged(cfg), 0.0)
--- a/packages/daemon/src/cardamompathd/tests/test_peers.py
+++ b/packages/daemon/src/cardamompathd/tests/test_peers.py
@@ -49,8 +49,10 @@
         }
         self.actor = actors.ControllerActor.start(
             [
-                controllers.jobs.make_controller(owner),
-                controllers.journal.make_controller(owner, lambda: "unused"),
+                controllers.jobs.jobs.make_controller(owner),
+                controllers.journal.journal.make_controller(
+                    owner, lambda: "unused"
+                ),
             ],
             actors.make_router(table),
             clocks.boottime,
--- a/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_claims.py
@@ -7,9 +7,9 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_views
-from cardamompathd.controllers import planner
-from cardamompathd.controllers import planner_runs
+from cardamompathd.controllers.fleet import fleet_views
+from cardamompathd.controllers.planner import planner
+from cardamompathd.controllers.planner import planner_runs
 
 CAPACITY = executors.Resources(8000, 1024)
 TOKEN = 7
--- a/packages/daemon/src/cardamompathd/tests/test_planner_leases.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_leases.py
@@ -8,8 +8,8 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_views
-from cardamompathd.controllers import planner
+from cardamompathd.controllers.fleet import fleet_views
+from cardamompathd.controllers.planner import planner
 
 CAPACITY = executors.Resources(8000, 1024)
 LEASE = 1.0
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -9,10 +9,10 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_views
-from cardamompathd.controllers import planner
-from cardamompathd.controllers import planner_runs
-from cardamompathd.controllers import planner_state
+from cardamompathd.controllers.fleet import fleet_views
+from cardamompathd.controllers.planner import planner
+from cardamompathd.controllers.planner import planner_runs
+from cardamompathd.controllers.planner import planner_state
 
 CAPACITY = executors.Resources(8000, 1024)
 RESUBMIT_DELAY = 1.3
--- a/packages/daemon/src/cardamompathd/tests/test_platform_program.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_program.py
@@ -31,9 +31,9 @@
             check=True,
         )
         loaded = set(run.stdout.split())
-        self.assertIn("cardamompathd.controllers.planner", loaded)
+        self.assertIn("cardamompathd.controllers.planner.planner", loaded)
         for name in (
-            "cardamompathd.controllers.jobs",
+            "cardamompathd.controllers.jobs.jobs",
             "cardamompathd.callers.codec",
             "cardamompathd.peers.exchanges",
             "opentelemetry",
--- a/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
+++ b/packages/daemon/src/cardamompathd/tests/test_pool_failures.py
@@ -7,7 +7,7 @@
 
 from cardamompath_core import batches
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_views
+from cardamompathd.controllers.fleet import fleet_views
 from cardamompathd.tests import pool_simulation
 
 
--- a/packages/daemon/src/cardamompathd/tests/test_quotas.py
+++ b/packages/daemon/src/cardamompathd/tests/test_quotas.py
@@ -51,9 +51,11 @@
         self.shares = None
         rng = random.Random(1)
         dispatch_controllers = (
-            controllers.jobs.make_controller(OWNER, queue=messages.QUOTAS),
-            controllers.quotas.make_controller(OWNER, MEMORY_LIMIT),
-            controllers.backends.make_controller(OWNER, rng),
+            controllers.jobs.jobs.make_controller(
+                OWNER, queue=messages.QUOTAS
+            ),
+            controllers.jobs.quotas.make_controller(OWNER, MEMORY_LIMIT),
+            controllers.backends.backends.make_controller(OWNER, rng),
         )
         self.receivers = {
             controller.name: controller.receive
--- a/packages/daemon/src/cardamompathd/tests/test_recovery.py
+++ b/packages/daemon/src/cardamompathd/tests/test_recovery.py
@@ -450,10 +450,12 @@
     def make_journal(self):
         owner = identity.Incarnation("pocitos", "entry-1", "0123456789ab")
         self.owner = identity.format_incarnation(owner)
-        return controllers.journal.make_controller(owner, lambda: "b" * 12)
+        return controllers.journal.journal.make_controller(
+            owner, lambda: "b" * 12
+        )
 
     def commit(self, journal, now):
-        commit = messages.TimerFired(controllers.journal.COMMIT_TIMER)
+        commit = messages.TimerFired(controllers.journal.journal.COMMIT_TIMER)
         journal.receive(commit, now)
         collected = messages.ProgressCollected({})
         return [send.msg for send in journal.receive(collected, now)]
@@ -489,7 +491,7 @@
         journal.receive(messages.AppendEnded("refused"), 1.0)
         self.commit(journal, 12.0)
         self.read(journal, 12.1, *append.records)
-        commit = messages.TimerFired(controllers.journal.COMMIT_TIMER)
+        commit = messages.TimerFired(controllers.journal.journal.COMMIT_TIMER)
         sent = [send.msg for send in journal.receive(commit, 12.5)]
         self.assertIn(messages.LeaseChanged(self.owner, leases.NEVER), sent)
         changed = messages.OwnerChanged("pocitos.entry-1.bbbbbbbbbbbb")
--- a/packages/proof/src/cardamompath_proof/bench/__main__.py
+++ b/packages/proof/src/cardamompath_proof/bench/__main__.py
@@ -29,7 +29,7 @@
 
 
 def _make_ours(owner, rng):
-    return controllers.backends.make_controller(owner, rng)
+    return controllers.backends.backends.make_controller(owner, rng)
 
 
 def _make_round_robin(owner, rng):
--- a/packages/proof/src/cardamompath_proof/bench/cluster.py
+++ b/packages/proof/src/cardamompath_proof/bench/cluster.py
@@ -137,7 +137,7 @@
         domain = workloads.DOMAINS[index % len(workloads.DOMAINS)]
         owner = identity.Incarnation(domain, f"entry-{index}", "0" * 12)
         rng = random.Random(workload.seed * 1000 + index)
-        jobs = controllers.jobs.make_controller(owner)
+        jobs = controllers.jobs.jobs.make_controller(owner)
         instances.append(
             _Instance(owner, jobs, policy.make_controller(owner, rng))
         )
--- a/packages/proof/src/cardamompath_proof/harness/instances.py
+++ b/packages/proof/src/cardamompath_proof/harness/instances.py
@@ -44,11 +44,13 @@
 class ControllerFactories(NamedTuple):
     """Factories of the controllers of an instance; tests replace some."""
 
-    jobs: Any = controllers.jobs.make_controller
-    backends: Any = controllers.backends.make_controller
-    configuration: Any = controllers.configuration.make_controller
-    journal: Any = controllers.journal.make_controller
-    membership: Any = controllers.membership.make_controller
+    jobs: Any = controllers.jobs.jobs.make_controller
+    backends: Any = controllers.backends.backends.make_controller
+    configuration: Any = (
+        controllers.configuration.configuration.make_controller
+    )
+    journal: Any = controllers.journal.journal.make_controller
+    membership: Any = controllers.fleet.membership.make_controller
 
 
 def make_controllers(
@@ -123,7 +125,7 @@
         self.io_receivers = io_tasks.make_io_receivers(self)
         self._follow("configuration", messages.CONFIGURATION, reader.READ_WAIT)
         self._follow("journal", messages.JOURNAL, app.JOURNAL_READ_WAIT)
-        commit = messages.TimerFired(controllers.journal.COMMIT_TIMER)
+        commit = messages.TimerFired(controllers.journal.journal.COMMIT_TIMER)
         self.tell(messages.Send(messages.JOURNAL, commit))
         address = (self.entry.host, self.entry.port)
         listening = messages.PeerListenerStarted(address)
--- a/packages/proof/src/cardamompath_proof/model/replay.py
+++ b/packages/proof/src/cardamompath_proof/model/replay.py
@@ -52,8 +52,8 @@
         created = instances.make_controllers(
             instances.ControllerFactories(
                 journal=functools.partial(
-                    controllers.journal.make_controller,
-                    settings=controllers.journal_store.JournalSettings(
+                    controllers.journal.journal.make_controller,
+                    settings=controllers.journal.journal_store.JournalSettings(
                         lease=job_rules.LEASE_TIMES
                     ),
                 )
@@ -208,7 +208,7 @@
                 return
 
     def _commit_journal(self, instance, name):
-        timer = messages.TimerFired(controllers.journal.COMMIT_TIMER)
+        timer = messages.TimerFired(controllers.journal.journal.COMMIT_TIMER)
         instance.deliver(messages.JOURNAL, timer, self.now)
         for append in instance.take_sent(messages.Append):
             self.appends[name] = append.records
--- a/packages/proof/src/cardamompath_proof/slopes/dispatch.py
+++ b/packages/proof/src/cardamompath_proof/slopes/dispatch.py
@@ -58,8 +58,10 @@
         self.receivers = {
             controller.name: controller.receive
             for controller in (
-                controllers.jobs.make_controller(OWNER),
-                controllers.backends.make_controller(OWNER, random.Random(7)),
+                controllers.jobs.jobs.make_controller(OWNER),
+                controllers.backends.backends.make_controller(
+                    OWNER, random.Random(7)
+                ),
             )
         }
         changed = messages.ConfigurationChanged(make_configuration(backends))
--- a/packages/proof/src/cardamompath_proof/slopes/gossip.py
+++ b/packages/proof/src/cardamompath_proof/slopes/gossip.py
@@ -38,7 +38,7 @@
 def measure_round(instances: int) -> Round:
     """Measure rounds among `instances` instances that all answer."""
     rng = random.Random(5)
-    controller = controllers.membership.make_controller(
+    controller = controllers.fleet.membership.make_controller(
         dispatch.OWNER, (), rng
     )
     listener = messages.PeerListenerStarted(("10.0.0.1", 7400))
--- a/packages/proof/src/cardamompath_proof/slopes/journal.py
+++ b/packages/proof/src/cardamompath_proof/slopes/journal.py
@@ -32,7 +32,7 @@
 
 def measure_reading(jobs: int) -> Reading:
     """Measure one instance that reads the progress of `jobs` jobs."""
-    controller = controllers.journal.make_controller(
+    controller = controllers.journal.journal.make_controller(
         dispatch.OWNER, lambda: "0123456789cd"
     )
     lines = [
@@ -43,7 +43,7 @@
     for line in lines:
         entry = json.loads(line)
         msg = messages.RecordsRead(
-            controllers.journal.STREAM,
+            controllers.journal.journal.STREAM,
             ((entry["offset"], entry["record"]),),
             0,
             entry["offset"] + 1,
--- a/packages/proof/src/cardamompath_proof/slopes/pool.py
+++ b/packages/proof/src/cardamompath_proof/slopes/pool.py
@@ -11,10 +11,10 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet
-from cardamompathd.controllers import fleet_state
-from cardamompathd.controllers import fleet_views
-from cardamompathd.controllers import planner
+from cardamompathd.controllers.fleet import fleet
+from cardamompathd.controllers.fleet import fleet_state
+from cardamompathd.controllers.fleet import fleet_views
+from cardamompathd.controllers.planner import planner
 from cardamompathd.peers import pool_codec
 
 __all__ = [
--- a/packages/proof/src/cardamompath_proof/soak/broken.py
+++ b/packages/proof/src/cardamompath_proof/soak/broken.py
@@ -13,11 +13,11 @@
 
 from cardamompath_core import batches
 from cardamompath_core import executors
-from cardamompathd.controllers import gateway
-from cardamompathd.controllers import planner
-from cardamompathd.controllers import planner_crashes
-from cardamompathd.controllers import planner_leases
-from cardamompathd.controllers import planner_runs
+from cardamompathd.controllers.gateway import gateway
+from cardamompathd.controllers.planner import planner
+from cardamompathd.controllers.planner import planner_crashes
+from cardamompathd.controllers.planner import planner_leases
+from cardamompathd.controllers.planner import planner_runs
 from cardamompathd.platform import program
 
 __all__ = [
--- a/packages/proof/src/cardamompath_proof/tests/broken.py
+++ b/packages/proof/src/cardamompath_proof/tests/broken.py
@@ -120,17 +120,17 @@
 
 
 def with_jobs(change):
-    make = controllers.jobs.make_controller
+    make = controllers.jobs.jobs.make_controller
     return instances.ControllerFactories(jobs=wrap_factory(make, change))
 
 
 def with_backends(change):
-    make = controllers.backends.make_controller
+    make = controllers.backends.backends.make_controller
     return instances.ControllerFactories(backends=wrap_factory(make, change))
 
 
 def with_configuration(change):
-    make = controllers.configuration.make_controller
+    make = controllers.configuration.configuration.make_controller
     return instances.ControllerFactories(
         configuration=wrap_factory(make, change)
     )
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
@@ -11,7 +11,7 @@
 from cardamompath_proof.tests.properties import shared
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_state
+from cardamompathd.controllers.fleet import fleet_state
 from cardamompathd.peers import errors
 from cardamompathd.peers import pool_codec
 from cardamompathd.peers import wire
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
@@ -24,9 +24,9 @@
 from cardamompath_proof.tests.properties import shared
 from cardamompathd import messages
 from cardamompathd import pool_messages
-from cardamompathd.controllers import fleet_state
-from cardamompathd.controllers import fleet_views
-from cardamompathd.controllers import planner
+from cardamompathd.controllers.fleet import fleet_state
+from cardamompathd.controllers.fleet import fleet_views
+from cardamompathd.controllers.planner import planner
 from cardamompathd.peers import pool_codec
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
