Fleet: a heartbeat that a later one has overtaken does not count

Data on a link that was opened again may be read after that on the next one. The digest of such a heartbeat stood for 0.1 s as that of what the planner holds, and would have been handed on if it had been lost just then. Found by reading; test_fleet, heartbeat_that_was_overtaken..., fails without it.

--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
@@ -205,6 +205,9 @@
         peer = state.peers[member.name] = successor
     elif peer.member.started != member.started:
         return ()
+    elif 0.0 < msg.sent_at < peer.sent_at:
+        # It was on its way on a link that has been opened again since.
+        return ()
     changed = not peer.alive or peer.member != member
     peer.member = member
     peer.heard_at = now
--- a/packages/daemon/src/cardamompathd/tests/test_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_fleet.py
@@ -200,6 +200,22 @@
         for found, expected in zip(confirmed, (50.9, 51.2, 51.4), strict=True):
             self.assertAlmostEqual(found, expected)
 
+    def test_heartbeat_that_was_overtaken_changes_no_digest(self):
+        # A batch would be handed on with the executors that its planner held
+        # before.
+        members = make_members()
+        harness = self.start(members[9], members)
+        for sent_at, digest in ((50.0, 7), (50.2, 8), (50.1, 7), (50.3, 9)):
+            harness.receive_heartbeats(
+                members[:1], sent_at=sent_at, executors_digest=digest
+            )
+        reported = [
+            send.msg.digest
+            for send in harness.sent
+            if isinstance(send.msg, pool_messages.ExecutorsHeld)
+        ]
+        self.assertEqual(reported, [7, 8, 9])
+
     def test_planner_asks_often_whether_a_remote_origin_lives(self):
         members = make_members(24)
         harness = self.start(members[0], members)
