Planner, fleet: modules for plans, executors and restarts; shorter functions

Moved: Plan and Task, ExecutorState, what handles a restart. _handle_heartbeat is split in three. The paths of the store that the soak uses stand with its stand-in. Nothing else changed.

--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
@@ -191,30 +191,56 @@
 
 
 def _handle_heartbeat(state, msg, now):
+    member = msg.member
+    peer = _find_peer(state, msg, now)
+    if peer is None:
+        return ()
+    changed = not peer.alive or peer.member != member
+    peer.member = member
+    peer.heard_at = now
+    peer.alive = True
+    peer.dead = False
+    peer.timeout = fleet_rates.timeout_of(msg.interval)
+    peer.sent_at = msg.sent_at
+    sends = _report_planner(peer, msg, now)
+    if changed or msg.known_addresses:
+        found = pool_messages.AddressesFound(
+            (member.address, *msg.known_addresses), member.name
+        )
+        sends += _add_addresses(state, found, now)
+    if msg.config_version < state.config_version:
+        offer = pool_messages.OfferConfiguration(member.address)
+        sends.append(messages.Send(pool_messages.GATEWAY, offer))
+    if changed:
+        sends += fleet_views.publish(state, now)
+    return sends + _report_executors(peer, msg)
+
+
+def _find_peer(state, msg, now):
+    """Return the member that sent a heartbeat, None if it does not count."""
     member = msg.member
     peer = state.peers.get(member.name)
     if peer is None or _is_successor(peer, member):
         state.last_found_at = now
         if peer is None:
             state.last_new_member_at = now
-        successor = fleet_state.Peer(member, now)
+        successor = state.peers[member.name] = fleet_state.Peer(member, now)
         successor.alive = False
         if peer is not None:
             former = [*peer.former_starts, peer.member.started]
             successor.former_starts = tuple(former[-MAX_FORMER_STARTS:])
-        peer = state.peers[member.name] = successor
-    elif peer.member.started != member.started:
-        return ()
-    elif 0.0 < msg.sent_at < peer.sent_at:
+        return successor
+    if peer.member.started != member.started:
+        return None
+    if 0.0 < msg.sent_at < peer.sent_at:
         # It was on its way on a link that has been opened again since.
-        return ()
-    changed = not peer.alive or peer.member != member
-    peer.member = member
-    peer.heard_at = now
-    peer.alive = True
-    peer.dead = False
-    peer.timeout = fleet_rates.timeout_of(msg.interval)
-    peer.sent_at = msg.sent_at
+        return None
+    return peer
+
+
+def _report_planner(peer, msg, now):
+    """Tell what a heartbeat says of the planners at both ends."""
+    member = msg.member
     sends = []
     if msg.sent_at > 0.0:
         heard = pool_messages.PlannerHeard(
@@ -236,17 +262,7 @@
         peer.reported_backlog = msg.backlog
         report = pool_messages.BacklogChanged(member.name, msg.backlog)
         sends.append(messages.Send(pool_messages.GATEWAY, report))
-    if changed or msg.known_addresses:
-        found = pool_messages.AddressesFound(
-            (member.address, *msg.known_addresses), member.name
-        )
-        sends += _add_addresses(state, found, now)
-    if msg.config_version < state.config_version:
-        offer = pool_messages.OfferConfiguration(member.address)
-        sends.append(messages.Send(pool_messages.GATEWAY, offer))
-    if changed:
-        sends += fleet_views.publish(state, now)
-    return sends + _report_executors(peer, msg)
+    return sends
 
 
 def _is_successor(peer, member):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -24,6 +24,7 @@
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_outcomes
 from cardamompathd.controllers.planner import planner_permissions
+from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import planner_roles
 from cardamompathd.controllers.planner import planner_runs
 from cardamompathd.controllers.planner import planner_state
@@ -273,7 +274,7 @@
         round=msg.round + state.dropped_counts.get(msg.batch.name, 0),
     )
     first_attempt = msg.round * planner_runs.ATTEMPT_SKIP
-    plan = planner_state.Plan(msg, state.origin_of(msg), first_attempt, now)
+    plan = planner_plans.Plan(msg, state.origin_of(msg), first_attempt, now)
     if msg.ended_planner in state.idle_members:
         plan.claims_since = state.began_at
     reason = _unfit_reason(state, plan)
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_leases.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_leases.py
@@ -14,11 +14,11 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.planner import planner_crashes
-from cardamompathd.controllers.planner import planner_listings
+from cardamompathd.controllers.planner import planner_executors
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_permissions
+from cardamompathd.controllers.planner import planner_restarts
 from cardamompathd.controllers.planner import planner_runs
-from cardamompathd.controllers.planner import planner_state
 
 __all__ = [
     "all_claimed",
@@ -93,7 +93,7 @@
     sends = []
     executor.hold_pending = False
     if msg.incarnation and executor.spec.incarnation != msg.incarnation:
-        sends += _handle_unlisted_restart(
+        sends += planner_restarts.handle_unlisted(
             state, executor, msg.incarnation, now
         )
         return sends + _hold(state, executor, 0.0, now)
@@ -138,53 +138,6 @@
     return sends + _hold(state, executor, HOLD_POLL_TIME, now)
 
 
-def _handle_unlisted_restart(state, executor, incarnation, now):
-    """Handle a restart of which there is no entry yet; read the list.
-
-    It gets no tasks until then, as the entry of the former process says
-    nothing of it.
-    """
-    spec = executor.spec._replace(incarnation=incarnation)
-    sends = _handle_restart(state, executor, spec, now)
-    executor.described = False
-    return sends + planner_listings.request(state, now)
-
-
-def _handle_restart(state, executor, spec, now):
-    """Claim a restarted executor anew; return the messages.
-
-    It has seen no token and carries out what was sent to the former process,
-    also runs that were confirmed lately.  Therefore all runs are tracked
-    until it answers a hold with a higher token.
-    """
-    before = executor.spec
-    sends = planner_crashes.record_losses(state, executor, now)
-    sends += planner_crashes.record_restart(state, executor)
-    executor.spec = spec
-    executor.described = True
-    executor.restarted = True
-    executor.forget_results(now)
-    executor.acknowledged = 0
-    executor.lease_end = 0.0
-    executor.orphans.clear()
-    executor.free_resources = spec.capacity
-    for run, (plan, task) in executor.runs.items():
-        executor.free_resources = executors.subtract(
-            executor.free_resources, planner_runs.resources_of(plan, task)
-        )
-        if task.run == run:
-            task.status = "unknown"
-    planner_runs.doubt_claim(state, executor, now)
-    decision = planner_log.decision(
-        "executor restarted",
-        executor=spec.name,
-        incarnation=spec.incarnation,
-        before=before.incarnation,
-        runs=len(executor.runs),
-    )
-    return [*sends, decision]
-
-
 def _reconcile_runs(state, executor, running, now):
     """Compare the runs that an executor lists with those tracked for it."""
     sends = []
@@ -273,7 +226,7 @@
         sends += planner_runs.lose_runs(
             state, executor, "it was restarted", now
         )
-        sends += _handle_unlisted_restart(state, executor, 0, now)
+        sends += planner_restarts.handle_unlisted(state, executor, 0, now)
     if not executor.suspect:
         sends.append(
             planner_log.decision(
@@ -400,7 +353,7 @@
     for name, spec in assigned.items():
         executor = state.executors.get(name)
         if executor is None:
-            state.executors[name] = executor = planner_state.ExecutorState(
+            state.executors[name] = executor = planner_executors.ExecutorState(
                 spec, state.new_token(name, planner_runs.TOKEN_STEP), now
             )
             sends += claim(state, executor, now)
@@ -426,7 +379,7 @@
         spec.incarnation > previous.incarnation
         or spec.address != previous.address
     ):
-        sends += _handle_restart(state, executor, spec, now)
+        sends += planner_restarts.handle(state, executor, spec, now)
     if spec.state != previous.state:
         sends.append(
             planner_log.decision(
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_permissions.py
@@ -14,6 +14,7 @@
 
 import math
 
+from cardamompathd.controllers.planner import planner_executors
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_runs
 from cardamompathd.controllers.planner import planner_state
@@ -94,7 +95,7 @@
         ),
         default=-math.inf,
     ) + (state.resubmit_delay - planner_runs.END_TIME)
-    longest = (latest_end - now) * (1.0 - planner_state.CLOCK_ERROR)
+    longest = (latest_end - now) * (1.0 - planner_executors.CLOCK_ERROR)
     return min(planner_runs.LEASE, longest)
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_runs.py
@@ -9,8 +9,8 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.planner import planner_crashes
+from cardamompathd.controllers.planner import planner_executors
 from cardamompathd.controllers.planner import planner_log
-from cardamompathd.controllers.planner import planner_state
 
 __all__ = [
     "END_TIME",
@@ -44,7 +44,7 @@
 """Seconds within which an executor ends a run whose lease has lapsed."""
 END_TIME = STOP_TIME + LEASE_MARGIN
 """Seconds for which a run may go on after its lease, by the true clock."""
-LAPSE_TIME = LEASE / (1.0 - planner_state.CLOCK_ERROR) + END_TIME
+LAPSE_TIME = LEASE / (1.0 - planner_executors.CLOCK_ERROR) + END_TIME
 """Seconds after a start or a renewal after which its runs have surely ended.
 The end of a lease is a time of the executor's clock, so that a request that
 arrives late changes nothing."""
--- a/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_permissions.py
@@ -11,8 +11,8 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers.fleet import fleet_views
 from cardamompathd.controllers.planner import planner
+from cardamompathd.controllers.planner import planner_executors
 from cardamompathd.controllers.planner import planner_runs
-from cardamompathd.controllers.planner import planner_state
 
 CAPACITY = executors.Resources(8000, 1024)
 RESUBMIT_DELAY = 1.3
@@ -163,7 +163,7 @@
     def longest_end(self, expires):
         """Return when a lease ends on the slowest clock of an executor."""
         return self.now + (expires - self.now) / (
-            1.0 - planner_state.CLOCK_ERROR
+            1.0 - planner_executors.CLOCK_ERROR
         )
 
     def test_permission_that_is_late_costs_nothing(self):
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -49,10 +49,8 @@
 """Seconds that a call to a stand-in may take, which may be paused."""
 STORE_THREADS = 512
 """Four for each instance of the largest size are enough."""
-EXECUTORS_PATH = "/v1/log-newest?topic=keyed.servers&part=0"
 START_TIMEOUT = 120.0
 """Seconds in which all processes have to be ready, also beside other load."""
-ENTRY_PATH = "/v1/log-append?topic=keyed.servers&part=0"
 
 
 class Size(NamedTuple):
@@ -223,7 +221,7 @@
         A large run starts its instances then, or they would not be ready in
         time.
         """
-        url = f"{self.store_url}{EXECUTORS_PATH}"
+        url = f"{self.store_url}{store.EXECUTORS_PATH}"
         missing = {executor.name for executor in self.executors}
         give_up_at = clocks.boottime() + START_TIMEOUT
         while missing and clocks.boottime() < give_up_at:
@@ -260,7 +258,7 @@
     def write_entry(self, name: str, entry: bytes) -> None:
         """Write an entry among those of the executors."""
         record = store.encode_keyed_record(name, entry)
-        url = f"{self.store_url}{ENTRY_PATH}"
+        url = f"{self.store_url}{store.ENTRY_PATH}"
         self.http.request("POST", url, body=record)
 
     def start_executor(self, executor: Executor) -> None:
--- a/packages/standins/src/cardamompath_standins/store.py
+++ b/packages/standins/src/cardamompath_standins/store.py
@@ -25,6 +25,8 @@
 from cardamompathd.runtime import clocks
 
 __all__ = [
+    "ENTRY_PATH",
+    "EXECUTORS_PATH",
     "READY_PATH",
     "encode_keyed_record",
     "make_controller",
@@ -40,6 +42,10 @@
 SERVERS_TOPIC = "keyed.servers"
 READY_PATH = "/v1/log-newest?topic=keyed.op&part=0"
 """Request path that is answered with 200 once the store serves."""
+EXECUTORS_PATH = "/v1/log-newest?topic=keyed.servers&part=0"
+"""Request path of the entries of the executors."""
+ENTRY_PATH = "/v1/log-append?topic=keyed.servers&part=0"
+"""Request path to write such an entry."""
 MISSED_PINGS = 3.0
 """Ping intervals without a ping after which an executor's entry is deleted."""
 READ_HEADER = struct.Struct("!QQ")
