Gateway: open questions share one timer

Each question that found no other open set a timer of its own, while that of the one before might still be due; with many DELETEs the repetitions grew. Found by reading; test_cancellations, questions_share_one_timer.

--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_queries.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_queries.py
@@ -104,9 +104,7 @@
     sends = [messages.Send(pool_messages.GATEWAY, msg)]
     query.awaited[state.name, state.started] = None
     sends += _ask_new_members(state, query)
-    if len(state.queries) == 1:
-        sends.append(_make_timer(now))
-    return sends
+    return sends + _set_timer(state, now)
 
 
 def _knows_members(state, now):
@@ -162,6 +160,7 @@
 
 def resend(state, now):
     """Ask those again that have not answered; give up after a time."""
+    state.query_timer_set = False
     sends = []
     for query in list(state.queries.values()):
         if now >= query.give_up_at:
@@ -173,9 +172,7 @@
             for member in query.awaited.values()
             if member is not None
         ]
-    if state.queries:
-        sends.append(_make_timer(now))
-    return sends
+    return sends + _set_timer(state, now)
 
 
 def _finish(state, query, now):
@@ -214,8 +211,11 @@
     return _NO_BATCH if query.has_route else _NO_ROUTE
 
 
-def _make_timer(now):
+def _set_timer(state, now):
+    if state.query_timer_set or not state.queries:
+        return []
+    state.query_timer_set = True
     due = messages.SetTimer(
         now + RESEND_INTERVAL, pool_messages.GATEWAY, TIMER_KEY
     )
-    return messages.Send(messages.TIMERS, due)
+    return [messages.Send(messages.TIMERS, due)]
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
@@ -95,6 +95,9 @@
         self.queries: dict[int, gateway_queries.Query] = {}
         """Questions that not every instance has answered, by number."""
         self.last_query = 0
+        """Number of the last question."""
+        self.query_timer_set = False
+        """Whether a timer is set that repeats questions."""
         self.cancellations = cancellations.CancellationMemory()
         self.started = 0
         """Start time of this process, in milliseconds since 1970."""
--- a/packages/daemon/src/cardamompathd/tests/test_cancellations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_cancellations.py
@@ -4,6 +4,7 @@
 
 from cardamompath_core import batches
 from cardamompath_core import cancellations
+from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.tests import pool_simulation
 from cardamompathd.tests import test_large_fleet
@@ -198,6 +199,18 @@
         self.simulation.advance(0.1)
         self.assert_answer(again, batches.COMPLETE)
 
+    def test_questions_share_one_timer(self):
+        # Each question that found none open set one more.
+        gateway = self.instances["n-b6"].controllers[pool_messages.GATEWAY]
+        timers = 0
+        for number in range(20):
+            msg = pool_messages.FindBatch(
+                pool_simulation.HOST, f"/jobs/j{number}", number
+            )
+            sent = gateway(msg, self.simulation.now)
+            timers += sum(send.to == messages.TIMERS for send in sent)
+        self.assertEqual(timers, 1)
+
     def test_unknown_batch_is_denied_by_all(self):
         self.assert_answer(self.cancel("n-a5", "other"), batches.UNKNOWN)
         found = self.simulation.find(self.instances["n-b7"], "another")
