--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -1,5 +1,6 @@
 """Real controllers of instances with simulated executors and time."""
 
+import collections
 import heapq
 import itertools
 import random
@@ -324,6 +325,8 @@
         """Answers to callers, by their `reply_to`."""
         self.submitted = []
         """The `reply_to` of each submission."""
+        self.unanswered = []
+        """Those that have no answer yet."""
         self.departed = set()
         """The `reply_to` of each caller that has left."""
         self.hides_departures = False
@@ -419,6 +422,7 @@
         if reply_to in self.submitted:
             reply_to = f"{name}+{len(self.submitted)}@{instance.name}"
         self.submitted.append(reply_to)
+        self.unanswered.append(reply_to)
         msg = pool_messages.SubmitBatch(
             HOST,
             f"/jobs/{name}",
@@ -449,26 +453,26 @@
 
     def check_callers(self):
         """Have the instances look at their callers, now and regularly."""
-        for instance in list(self.instances.values()):
-            if not self.is_frozen(instance):
-                self._check_callers_of(instance)
+        self.unanswered = [
+            each for each in self.unanswered if each not in self.answers
+        ]
+        by_name = collections.defaultdict(list)
+        for reply_to in self.unanswered:
+            by_name[reply_to.rpartition("@")[2]].append(reply_to)
+        for name, waiting in by_name.items():
+            instance = self.instances.get(name)
+            if instance is not None and not self.is_frozen(instance):
+                self._check_callers_of(instance, waiting)
         self.schedule(watch.CHECK_INTERVAL, self.check_callers)
 
-    def _check_callers_of(self, instance):
-        waiting = [
-            reply_to
-            for reply_to in self.submitted
-            if reply_to.endswith(f"@{instance.name}")
-            and reply_to not in self.answers
-        ]
+    def _check_callers_of(self, instance, waiting):
         gone = [each for each in waiting if self._sees_departure(each)]
         for reply_to in gone:
             withdrawal = pool_messages.WithdrawBatch(reply_to)
             instance.receive(pool_messages.GATEWAY, withdrawal)
-        if waiting:
-            present = tuple(each for each in waiting if each not in gone)
-            checked = pool_messages.CallersChecked(self.now, present)
-            instance.receive(pool_messages.GATEWAY, checked)
+        present = tuple(each for each in waiting if each not in gone)
+        checked = pool_messages.CallersChecked(self.now, present)
+        instance.receive(pool_messages.GATEWAY, checked)
 
     def cancel(self, instance, name):
         """Cancel a batch at an instance; return the `reply_to`."""
