Gateway: a cancellation that only the instance knows goes with the batch

If every planner had been restarted since, a cancelled job whose request came again was run: the instance left it to the planner to tell whether the job had ended, and the planner knew nothing (seed 505 of the soak, size usual: a DELETE was answered 410 before the request came again, 3 starts).

The hand-over now says that the batch was cancelled. test_cancellations, cancellation_that_only_the_instance_knows..., fails without it. The soak records the requests that come again as submissions, as they may be answered like them.

--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_planners.py
@@ -64,6 +64,7 @@
         state.started,
         pending.handover,
         _to_planner_clock(state, planner, pending.seen_at),
+        state.cancellations.find(pending.batch.name, now) is not None,
         tuple(sorted(pending.former_executors)),
     )
     return [*sends, send_to(state, planner, msg)]
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -208,7 +208,7 @@
         return [
             planner_runs.report_outcome(state, name, origin, ended_outcome)
         ]
-    if state.cancellations.find(name, now):
+    if msg.cancelled or state.cancellations.find(name, now):
         outcome = batches.Outcome(batches.CANCELLED, "cancelled")
         return [planner_runs.report_outcome(state, name, origin, outcome)]
     plan = state.plans.get(name)
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -112,6 +112,7 @@
     origin_started: int = 0
     handover: int = 0
     seen_ms: int = 0
+    cancelled: int = 0
     former_executors: list[int] = []
 
 
@@ -261,6 +262,7 @@
     wire.I64,
     wire.I64,
     wire.I64,
+    wire.I32,
     _I64_LIST,
 )
 wire.declare(LossesFields, wire.TEXT, _LOSSES)
@@ -440,6 +442,7 @@
         msg.origin_started,
         msg.handover,
         int(msg.seen_at * 1000.0),
+        int(msg.cancelled),
         list(msg.former_executors),
     )
 
@@ -492,6 +495,7 @@
         fields.origin_started,
         fields.handover,
         fields.seen_ms / 1000.0,
+        bool(fields.cancelled),
         tuple(fields.former_executors),
     )
 
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -328,6 +328,9 @@
     seen_at: float = 0.0
     """When the caller was still there, in seconds of the planner's clock, or
     earlier; 0 if the origin does not tell."""
+    cancelled: bool = False
+    """Whether the batch was cancelled before its request arrived.  The planner
+    tells whether it had ended by then."""
     former_executors: tuple[int, ...] = ()
     """Digest of the executors of each earlier planner, see
     `executor_digests`; one of them may still run tasks there."""
--- a/packages/daemon/src/cardamompathd/tests/test_cancellations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_cancellations.py
@@ -199,6 +199,19 @@
         self.simulation.advance(0.1)
         self.assert_answer(again, batches.COMPLETE)
 
+    def test_cancellation_that_only_the_instance_knows_counts(self):
+        # All others were restarted at once, and the planner ran the batch
+        # (seed 505 of the soak).
+        self.cancel("n-a5")
+        for name in self.instances:
+            if name != "n-a5":
+                self.simulation.restart_instance(name, 0.1)
+        self.simulation.advance(3.0)
+        again = self.submit("n-a5")
+        self.simulation.advance(0.5)
+        self.assert_answer(again, batches.CANCELLED)
+        self.assertEqual(self.starts(), 0)
+
     def test_questions_share_one_timer(self):
         # Each question that found none open set one more.
         gateway = self.instances["n-b6"].controllers[pool_messages.GATEWAY]
--- a/packages/proof/src/cardamompath_proof/soak/clients.py
+++ b/packages/proof/src/cardamompath_proof/soak/clients.py
@@ -138,6 +138,29 @@
             self._close()
             return 0, {}, repr(exc)
 
+    def _submit_once(self, job, body, timeout_ms):
+        """Submit a job and record that; return the status of the answer."""
+        (step,) = json.loads(body)["phases"]
+        began = clocks.boottime()
+        status, doc, error = self._request(
+            "POST", f"{rigs.PREFIX}{job}", timeout_ms, body
+        )
+        self._records.put(
+            Submission(
+                job,
+                step["count"],
+                self._instance.name,
+                began,
+                clocks.boottime(),
+                status,
+                str(doc.get("state", "")),
+                error,
+                timeout_ms / 1000.0,
+                step.get("required_label", ""),
+            )
+        )
+        return status
+
     def _close(self):
         self._conn.close()
         self._conn = None
@@ -162,24 +185,7 @@
         if self._rng.random() < CANCELLED_SHARE:
             self._jobs.put((job, body))
         for _ in range(MAX_SUBMISSIONS):
-            began = clocks.boottime()
-            status, doc, error = self._request(
-                "POST", f"{rigs.PREFIX}{job}", timeout_ms, body
-            )
-            self._records.put(
-                Submission(
-                    job,
-                    tasks,
-                    self._instance.name,
-                    began,
-                    clocks.boottime(),
-                    status,
-                    str(doc.get("state", "")),
-                    error,
-                    timeout_ms / 1000.0,
-                    label,
-                )
-            )
+            status = self._submit_once(job, body, timeout_ms)
             if status not in (0, 502, 504) or self._stop_event.is_set():
                 return
             timeout_ms = CLIENT_TIMEOUTS_MS[-1]
@@ -201,8 +207,7 @@
             time.sleep(self._rng.uniform(0.0, MAX_CANCEL_DELAY))
             if self._cancel(job) and self._rng.random() < REPEATED_SHARE:
                 self._stop_event.wait(self._rng.uniform(*REPEAT_DELAYS))
-                path = f"{rigs.PREFIX}{job}"
-                self._request("POST", path, CLIENT_TIMEOUTS_MS[-1], body)
+                self._submit_once(job, body, CLIENT_TIMEOUTS_MS[-1])
                 self._close_if_open()
 
     def _cancel(self, job):
