--- a/packages/proof/src/cardamompath_proof/soak/regressions.py
+++ b/packages/proof/src/cardamompath_proof/soak/regressions.py
@@ -34,6 +34,8 @@
     "resize executor",
 )
 """Kinds of fault that the runs after those drew from."""
+REVIEW_KINDS = (*LATER_KINDS, "freeze for long", "restart in turn")
+"""Kinds of fault that the runs after the review drew from."""
 
 
 class Case(NamedTuple):
@@ -167,6 +169,38 @@
         ),
         series_share=faults.SERIES_SHARE,
     ),
+    Case(
+        21,
+        "a planner that had started while the store was away took its list"
+        " of executors for complete; cancellations and labels came later",
+        length=40.0,
+        count=4,
+        kinds=("restart in turn",),
+        series_share=faults.SERIES_SHARE,
+    ),
+    Case(
+        23,
+        "as seed 21",
+        length=40.0,
+        count=4,
+        kinds=("restart in turn",),
+        series_share=faults.SERIES_SHARE,
+    ),
+    Case(
+        505,
+        "a cancellation that only the instance knew did not go with the batch"
+        " to its planner",
+        kinds=REVIEW_KINDS,
+        series_share=faults.SERIES_SHARE,
+    ),
+    Case(
+        566,
+        "a new member was told of cancellations once, while the link to it"
+        " was opened again",
+        size="small",
+        kinds=REVIEW_KINDS,
+        series_share=faults.SERIES_SHARE,
+    ),
 )
 """The causes of those without series were in the soak itself and are fixed
 there, except for seeds 125 and 203: the first changed the signal handling of
