Soak: late orders to a former process are no starts without the label

The stand-in records how long the lease of a start lasts on its own clock. A lease beyond 1.2 s is of the clock of a former process, and the check of labels leaves that start out, as those before the first hold.

--- a/packages/proof/src/cardamompath_proof/soak/checks.py
+++ b/packages/proof/src/cardamompath_proof/soak/checks.py
@@ -50,6 +50,8 @@
 """Crashed executors after which `MAX_STARTS` holds."""
 MAX_STARTS = 2
 """Maximum number of starts after so many crashes."""
+LONGEST_LEASE = 1.2
+"""Seconds that a lease lasts at most, with a tolerance for clocks."""
 CANCEL_TIME = 3.0
 """Seconds after a job was cancelled in which its last tasks may start."""
 RECOVERY_BOUND = 12.0
@@ -74,8 +76,10 @@
     capacity: float = math.inf
     """Capacity that counted then."""
     label: str | None = None
-    """Label of the incarnation; None if it had answered no hold by then, as
-    nothing keeps out an order to its former one."""
+    """Label of the incarnation; None if the start was an order to its former
+    one that was carried out late, as nothing keeps that out before a hold with
+    a later token.  It shows by a lease on the clock of the former one, or as
+    no hold was answered yet."""
 
 
 class Counts(NamedTuple):
@@ -134,7 +138,9 @@
             capacities.append((at, doc["cpu"]))
         elif doc["event"] == "start":
             load = doc["cpu"] + sum(load for _, load, _ in open_runs.values())
-            use = (load, _counted(capacities, at), label)
+            is_late = doc.get("lease", 0.0) > LONGEST_LEASE
+            own_label = None if is_late else label
+            use = (load, _counted(capacities, at), own_label)
             open_runs[key] = (at, doc["cpu"], use)
         elif doc["event"] == "end" and key in open_runs:
             began, _, use = open_runs.pop(key)
--- a/packages/proof/src/cardamompath_proof/tests/test_soak.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_soak.py
@@ -319,6 +319,20 @@
         use = [(run.load, run.capacity) for run in runs]
         self.assertEqual(use, [(1000, 8000), (2500, 2000)])
 
+    def test_late_orders_to_a_former_process_need_no_label(self):
+        # Seed 566, size small: a hold and two starts of a planner reached
+        # the next process of their executor seconds later, with the token
+        # of before.  Its clock had started anew, so that their leases seemed
+        # to last 3.7 s.
+        runs = self.read(
+            {"event": "boot", "at": 1.0, "label": "b"},
+            self.make_event("start", 1.5, 0, cpu=1000, lease=1.0),
+            {"event": "held", "at": 2.0},
+            self.make_event("start", 3.0, 1, cpu=1000, lease=1.0),
+            self.make_event("start", 3.5, 2, cpu=1000, lease=3.7),
+        )
+        self.assertEqual([run.label for run in runs], [None, "b", None])
+
 
 class PublicationTest(unittest.TestCase):
     def setUp(self):
--- a/packages/standins/src/cardamompath_standins/executor.py
+++ b/packages/standins/src/cardamompath_standins/executor.py
@@ -179,7 +179,9 @@
         return [*sends, *_refuse(state, msg, "room", now)]
     end_at, end_state = _expected_end(state, spec, now)
     state.runs[task, attempt] = TaskRun(task, attempt, cpu, end_at, end_state)
-    _write_event(state, "start", state.runs[task, attempt], at=now, cpu=cpu)
+    lease = round(expires_at - now, 3)
+    run = state.runs[task, attempt]
+    _write_event(state, "start", run, at=now, cpu=cpu, lease=lease)
     if end_at < math.inf:
         sends.append(_set_timer(end_at))
     if state.faults.get("mute", 0) > 0:
