--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -89,7 +89,6 @@
             else:
                 if self._unavailable:
                     loguru.logger.info("store: {}: available again", self.name)
-                    self._on_store_available()
                 self._unavailable = False
             self._wait_for_message(pause)
         self._client.close()
@@ -100,9 +99,6 @@
     def _on_store_unavailable(self) -> None:
         """Handle the begin of an outage of the store."""
 
-    def _on_store_available(self) -> None:
-        """Handle the end of an outage of the store."""
-
     def _wait_for_message(self, pause):
         try:
             msg = self._inbox.get(timeout=pause) if pause else None
