Gateway: a question tells the address of the first view

Change: the address is put in when the question is sent. Measured: the new test fails without the change and passes with it.

--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_queries.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_queries.py
@@ -123,12 +123,14 @@
         if member.name != state.name and key not in query.asked:
             query.asked.add(key)
             query.awaited[key] = member
-            sends.append(_send(member, query))
+            sends.append(_send(state, member, query))
     return sends
 
 
-def _send(member, query):
-    to_member = pool_messages.SendToMember(member.address, query.msg)
+def _send(state, member, query):
+    # The question may be older than the first view, which tells the address.
+    msg = query.msg._replace(address=state.address)
+    to_member = pool_messages.SendToMember(member.address, msg)
     return messages.Send(pool_messages.LINKS, to_member)
 
 
@@ -168,7 +170,7 @@
             sends += _finish(state, query, now)
             continue
         sends += [
-            _send(member, query)
+            _send(state, member, query)
             for member in query.awaited.values()
             if member is not None
         ]
--- a/packages/daemon/src/cardamompathd/tests/test_cancellations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_cancellations.py
@@ -315,6 +315,38 @@
         self.assertEqual(self.tell(fired, 0.4), [])
 
 
+class FirstViewTest(unittest.TestCase):
+    """What reaches a new process before its first view of the fleet."""
+
+    def setUp(self):
+        self.members = [
+            planner_election.Member(name, "a", (name, 1), 1000 + index)
+            for index, name in enumerate(("n-a", "n-b"))
+        ]
+        self.view = fleet_views.make_view(self.members[0], self.members)
+
+    def test_question_tells_the_address_that_the_view_tells(self):
+        # Asked without an address, the others closed their links with it
+        # (seed 579 of the soak, small).
+        receive = gateway.make_controller("n-a").receive
+        table = pool_messages.RoutesConfigured(
+            pool_simulation.TABLE, b"", "store"
+        )
+        receive(table, 10.0)
+        cancel = pool_messages.CancelBatch(
+            pool_simulation.HOST, "/jobs/j", "caller"
+        )
+        receive(cancel, 10.0)
+        asked = [
+            send.msg
+            for send in receive(self.view, 10.1)
+            if isinstance(send.msg, pool_messages.SendToMember)
+            and isinstance(send.msg.msg, pool_messages.BatchQuery)
+        ]
+        self.assertEqual([msg.address for msg in asked], [("n-b", 1)])
+        self.assertEqual([msg.msg.address for msg in asked], [("n-a", 1)])
+
+
 class CancellationMemoryTest(unittest.TestCase):
     def test_cancellations_are_forgotten_by_time_and_count(self):
         memory = cancellations.CancellationMemory()
