--- a/packages/core/src/cardamompath_core/admission.py
+++ b/packages/core/src/cardamompath_core/admission.py
@@ -33,7 +33,7 @@
     """Return a refusal if a submission is expected to miss its deadline.
 
     A new submission is not refused because of its own size alone, while
-    no other work is queued: that size may be a guess.
+    no other work is queued: that size may be an estimate.
 
     Parameters
     ----------
