Soak: a second signal does not cut the cleanup off

Cause: two signals at once (a soak ended together with the timeout that had started it) raised SystemExit in the cleanup; stand-ins were left behind and the process never ended (seen at 16:28 on two soaks). Change: the first signal makes the process ignore later ones.

--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -19,6 +19,7 @@
 from cardamompathd.runtime import clocks
 
 __all__ = [
+    "exit_on_signal",
     "main",
     "run",
 ]
@@ -36,6 +37,8 @@
 """The sizes "paired" and "large" have two planners in each failure domain."""
 MAX_SUBMITTERS = 45
 """Clients that submit jobs; there are fewer in small runs."""
+EXIT_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+"""Signals that end the soak after its cleanup."""
 
 
 def run(
@@ -117,7 +120,10 @@
         by_type[type(record)].append(record)
 
 
-def _exit_on_signal(number, frame):
+def exit_on_signal(number, frame) -> None:
+    """Exit with cleanup, which later signals do not cut off."""
+    for each in EXIT_SIGNALS:
+        signal.signal(each, signal.SIG_IGN)
     raise SystemExit(f"stopped by {signal.Signals(number).name}")
 
 
@@ -139,8 +145,8 @@
     parser.add_argument("--keep", default="", help="folder for the logs")
     args = parser.parse_args()
     # SystemExit runs the cleanup that ends the processes of a soak.
-    signal.signal(signal.SIGTERM, _exit_on_signal)
-    signal.signal(signal.SIGINT, _exit_on_signal)
+    for each in EXIT_SIGNALS:
+        signal.signal(each, exit_on_signal)
     failed = 0
     cases = [
         regressions.Case(
--- a/packages/proof/src/cardamompath_proof/tests/test_soak.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import signal
 import socket
 import tempfile
 import types
@@ -11,6 +12,7 @@
 
 from cardamompath_proof import processes
 from cardamompath_proof import proxy
+from cardamompath_proof.soak import __main__ as soak_main
 from cardamompath_proof.soak import broken
 from cardamompath_proof.soak import checks
 from cardamompath_proof.soak import clients
@@ -445,3 +447,16 @@
 
     def test_there_are_seven_faulty_variants(self):
         self.assertEqual(len(broken.VARIANTS), 7)
+
+
+class SignalTest(unittest.TestCase):
+    def test_second_signal_does_not_cut_the_cleanup_off(self):
+        # A soak that got two at once left its processes behind, and did not
+        # end itself.
+        for each in soak_main.EXIT_SIGNALS:
+            handler = signal.signal(each, soak_main.exit_on_signal)
+            self.addCleanup(signal.signal, each, handler)
+        with self.assertRaises(SystemExit):
+            signal.raise_signal(signal.SIGTERM)
+        for each in soak_main.EXIT_SIGNALS:
+            signal.raise_signal(each)
