--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_queries.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_queries.py
@@ -28,7 +28,7 @@
 RESEND_INTERVAL = 0.2
 """Seconds after which an instance that has not answered is asked again; a
 broken link is open again by then."""
-DISCOVERY_TIME = 2.0
+COMPLETE_VIEW_TIME = 2.0
 """Seconds after its first view of the fleet for which an instance may not know
 all others."""
 RETRY_AFTER = 1.0
@@ -111,7 +111,7 @@
     """Return whether no other instance can have a batch."""
     return (
         state.viewed_since is not None
-        and now >= state.viewed_since + DISCOVERY_TIME
+        and now >= state.viewed_since + COMPLETE_VIEW_TIME
         and not state.missing
     )
 
