Review, case 8: executors are filled beyond a capacity that has shrunk

Cause: a planner that the store turns away goes on with the list of executors that it has, though other members can read the newer one.

Nothing is fixed.

--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -27,6 +27,9 @@
 CONTROL_PORT = 8166
 READY_PORT = 8167
 METRICS_PORT = 9464
+TURNED_AWAY = (
+    b"HTTP/1.1 503 -\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 RESTART_DELAY = 0.5
 """Seconds after which the platform starts a process again that has ended."""
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -115,12 +118,14 @@
     """Forwards connections of one daemon to the store.
 
     `silence` stops forwarding on the connections that are open, without a
-    reset; connections that are opened later work.
+    reset; connections that are opened later work.  While `is_turned_away` is
+    set, every request is answered with 503.
     """
 
     def __init__(self, target: int):
         self.reads: list[float] = []
         """Times at which answers about the executors were passed on."""
+        self.is_turned_away = False
         self._target = target
         self._generation = 0
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
@@ -160,6 +165,11 @@
             while raw := source.recv(1 << 16):
                 if link["generation"] != self._generation:
                     continue
+                if self.is_turned_away and is_request:
+                    source.sendall(TURNED_AWAY)
+                    break
+                if self.is_turned_away:
+                    break
                 sink.sendall(raw)
                 if is_request:
                     link["lists"] = b"topic=keyed.servers" in raw
@@ -348,7 +358,7 @@
             raise CannotRun("the store does not take the desired state")
 
     def start_executor(
-        self, name, zone, *, leave_after=2.0, cpu=8000
+        self, name, zone, *, leave_after=2.0, cpu=8000, guards=True
     ) -> Process:
         """Start an executor and wait for its entry in the store.
 
@@ -361,8 +371,10 @@
             ["python3", "-m", "leaving_executor", str(leave_after)]
             + ["--name", name, "--service", SERVICE, "--domain", zone]
             + ["--store", self.store_url, "--port", str(port)]
-            + ["--announce", f"127.0.0.1:{port}", "--cpu", str(cpu)],
+            + ["--announce", f"127.0.0.1:{port}", "--cpu", str(cpu)]
+            + ([] if guards else ["--unguarded"]),
         )
+        executor.port = port
         executor.start()
         self.executors.append(executor)
         self.wait_until(lambda: self.entry(name) is not None)
@@ -378,6 +390,18 @@
                 return json.loads(base64.b64decode(item["value"]))
         return None
 
+    def resize_executor(self, executor, cpu) -> None:
+        """Let an executor have another capacity, and wait for its entry."""
+        conn = http.client.HTTPConnection("127.0.0.1", executor.port, timeout=2)
+        conn.request(
+            "PUT", "/standin/faults", json.dumps({"cpu": cpu}).encode()
+        )
+        conn.getresponse().read()
+        conn.close()
+        self.wait_until(
+            lambda: self.entry(executor.name)["capacity"]["cpu"] == cpu
+        )
+
     def start_daemons(self, count, gap=0.0) -> None:
         """Start daemons in two zones, and wait until all are ready."""
         seeds = [f"{self.net}.{number + 1}" for number in range(min(3, count))]
