Review, case 9: a late start runs on a restarted executor

Cause: an executor that restarted under its name has seen no token. A start that its former process left unanswered is carried out there if it arrives before the planner's first hold, while the task runs on another executor.

Nothing is fixed.

--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -187,6 +187,94 @@
                 pass
 
 
+class OrderProxy:
+    """Forwards connections to an executor; it can take a start on its way.
+
+    The connection on which an order was taken gets no answer and forwards
+    nothing any more.  `deliver` hands the order to the process that listens
+    then, and reads its answer, which nobody gets.
+    """
+
+    def __init__(self, target: int):
+        self.takes_next_start = False
+        self.taken: bytes | None = None
+        self.taken_at = 0.0
+        self._target = target
+        self._lock = threading.Lock()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def deliver(self) -> bytes:
+        """Deliver the order that was taken; return the answer to it."""
+        give_up_at = now() + 5.0
+        while True:
+            try:
+                conn = socket.create_connection(
+                    ("127.0.0.1", self._target), 1.0
+                )
+            except OSError:
+                if now() > give_up_at:
+                    raise
+                time.sleep(0.02)
+                continue
+            with conn:
+                conn.settimeout(2.0)
+                conn.sendall(self.taken)
+                return conn.recv(1 << 16)
+
+    def _accept(self):
+        while True:
+            client, _ = self._listener.accept()
+            threading.Thread(
+                target=self._serve, args=(client,), daemon=True
+            ).start()
+
+    def _serve(self, client):
+        with client:
+            try:
+                upstream = socket.create_connection(
+                    ("127.0.0.1", self._target), 1.0
+                )
+            except OSError:
+                return
+            upstream.settimeout(None)
+            for sock in (client, upstream):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            answers = threading.Thread(
+                target=self._copy, args=(upstream, client), daemon=True
+            )
+            answers.start()
+            with upstream:
+                self._copy(client, upstream, self._take)
+                answers.join()
+
+    def _take(self, raw):
+        """Return whether a request is taken, as the next start."""
+        with self._lock:
+            if not self.takes_next_start or b"/v1/run-start" not in raw:
+                return False
+            self.takes_next_start = False
+            self.taken, self.taken_at = raw, now()
+            return True
+
+    @staticmethod
+    def _copy(source, sink, is_taken=lambda raw: False):
+        silent = False
+        try:
+            while raw := source.recv(1 << 16):
+                silent = silent or is_taken(raw)
+                if not silent:
+                    sink.sendall(raw)
+        except OSError:
+            pass
+        for sock in (source, sink):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Process:
     """A process of the deployment; it may be started several times."""
 
@@ -358,23 +446,34 @@
             raise CannotRun("the store does not take the desired state")
 
     def start_executor(
-        self, name, zone, *, leave_after=2.0, cpu=8000, guards=True
+        self,
+        name,
+        zone,
+        *,
+        leave_after=2.0,
+        cpu=8000,
+        guards=True,
+        proxied=False,
     ) -> Process:
         """Start an executor and wait for its entry in the store.
 
-        It serves for `leave_after` seconds after it reported `draining`.
+        It serves for `leave_after` seconds after it reported `draining`.  If it
+        is proxied, its entry names a proxy that can take a start on its way.
         """
         port = free_port()
+        proxy = OrderProxy(port) if proxied else None
         executor = Process(
             self,
             name,
             ["python3", "-m", "leaving_executor", str(leave_after)]
             + ["--name", name, "--service", SERVICE, "--domain", zone]
             + ["--store", self.store_url, "--port", str(port)]
-            + ["--announce", f"127.0.0.1:{port}", "--cpu", str(cpu)]
+            + ["--announce", f"127.0.0.1:{proxy.port if proxy else port}"]
+            + ["--cpu", str(cpu)]
             + ([] if guards else ["--unguarded"]),
         )
         executor.port = port
+        executor.proxy = proxy
         executor.start()
         self.executors.append(executor)
         self.wait_until(lambda: self.entry(name) is not None)
@@ -392,7 +491,9 @@
 
     def resize_executor(self, executor, cpu) -> None:
         """Let an executor have another capacity, and wait for its entry."""
-        conn = http.client.HTTPConnection("127.0.0.1", executor.port, timeout=2)
+        conn = http.client.HTTPConnection(
+            "127.0.0.1", executor.port, timeout=2
+        )
         conn.request(
             "PUT", "/standin/faults", json.dumps({"cpu": cpu}).encode()
         )
