--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,8 @@
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:target/review-2 \
     python3 "$here/case.py" "$here"
 code=$?
-case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
+case $code in
+    0) exit 0 ;;
+    3) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import base64
 import http.client
 import json
 import os
@@ -19,6 +20,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 HOST = "desk.example"
 PREFIX = "/desk/"
@@ -481,8 +483,6 @@
 
     def entry(self, name):
         """Return the entry of an executor in the store, None without one."""
-        import base64
-
         doc = self._call_store("GET", "servers") or {"items": []}
         for item in doc["items"]:
             if item["key"] == name:
@@ -647,8 +647,12 @@
     return f"{random.SystemRandom().getrandbits(64):016x}"
 
 
+BROKEN, HELD, NOT_RUN = 3, 0, 2
+"""Exit codes of a case; a failure of Python itself has 1."""
+
+
 def run(case) -> int:
-    """Run a case; return 1 if the rule was broken, 0 if it held, else 2.
+    """Run a case; return whether its rule was broken.
 
     `case` is called with the deployment, the record function and whether
     the disruption takes place.  It returns the list of violations.
@@ -665,13 +669,17 @@
         is_disrupted = os.environ.get("TROUBLE", "1") != "0"
         record(f"disruption: {'yes' if is_disrupted else 'no'}")
         deployment = Deployment(record)
-        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
         try:
             violations = case(deployment, record, is_disrupted)
         except CannotRun as exc:
             record(f"could not run: {exc}")
             print(f"could not run: {exc}")
-            return 2
+            return NOT_RUN
+        except Exception:
+            record(f"could not run: {traceback.format_exc()}")
+            traceback.print_exc()
+            return NOT_RUN
         finally:
             deployment.stop()
         for line in violations:
@@ -679,4 +687,4 @@
             print(f"BROKEN: {line}")
         record(f"result: {'broken' if violations else 'held'}")
         print("broken" if violations else "held")
-        return 1 if violations else 0
+        return BROKEN if violations else HELD
