--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -21,6 +21,7 @@
 import threading
 import time
 import traceback
+from typing import NamedTuple
 
 HOST = "desk.example"
 PREFIX = "/desk/"
@@ -189,6 +190,17 @@
                 pass
 
 
+class Order(NamedTuple):
+    """A call to an executor that carried a fencing token."""
+
+    at: float
+    connected_at: float
+    """When its connection was opened."""
+    token: int
+    run: tuple[str, int] | None
+    """Task and attempt, if it is a start."""
+
+
 class OrderProxy:
     """Forwards connections to an executor; it can take a start on its way.
 
@@ -198,6 +210,7 @@
     """
 
     def __init__(self, target: int):
+        self.orders: list[Order] = []
         self.takes_next_start = False
         self.taken: bytes | None = None
         self.taken_at = 0.0
@@ -247,12 +260,28 @@
                 target=self._copy, args=(upstream, client), daemon=True
             )
             answers.start()
+            connected_at = now()
             with upstream:
-                self._copy(client, upstream, self._take)
+                self._copy(
+                    client, upstream, lambda raw: self._take(raw, connected_at)
+                )
                 answers.join()
 
-    def _take(self, raw):
+    def _note(self, raw, connected_at):
+        """Note a call that carries a token; each arrives in one piece."""
+        try:
+            doc = json.loads(raw.partition(b"\r\n\r\n")[2])
+            token = doc["fencing_token"]
+        except (ValueError, KeyError):
+            return
+        run = None
+        if b"/v1/run-start" in raw:
+            run = (doc["task"], doc["attempt"])
+        self.orders.append(Order(now(), connected_at, token, run))
+
+    def _take(self, raw, connected_at):
         """Return whether a request is taken, as the next start."""
+        self._note(raw, connected_at)
         with self._lock:
             if not self.takes_next_start or b"/v1/run-start" not in raw:
                 return False
