Planner: choices of how batches share executors, decisions by family

Cause: order, refusal and placement of batches stood in one module of 431 lines, and nothing of it could be switched. The stub in test_platform_program takes the new argument of main; its check is unchanged.

--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from cardamompath_core import batches
+from cardamompath_core import pool_policy
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.gateway import gateway_answers
@@ -51,7 +52,10 @@
 
 
 def make_controller(
-    name: str, domain: str = "", is_batch_name: Callable[[str], bool] = bool
+    name: str,
+    domain: str = "",
+    is_batch_name: Callable[[str], bool] = bool,
+    policy: pool_policy.PoolPolicy | None = None,
 ) -> messages.Controller:
     """Make the controller of the batches whose callers wait here.
 
@@ -61,8 +65,12 @@
         Name of this instance and of its failure domain.
     is_batch_name : callable
         Returns whether a text is a valid name of a batch.
+    policy : PoolPolicy, optional
+        How batches share the executors; by default, all choices are off.
     """
-    state = gateway_state.GatewayState(name, domain, is_batch_name)
+    state = gateway_state.GatewayState(
+        name, domain, is_batch_name, policy or pool_policy.PoolPolicy()
+    )
 
     def receive(msg, now):
         handler = _HANDLERS.get(type(msg))
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
@@ -10,6 +10,7 @@
 from cardamompath_core import cancellations
 from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
+from cardamompath_core import pool_policy
 from cardamompath_core import routes
 from cardamompathd.controllers.gateway import gateway_drops
 from cardamompathd.controllers.gateway import gateway_planners
@@ -82,9 +83,11 @@
         self,
         name: str,
         domain: str,
-        is_batch_name: Callable[[str], bool] = bool,
+        is_batch_name: Callable[[str], bool],
+        policy: pool_policy.PoolPolicy,
     ):
         self.name = name
+        self.policy = policy
         self.domain = domain
         self.is_batch_name = is_batch_name
         """Returns whether a text is a valid name of a batch."""
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -13,11 +13,14 @@
 from cardamompath_core import batches
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
+from cardamompath_core import pool_policy
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers.planner import planner_admission
 from cardamompathd.controllers.planner import planner_cancellations
 from cardamompathd.controllers.planner import planner_crashes
 from cardamompathd.controllers.planner import planner_dispatch
+from cardamompathd.controllers.planner import planner_estimates
 from cardamompathd.controllers.planner import planner_health
 from cardamompathd.controllers.planner import planner_leases
 from cardamompathd.controllers.planner import planner_listings
@@ -55,6 +58,7 @@
     started_at: float,
     remote_rack_factor: float = 1.0,
     resubmit_delay: float = planner_state.RESUBMIT_DELAY,
+    policy: pool_policy.PoolPolicy | None = None,
 ) -> messages.Controller:
     """Make the controller that plans batches at this instance.
 
@@ -70,9 +74,15 @@
         Factor on the run time of a task on a rack without its data.
     resubmit_delay : float
         Seconds after which a caller without an answer submits a batch again.
+    policy : PoolPolicy, optional
+        How batches share the executors; by default, all choices are off.
     """
     state = planner_state.PlannerState(
-        name, make_token, remote_rack_factor, resubmit_delay
+        name,
+        make_token,
+        remote_rack_factor,
+        resubmit_delay,
+        policy or pool_policy.PoolPolicy(),
     )
 
     def receive(msg, now):
@@ -109,9 +119,9 @@
         state.reviewed_at = now
         sends += planner_outcomes.report(state)
         sends += planner_health.eject_unhealthy(state, now)
-        planner_dispatch.refresh_estimates(state, now)
-    sends += planner_dispatch.report_backlog(state)
-    return sends + planner_dispatch.refuse_late(state, now)
+        planner_estimates.refresh_estimates(state, now)
+    sends += planner_estimates.report_backlog(state)
+    return sends + planner_admission.refuse_late(state, now)
 
 
 def _give_up_batches(state, now):
@@ -285,12 +295,12 @@
     if reason:
         outcome = batches.Outcome(batches.FAILED, reason)
         return planner_runs.finish_batch(state, plan, outcome, now)
-    planner_dispatch.estimate_plan(state, plan, now)
-    planner_dispatch.record_demand(state, plan, now)
-    if not plan.may_have_started and planner_dispatch.would_be_late(
+    planner_estimates.estimate_plan(state, plan, now)
+    planner_estimates.record_demand(state, plan, now)
+    if not plan.may_have_started and planner_admission.would_be_late(
         state, plan, now
     ):
-        return planner_dispatch.refuse_batch(state, plan, now)
+        return planner_admission.refuse_batch(state, plan, now)
     state.plans[plan.name] = plan
     _reattach_runs(state, plan, now)
     listing = []
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
@@ -14,6 +14,7 @@
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompath_core import planner_election
+from cardamompath_core import pool_policy
 from cardamompath_core import run_times
 from cardamompathd import pool_messages
 from cardamompathd.controllers.planner import planner_executors
@@ -32,6 +33,7 @@
 MAX_REMEMBERED = 4096
 """Maximum number of outcomes kept for instances that missed them, of dropped
 batches that are remembered, and of executors whose last token is."""
+DEFAULT_POLICY = pool_policy.PoolPolicy()
 
 
 class Permission(NamedTuple):
@@ -66,8 +68,10 @@
         make_token: Callable[[], int],
         remote_rack_factor: float = 1.0,
         resubmit_delay: float = RESUBMIT_DELAY,
+        policy: pool_policy.PoolPolicy = DEFAULT_POLICY,
     ):
         self.name = name
+        self.policy = policy
         self.resubmit_delay = resubmit_delay
         """Seconds after which a caller whose instance was lost submits its
         batch again; another planner may then start it."""
--- a/packages/daemon/src/cardamompathd/platform/__main__.py
+++ b/packages/daemon/src/cardamompathd/platform/__main__.py
@@ -1,7 +1,8 @@
-"""Starts an instance: ``python3 -m cardamompathd.platform``."""
+"""Starts an instance: ``python3 -m cardamompathd.platform [FILE ...]``."""
 
 import os
 import signal
+import sys
 
 
 def _main():
@@ -11,7 +12,7 @@
     )
     from cardamompathd.platform import program
 
-    return program.main()
+    return program.main(sys.argv[1:])
 
 
 if __name__ == "__main__":
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -8,11 +8,13 @@
 import threading
 import time
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
 
 import loguru
 import xxhash
+from returns import pipeline
 
 from cardamompath_core import planner_election
 from cardamompathd import pool_app
@@ -26,6 +28,7 @@
 from cardamompathd.platform import settings
 from cardamompathd.platform import store
 from cardamompathd.runtime import clocks
+from cardamompathd.settings import pool_table
 from cardamompathd.telemetry import decisions
 
 __all__ = [
@@ -64,9 +67,14 @@
     followers: tuple[Any, ...]
 
 
-def main() -> int:
+def main(policy_files: Sequence[str] = ()) -> int:
     """Run an instance until SIGTERM.
 
+    Parameters
+    ----------
+    policy_files : sequence of str
+        INI files with the choices of how batches share the executors.
+
     Returns
     -------
     int
@@ -77,7 +85,7 @@
     log = decisions.configure()
     try:
         cfg = settings.load()
-        running = _start(cfg, log)
+        running = _start(cfg, _load_policy(policy_files), log)
     except (errors.BadSettings, OSError) as exc:
         loguru.logger.error("instance: cannot start: {}", exc)
         return EXIT_START_FAILED
@@ -89,6 +97,13 @@
     return 0
 
 
+def _load_policy(files):
+    loaded = pool_table.load(files)
+    if not pipeline.is_successful(loaded):
+        raise errors.BadSettings("; ".join(map(str, loaded.failure())))
+    return loaded.unwrap()
+
+
 def _watch_signals(signals):
     """Start the task that waits for signals; return its queue.
 
@@ -132,7 +147,7 @@
     return changed
 
 
-def _start(cfg, log):
+def _start(cfg, policy, log):
     clock = clocks.boottime
     own = planner_election.Member(
         cfg.name,
@@ -150,6 +165,7 @@
         cfg.remote_rack_factor,
         cfg.resubmit_delay,
         documents.is_job_name,
+        policy,
     )
     tell_planner = app.controllers[pool_messages.PLANNER]
     tell_fleet = app.controllers[pool_messages.FLEET]
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -11,6 +11,7 @@
 import loguru
 
 from cardamompath_core import planner_election
+from cardamompath_core import pool_policy
 from cardamompath_core import types
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -93,6 +94,7 @@
     remote_rack_factor: float = 1.0,
     resubmit_delay: float = planner_state.RESUBMIT_DELAY,
     is_batch_name: Callable[[str], bool] = bool,
+    policy: pool_policy.PoolPolicy | None = None,
 ) -> Instance:
     """Start the tasks of an instance.
 
@@ -114,6 +116,8 @@
         Seconds after which a caller without an answer submits a batch again.
     is_batch_name : callable
         Returns whether a text is a valid name of a batch.
+    policy : PoolPolicy, optional
+        How batches share the executors; by default, all choices are off.
 
     Raises
     ------
@@ -134,12 +138,13 @@
         clock(),
         remote_rack_factor,
         resubmit_delay,
+        policy,
     )
     actor_ref = sockets.SocketActor.start(
         [
             fleet.make_controller(own_member),
             gateway.make_controller(
-                own_member.name, own_member.domain, is_batch_name
+                own_member.name, own_member.domain, is_batch_name, policy
             ),
             planner_controller,
         ],
--- a/packages/daemon/src/cardamompathd/settings/__init__.py
+++ b/packages/daemon/src/cardamompathd/settings/__init__.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "loading",
+    "pool_table",
     "table",
 ]
 
--- a/packages/daemon/src/cardamompathd/settings/loading.py
+++ b/packages/daemon/src/cardamompathd/settings/loading.py
@@ -39,6 +39,7 @@
 
 def load(
     files: Sequence[str],
+    declared: Sequence[table.Setting] = table.TABLE,
 ) -> result.Result[Settings, tuple[InvalidSetting, ...]]:
     """Read INI files; a later file overrides the earlier ones.
 
@@ -46,6 +47,8 @@
     ----------
     files : sequence of str
         Paths of the files.
+    declared : sequence of Setting
+        The settings that there are; by default those of an instance.
 
     Returns
     -------
@@ -55,14 +58,14 @@
     texts: dict[tuple[str, str], tuple[str, str]] = {}
     errors: list[InvalidSetting] = []
     for file in files:
-        _read_file(file, texts, errors)
-    values = _check_all(texts, errors, ", ".join(files))
+        _read_file(file, declared, texts, errors)
+    values = _check_all(declared, texts, errors, ", ".join(files))
     if errors:
         return result.Failure(tuple(errors))
     return result.Success(values)
 
 
-def _read_file(file, texts, errors):
+def _read_file(file, declared, texts, errors):
     parser = configparser.ConfigParser(interpolation=None)
     try:
         with open(file, encoding="utf-8") as stream:
@@ -71,31 +74,29 @@
         text = str(exc).replace("\n", " ")
         errors.append(InvalidSetting(file, "", "", text, "an INI file"))
         return
-    known = {(setting.section, setting.key) for setting in table.TABLE}
+    known = {(setting.section, setting.key) for setting in declared}
     for section in parser.sections():
         for key, value in parser.items(section):
             if (section, key) in known:
                 texts[section, key] = (file, value)
             else:
-                allowed = _describe_known(section)
+                allowed = _describe_known(section, declared)
                 errors.append(
                     InvalidSetting(file, section, key, value, allowed)
                 )
 
 
-def _describe_known(section):
-    keys = [
-        setting.key for setting in table.TABLE if setting.section == section
-    ]
+def _describe_known(section, declared):
+    keys = [setting.key for setting in declared if setting.section == section]
     if keys:
         return "one of the keys " + ", ".join(keys)
-    sections = sorted({setting.section for setting in table.TABLE})
+    sections = sorted({setting.section for setting in declared})
     return "one of the sections " + ", ".join(sections)
 
 
-def _check_all(texts, errors, files):
+def _check_all(declared, texts, errors, files):
     values = {}
-    for setting in table.TABLE:
+    for setting in declared:
         name = (setting.section, setting.key)
         if name not in texts:
             if setting.default is None:
--- a/packages/daemon/src/cardamompathd/settings/table.py
+++ b/packages/daemon/src/cardamompathd/settings/table.py
@@ -11,6 +11,8 @@
 __all__ = [
     "TABLE",
     "Setting",
+    "make_choice",
+    "make_number",
 ]
 
 
@@ -33,7 +35,8 @@
     unit: str = ""
 
 
-def _make_number(section, key, parse, default, low, high, unit, text):
+def make_number(section, key, parse, default, low, high, unit, text):
+    """Make a setting that is a number within bounds."""
     kind = "integer" if parse is int else "number"
     return Setting(
         section,
@@ -62,7 +65,8 @@
     )
 
 
-def _make_choice(section, key, default, choices, text):
+def make_choice(section, key, default, choices, text):
+    """Make a setting that is one of several words."""
     return Setting(
         section,
         key,
@@ -115,7 +119,7 @@
 TABLE: tuple[Setting, ...] = (
     _make_name("instance", "name", "Name of this instance."),
     _make_name("instance", "domain", "Failure domain of this instance."),
-    _make_number(
+    make_number(
         "instance",
         "processor",
         int,
@@ -125,7 +129,7 @@
         "",
         "Processor that the process is pinned to; -1 for any.",
     ),
-    _make_number(
+    make_number(
         "instance",
         "leave_notice",
         float,
@@ -136,7 +140,7 @@
         "Time for which a leaving instance refuses work before it closes its "
         "listeners, so that the load balancer can remove it.",
     ),
-    _make_number(
+    make_number(
         "instance",
         "answer_hold",
         float,
@@ -146,7 +150,7 @@
         "seconds",
         "Time for which a leaving instance keeps answers not yet fetched.",
     ),
-    _make_number(
+    make_number(
         "instance",
         "grace",
         float,
@@ -159,7 +163,7 @@
     _make_address(
         "callers", "listen", None, "Address of the listener for callers."
     ),
-    _make_number(
+    make_number(
         "callers",
         "threads",
         int,
@@ -169,7 +173,7 @@
         "threads",
         "Threads for callers; all but 4 may wait for answers.",
     ),
-    _make_number(
+    make_number(
         "callers",
         "connections",
         int,
@@ -179,7 +183,7 @@
         "connections",
         "Limit on open connections, and on those that wait for a thread.",
     ),
-    _make_number(
+    make_number(
         "callers",
         "timeout",
         float,
@@ -190,7 +194,7 @@
         "Time limit for a whole header to arrive; a connection that is idle "
         "for longer is closed.",
     ),
-    _make_number(
+    make_number(
         "callers",
         "payload_limit",
         int,
@@ -200,7 +204,7 @@
         "bytes",
         "Largest payload of one task.",
     ),
-    _make_number(
+    make_number(
         "callers",
         "body_limit",
         int,
@@ -210,7 +214,7 @@
         "bytes",
         "Largest body of a request.",
     ),
-    _make_number(
+    make_number(
         "callers",
         "answer_ttl",
         float,
@@ -220,7 +224,7 @@
         "seconds",
         "Time for which an answer can be fetched again.",
     ),
-    _make_number(
+    make_number(
         "callers",
         "answer_bytes",
         int,
@@ -244,7 +248,7 @@
         "peers", "addresses", "Addresses of peers to contact at the start."
     ),
     _make_address("platform", "address", None, "Address of the platform."),
-    _make_number(
+    make_number(
         "platform",
         "timeout",
         float,
@@ -254,7 +258,7 @@
         "seconds",
         "Time limit of a call to the platform.",
     ),
-    _make_number(
+    make_number(
         "platform",
         "retention",
         float,
@@ -265,7 +269,7 @@
         "Time for which the log keeps records; snapshots are appended twice "
         "in that time.",
     ),
-    _make_number(
+    make_number(
         "platform",
         "append_budget",
         float,
@@ -275,7 +279,7 @@
         "appends/s",
         "Rate limit on appends to the journal, of all instances together.",
     ),
-    _make_number(
+    make_number(
         "backends",
         "connect_timeout",
         float,
@@ -285,7 +289,7 @@
         "seconds",
         "Time limit for opening a connection to a backend server.",
     ),
-    _make_number(
+    make_number(
         "backends",
         "idle_limit",
         float,
@@ -295,21 +299,21 @@
         "seconds",
         "A connection that was idle for longer is replaced by a new one.",
     ),
-    _make_choice(
+    make_choice(
         "log",
         "level",
         "INFO",
         ("DEBUG", "INFO", "WARNING", "ERROR"),
         "Lowest level that is logged.",
     ),
-    _make_choice(
+    make_choice(
         "log",
         "format",
         "auto",
         ("auto", "text", "json"),
         "Format of the log; auto is text on a terminal, otherwise JSON.",
     ),
-    _make_choice(
+    make_choice(
         "metrics",
         "exporter",
         "scrape",
--- a/packages/daemon/src/cardamompathd/tests/test_platform_program.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_program.py
@@ -58,7 +58,7 @@
     def test_signal_to_reload_does_not_end_a_process_that_starts(self):
         code = (
             "import runpy, signal, sys, types; "
-            "stub = types.SimpleNamespace(main=lambda: len("
+            "stub = types.SimpleNamespace(main=lambda files: len("
             "signal.pthread_sigmask(signal.SIG_BLOCK, ()))); "
             "sys.modules['cardamompathd.platform.program'] = stub; "
             "import cardamompathd.platform as package; "
