--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
@@ -9,6 +9,7 @@
 
 import collections
 
+from cardamompath_core import evacuation
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -41,9 +42,10 @@
 
 def make_controller(
     own_member: planner_election.Member,
+    known_evacuation: evacuation.Evacuation = evacuation.OFF,
 ) -> messages.Controller:
     """Make the controller of the fleet; a fired timer starts it."""
-    state = fleet_state.FleetState(own_member)
+    state = fleet_state.FleetState(own_member, known_evacuation)
 
     def receive(msg, now):
         handler = _HANDLERS.get(type(msg))
@@ -174,7 +176,11 @@
         state.backlog,
         now if state.own_member.shard_number >= 0 else 0.0,
         *permission,
-    )._replace(executors_digest=state.executors_digest)
+    )._replace(
+        executors_digest=state.executors_digest,
+        evacuation_offset=state.evacuation.offset,
+        evacuation_digest=state.evacuation_digest,
+    )
     msg = pool_messages.SendToMembers(addresses, heartbeat)
     return messages.Send(pool_messages.LINKS, msg)
 
@@ -211,6 +217,11 @@
     if msg.config_version < state.config_version:
         offer = pool_messages.OfferConfiguration(member.address)
         sends.append(messages.Send(pool_messages.GATEWAY, offer))
+    if evacuation.is_behind(
+        msg.evacuation_offset, msg.evacuation_digest, state.evacuation
+    ):
+        offer = pool_messages.OfferEvacuation(member.address)
+        sends.append(messages.Send(pool_messages.GATEWAY, offer))
     if changed:
         sends += fleet_views.publish(state, now)
     return sends + _report_executors(peer, msg)
@@ -320,6 +331,12 @@
     return ()
 
 
+def _set_evacuation(state, msg, _):
+    state.evacuation = msg.evacuation
+    state.evacuation_digest = evacuation.digest_of(msg.evacuation)
+    return ()
+
+
 def _set_shard(state, msg, now):
     if state.own_member.shard_number == msg.shard_number:
         return ()
@@ -375,6 +392,7 @@
     pool_messages.LinkFailed: _handle_link_failure,
     pool_messages.Leave: _leave,
     pool_messages.ConfigurationInForce: _set_config_version,
+    pool_messages.EvacuationInForce: _set_evacuation,
     pool_messages.BacklogMeasured: _set_backlog,
     pool_messages.ExecutorsHeld: _set_executors,
     pool_messages.BatchesConfirmed: _confirm_batches,
--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet_state.py
@@ -5,6 +5,7 @@
 import math
 from typing import NamedTuple
 
+from cardamompath_core import evacuation
 from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
 from cardamompathd import pool_messages
@@ -50,6 +51,9 @@
     """See `PlanningPermitted`."""
     executors_digest: int = executor_digests.UNKNOWN
     """See `ExecutorsHeld`."""
+    evacuation_offset: int = evacuation.OFF.offset
+    evacuation_digest: int = executor_digests.UNKNOWN
+    """Offset and digest of the evacuated domains that the sender knows."""
 
 
 class Peer:
@@ -89,8 +93,14 @@
 class FleetState:
     """Members that were heard, and addresses at which one may listen."""
 
-    def __init__(self, own_member: planner_election.Member):
+    def __init__(
+        self,
+        own_member: planner_election.Member,
+        known_evacuation: evacuation.Evacuation = evacuation.OFF,
+    ):
         self.own_member = own_member
+        self.evacuation = known_evacuation
+        self.evacuation_digest = evacuation.digest_of(known_evacuation)
         self.config_version = 0
         self.backlog = 0.0
         self.executors_digest = executor_digests.UNKNOWN
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -10,6 +10,7 @@
 from thrift import Thrift
 
 from cardamompath_core import batches
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompathd import messages
@@ -57,6 +58,8 @@
     planner_heard_ms: int = 0
     planner_handover: int = -1
     executors_digest: int = 0
+    evacuation_offset: int = evacuation.OFF.offset
+    evacuation_digest: int = 0
 
 
 class StepFields(NamedTuple):
@@ -186,6 +189,13 @@
     document: bytes
 
 
+class EvacuationFields(NamedTuple):
+    """The evacuated failure domains as of an offset."""
+
+    offset: int
+    domains: list[str]
+
+
 _TEXT_LIST = (Thrift.TType.LIST, (Thrift.TType.STRING, "UTF8", False))
 _I32_LIST = (Thrift.TType.LIST, (Thrift.TType.I32, None, False))
 _I64_LIST = (Thrift.TType.LIST, (Thrift.TType.I64, None, False))
@@ -210,6 +220,8 @@
     wire.I64,
     wire.I64,
     wire.I64,
+    wire.I64,
+    wire.I64,
 )
 wire.declare(
     StepFields,
@@ -292,6 +304,7 @@
 wire.declare(CancellationsFields, _TEXT_LIST, _I64_LIST)
 wire.declare(OutcomesFields, _TEXT_LIST, _TEXT_LIST)
 wire.declare(ConfigurationFields, wire.I64, wire.BINARY)
+wire.declare(EvacuationFields, wire.I64, _TEXT_LIST)
 
 _HEARTBEAT = wire.Method("hello", HeartbeatFields, HeartbeatFields)
 _PLAN = wire.Method("plan", PlanFields, PlanFields)
@@ -307,6 +320,7 @@
 _CONFIGURATION = wire.Method(
     "configuration", ConfigurationFields, ConfigurationFields
 )
+_EVACUATION = wire.Method("evacuation", EvacuationFields, EvacuationFields)
 _METHODS = {
     method.name: method
     for method in (
@@ -320,6 +334,7 @@
         _CANCELLATIONS,
         _OUTCOMES,
         _CONFIGURATION,
+        _EVACUATION,
     )
 }
 
@@ -372,6 +387,8 @@
         int(msg.planner_heard_at * 1000.0),
         msg.planner_handover,
         msg.executors_digest,
+        msg.evacuation_offset,
+        msg.evacuation_digest,
     )
 
 
@@ -398,6 +415,8 @@
         fields.planner_heard_ms / 1000.0,
         fields.planner_handover,
         fields.executors_digest,
+        fields.evacuation_offset,
+        fields.evacuation_digest,
     )
 
 
@@ -627,6 +646,17 @@
     return pool_messages.ConfigurationOffered(fields.version, fields.document)
 
 
+def _encode_evacuation(msg):
+    known = msg.evacuation
+    return EvacuationFields(known.offset, list(known.domains))
+
+
+def _decode_evacuation(fields):
+    # The gateway checks it; closing the link would lose heartbeats.
+    known = evacuation.Evacuation(fields.offset, tuple(fields.domains))
+    return pool_messages.EvacuationRead(known)
+
+
 _ENCODERS = {
     fleet_state.Heartbeat: (_HEARTBEAT, _encode_heartbeat),
     pool_messages.PlanBatch: (_PLAN, _encode_plan),
@@ -647,6 +677,7 @@
         _CONFIGURATION,
         lambda msg: ConfigurationFields(*msg),
     ),
+    pool_messages.EvacuationRead: (_EVACUATION, _encode_evacuation),
 }
 _DECODERS = {
     "hello": (pool_messages.FLEET, _decode_heartbeat),
@@ -659,4 +690,5 @@
     "cancelled": (pool_messages.GATEWAY, _decode_cancellations),
     "outcomes": (pool_messages.PLANNER, _decode_outcomes),
     "configuration": (pool_messages.CONFIGURATIONS, _decode_configuration),
+    "evacuation": (pool_messages.GATEWAY, _decode_evacuation),
 }
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from cardamompath_core import batches
+from cardamompath_core import evacuation
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompath_core import planner_election
@@ -38,6 +39,8 @@
     "DropsPending",
     "EXECUTORS",
     "EndedRun",
+    "EvacuationInForce",
+    "EvacuationRead",
     "ExecutorsHeld",
     "ExecutorsListed",
     "FLEET",
@@ -54,6 +57,7 @@
     "LinkFailed",
     "LossesReported",
     "OfferConfiguration",
+    "OfferEvacuation",
     "Origin",
     "OutcomesReported",
     "PLANNER",
@@ -404,6 +408,9 @@
     """See `PlanningPermitted`."""
     executors_digest: int = executor_digests.UNKNOWN
     """Digest of the executors that the planner of the sender holds."""
+    evacuation_offset: int = evacuation.OFF.offset
+    evacuation_digest: int = executor_digests.UNKNOWN
+    """Offset and digest of the evacuated domains that the sender knows."""
 
 
 class PlanningPermitted(NamedTuple):
@@ -603,6 +610,28 @@
     address: tuple[str, int]
 
 
+class EvacuationRead(NamedTuple):
+    """The evacuated failure domains, as read from the store or sent by a peer.
+
+    On a link, only the set is sent.
+    """
+
+    evacuation: evacuation.Evacuation
+    source: str = "a peer"
+
+
+class EvacuationInForce(NamedTuple):
+    """The evacuated failure domains that this instance knows changed."""
+
+    evacuation: evacuation.Evacuation
+
+
+class OfferEvacuation(NamedTuple):
+    """Send the evacuated failure domains to a member that is behind."""
+
+    address: tuple[str, int]
+
+
 StartResult = Literal[
     "started", "room", "old", "late", "fenced", "unhealthy", "reborn",
     "invalid", "unsent", "unknown",
--- a/packages/daemon/src/cardamompathd/tests/test_links.py
+++ b/packages/daemon/src/cardamompathd/tests/test_links.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from cardamompath_core import batches
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompathd import messages
@@ -91,6 +92,10 @@
             pool_messages.ConfigurationOffered(7, b"{}"),
             pool_messages.CONFIGURATIONS,
         )
+        self.assert_same(
+            pool_messages.EvacuationRead(evacuation.make(7, ["a", "b"])),
+            pool_messages.GATEWAY,
+        )
 
     def test_versions_with_and_without_start_times_understand_another(self):
         method = wire.Method("drop", OldDropFields, OldDropFields)
@@ -107,7 +112,7 @@
         )
         heartbeat = fleet_state.Heartbeat(
             member, 3, (("10.1.0.2", 7),), 0.25, 0.42
-        )
+        )._replace(evacuation_offset=7, evacuation_digest=8)
         send = pool_codec.decode(pool_codec.encode(heartbeat))
         self.assertEqual(send.msg, pool_messages.HeartbeatReceived(*heartbeat))
 
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
@@ -5,6 +5,7 @@
 
 from cardamompath_core import batches
 from cardamompath_core import errors as core_errors
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompath_core import identity
 from cardamompath_core import planner_election
@@ -55,6 +56,7 @@
     pool_messages.CancellationsReported(("5c0e", "5c0f"), (0.5, 1.25)),
     pool_messages.OutcomesReported(("5c0e",), ("complete",)),
     pool_messages.ConfigurationOffered(7, b"{}"),
+    pool_messages.EvacuationRead(evacuation.make(7, ["a", "b"])),
 )
 METHODS = {wire.RELAY.name: wire.RELAY}
 
