Gateway: keep the evacuated domains, and offer them to members behind

The gateway of each instance holds the set, as it does the configuration. It tells planner and fleet of changes, logs them, drops malformed offers without closing the link, and counts planners of an evacuated domain as without capacity before their heartbeats say so. Without the last rule, a batch refused by one planner of the domain was offered to the other one there, and then refused to its caller.

--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway.py
@@ -11,11 +11,13 @@
 from collections.abc import Callable
 
 from cardamompath_core import batches
+from cardamompath_core import evacuation
 from cardamompath_core import pool_policy
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.gateway import gateway_answers
 from cardamompathd.controllers.gateway import gateway_drops
+from cardamompathd.controllers.gateway import gateway_evacuation
 from cardamompathd.controllers.gateway import gateway_lookups
 from cardamompathd.controllers.gateway import gateway_members
 from cardamompathd.controllers.gateway import gateway_planners
@@ -56,6 +58,7 @@
     domain: str = "",
     is_batch_name: Callable[[str], bool] = bool,
     policy: pool_policy.PoolPolicy | None = None,
+    known_evacuation: evacuation.Evacuation = evacuation.OFF,
 ) -> messages.Controller:
     """Make the controller of the batches whose callers wait here.
 
@@ -67,9 +70,15 @@
         Returns whether a text is a valid name of a batch.
     policy : PoolPolicy, optional
         How batches share the executors; by default, all choices are off.
+    known_evacuation : Evacuation
+        `evacuation.UNKNOWN` if evacuations are followed, or `evacuation.OFF`.
     """
     state = gateway_state.GatewayState(
-        name, domain, is_batch_name, policy or pool_policy.PoolPolicy()
+        name,
+        domain,
+        is_batch_name,
+        policy or pool_policy.PoolPolicy(),
+        known_evacuation,
     )
 
     def receive(msg, now):
@@ -362,6 +371,8 @@
     pool_messages.GetReadiness: _report_readiness,
     pool_messages.RoutesConfigured: _set_routes,
     pool_messages.OfferConfiguration: _offer_configuration,
+    pool_messages.EvacuationRead: gateway_evacuation.handle_read,
+    pool_messages.OfferEvacuation: gateway_evacuation.offer,
     pool_messages.Leave: _leave,
     pool_messages.WithdrawBatch: _withdraw_caller,
     pool_messages.CallersChecked: _note_callers,
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_planners.py
@@ -6,6 +6,7 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.fleet import fleet_rates
+from cardamompathd.controllers.planner import planner_estimates
 
 __all__ = [
     "RESEND_INTERVAL",
@@ -181,7 +182,17 @@
 
 
 def backlog_of(state, planner):
-    """Return the backlog that a planner reported, in seconds."""
+    """Return the backlog that a planner reported, in seconds.
+
+    One whose failure domain is evacuated has none of its executors left,
+    which its next heartbeats will tell.
+    """
+    if (
+        planner
+        and state.assignment.by_domain
+        and planner.domain in state.evacuation.domains
+    ):
+        return planner_estimates.EMPTY_POOL_BACKLOG
     return state.backlogs.get(planner.name, 0.0) if planner else 0.0
 
 
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
@@ -8,6 +8,7 @@
 
 from cardamompath_core import batches
 from cardamompath_core import cancellations
+from cardamompath_core import evacuation
 from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
@@ -85,6 +86,7 @@
         domain: str,
         is_batch_name: Callable[[str], bool],
         policy: pool_policy.PoolPolicy,
+        known_evacuation: evacuation.Evacuation = evacuation.OFF,
     ):
         self.name = name
         self.policy = policy
@@ -112,6 +114,13 @@
         """The configuration in force, as it was published."""
         self.offered_at: dict[tuple[str, int], float] = {}
         """When the configuration was last offered to each address."""
+        self.evacuation = known_evacuation
+        """The evacuated failure domains."""
+        self.evacuation_offered_at: dict[tuple[str, int], float] = {}
+        """When they were lately offered to an address."""
+        self.invalid_evacuations = 0
+        """Number of malformed offers of them that were dropped."""
+        self.invalid_evacuation_logged_at = -math.inf
         self.pending: dict[str, PendingBatch] = {}
         self.batch_by_waiter: dict[Any, str] = {}
         self.alive: tuple[planner_election.Member, ...] = ()
