Planner: start nothing in evacuated domains

Executors of evacuated domains are not usable, and none is while the set is not known. What has not started and fits no other executor is refused at once, as it arrives, with the change and at each tick, with Retry-After. No executor there is kept for suspect tasks.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from cardamompath_core import batches
+from cardamompath_core import evacuation
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompath_core import pool_policy
@@ -21,6 +22,7 @@
 from cardamompathd.controllers.planner import planner_crashes
 from cardamompathd.controllers.planner import planner_dispatch
 from cardamompathd.controllers.planner import planner_estimates
+from cardamompathd.controllers.planner import planner_evacuation
 from cardamompathd.controllers.planner import planner_health
 from cardamompathd.controllers.planner import planner_leases
 from cardamompathd.controllers.planner import planner_listings
@@ -59,6 +61,7 @@
     remote_rack_factor: float = 1.0,
     resubmit_delay: float = planner_state.RESUBMIT_DELAY,
     policy: pool_policy.PoolPolicy | None = None,
+    known_evacuation: evacuation.Evacuation = evacuation.OFF,
 ) -> messages.Controller:
     """Make the controller that plans batches at this instance.
 
@@ -76,6 +79,8 @@
         Seconds after which a caller without an answer submits a batch again.
     policy : PoolPolicy, optional
         How batches share the executors; by default, all choices are off.
+    known_evacuation : Evacuation
+        `evacuation.UNKNOWN` if evacuations are followed, or `evacuation.OFF`.
     """
     state = planner_state.PlannerState(
         name,
@@ -83,6 +88,7 @@
         remote_rack_factor,
         resubmit_delay,
         policy or pool_policy.PoolPolicy(),
+        known_evacuation,
     )
 
     def receive(msg, now):
@@ -121,6 +127,7 @@
         sends += planner_health.eject_unhealthy(state, now)
         planner_estimates.refresh_estimates(state, now)
     sends += planner_estimates.report_backlog(state)
+    sends += planner_evacuation.refuse_shut_out(state, now)
     return sends + planner_admission.refuse_late(state, now)
 
 
@@ -297,6 +304,8 @@
         return planner_runs.finish_batch(state, plan, outcome, now)
     planner_estimates.estimate_plan(state, plan, now)
     planner_estimates.record_demand(state, plan, now)
+    if planner_evacuation.is_shut_out(state, plan, now):
+        return planner_evacuation.refuse(state, plan, now)
     if not plan.may_have_started and planner_admission.would_be_late(
         state, plan, now
     ):
@@ -442,6 +451,7 @@
     messages.TimerFired: _tick,
     pool_messages.FleetChanged: _update_fleet,
     pool_messages.ExecutorsListed: _update_listing,
+    pool_messages.EvacuationInForce: planner_evacuation.handle_change,
     pool_messages.PlanBatch: _plan_batch,
     pool_messages.PlanningPermitted: planner_permissions.handle_permission,
     pool_messages.BatchesConfirmed: planner_permissions.note_confirmation,
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_crashes.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_crashes.py
@@ -17,6 +17,7 @@
 from typing import Literal
 from typing import NamedTuple
 
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -259,6 +260,9 @@
             any(run.batch == batch for run in executor.runs)
             or (
                 plan is not None
+                and evacuation.may_start_in(
+                    state.evacuation, executor.spec.domain
+                )
                 and any(
                     start_mode(state, plan, task, now) == "alone"
                     for task in plan.waiting
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -88,7 +88,7 @@
     candidates += [
         executor
         for executor in kept
-        if planner_placement.is_usable(executor, now)
+        if planner_placement.is_usable(state, executor, now)
         and all(run.batch == plan.name for run in executor.runs)
     ]
     suspects = list(plan.waiting)
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_estimates.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_estimates.py
@@ -11,6 +11,7 @@
 from cardamompathd.controllers.planner import planner_roles
 
 __all__ = [
+    "EMPTY_POOL_BACKLOG",
     "estimate_plan",
     "expected_start",
     "record_demand",
@@ -30,7 +31,7 @@
     """Count the usable executors, and estimate all batches again."""
     state.pool.clear()
     for executor in state.executors.values():
-        if planner_placement.is_usable(executor, now):
+        if planner_placement.is_usable(state, executor, now):
             spec = executor.spec
             state.pool[spec.service, spec.model, spec.capacity] += 1
     for plan in state.plans.values():
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompathd.controllers.planner import planner_health
 
@@ -9,21 +10,28 @@
     "choose_executor",
     "find_usable",
     "has_room",
+    "is_available",
     "is_usable",
 ]
 
 
-def is_usable(executor, now):
+def is_usable(state, executor, now):
     """Return whether tasks may be started on an executor."""
     if (
         not executor.claimed
         or not executor.described
         or executor.suspect
-        or executor.unregistered
         or executor.orphans
     ):
         return False
-    if executor.spec.state != executors.READY:
+    return is_available(state, executor, now)
+
+
+def is_available(state, executor, now):
+    """Return whether an executor gets tasks once it answers its holds."""
+    if executor.unregistered or executor.spec.state != executors.READY:
+        return False
+    if not evacuation.may_start_in(state.evacuation, executor.spec.domain):
         return False
     return not planner_health.is_ejected(executor, now)
 
@@ -35,7 +43,7 @@
         for executor in state.executors.values()
         if executor.free_resources.cpu >= min_cpu
         and executor.spec.name not in state.isolated
-        and is_usable(executor, now)
+        and is_usable(state, executor, now)
     ]
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
@@ -11,6 +11,7 @@
 from cardamompath_core import batch_order
 from cardamompath_core import batches
 from cardamompath_core import cancellations
+from cardamompath_core import evacuation
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompath_core import planner_election
@@ -69,6 +70,7 @@
         remote_rack_factor: float = 1.0,
         resubmit_delay: float = RESUBMIT_DELAY,
         policy: pool_policy.PoolPolicy = DEFAULT_POLICY,
+        known_evacuation: evacuation.Evacuation = evacuation.OFF,
     ):
         self.name = name
         self.policy = policy
@@ -114,6 +116,10 @@
         """When a reading of the list was last asked for."""
         self.executors: dict[str, planner_executors.ExecutorState] = {}
         """The executors that this planner claims, by name."""
+        self.evacuation = known_evacuation
+        """The failure domains in which nothing may be started."""
+        self.evacuation_changed_at: float | None = None
+        """When that last changed here."""
         self.plans: dict[str, planner_plans.Plan] = {}
         self.common_lease = math.inf
         """Seconds of the longest lease that is given or renewed at present."""
