Platform: read requests to evacuate with the configuration

The operator's request is a key of the topic that is read anyway. ConfigurationFollower sends the set if evacuate_ms is present; a read waits for less time where a silent connection would exceed that bound. test_platform_store, test_platform_names (now with evacuate_ms and the key) and test_platform_inputs pass.

--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -13,8 +13,10 @@
 from cardamompathd.platform import settings
 
 __all__ = [
+    "EVACUATION_PREFIX",
     "is_job_name",
     "parse_configuration",
+    "parse_evacuation",
     "parse_executor",
     "parse_job",
     "parse_member",
@@ -41,6 +43,8 @@
 """Characters of an error that are kept; it may quote a whole document."""
 MAX_VERSION = (1 << 63) - 1
 """Largest version of a configuration, as it is sent between instances."""
+EVACUATION_PREFIX = "evacuate/"
+"""Begin of the keys that request the evacuation of a failure domain."""
 EXECUTOR_NAME = re.compile(r"[!-~]+")
 """Names that can be sent in a header: visible ASCII characters."""
 
@@ -86,6 +90,26 @@
         raise errors.BadDocument(_describe("configuration", exc)) from exc
 
 
+def parse_evacuation(key: str) -> str:
+    """Return the failure domain that a key requests to evacuate.
+
+    The value only tells whether the request is in force: it is while there
+    is any.  A value with a fault must not end an evacuation.
+
+    Raises
+    ------
+    BadDocument
+        If the key does not name a domain.
+    """
+    try:
+        name = _parse_name(key.removeprefix(EVACUATION_PREFIX))
+        if not name:
+            raise ValueError("the name of the domain is empty")
+    except errors.MALFORMED as exc:
+        raise errors.BadDocument(_describe("evacuation", exc)) from exc
+    return name
+
+
 def _parse_route(doc):
     policy = batches.RoutePolicy(
         _parse_text(doc["name"]),
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -10,6 +10,7 @@
 
 import loguru
 
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompathd import pool_messages
 from cardamompathd.platform import documents
@@ -31,6 +32,12 @@
 """Seconds that a read waits for a new version.  Together with the timeout
 of a call it is below 3 s, the time in which a machine whose connections
 were blackholed has to be up to date again."""
+MIN_CONFIGURATION_WAIT = 0.1
+"""Least of these seconds, however soon an evacuation has to be known, so that
+an instance reads no more often than ten times a second."""
+NOTIFICATION_TIME = 0.2
+"""Seconds from a reading until the planners here and at instances that the
+store rejects know of it: two heartbeats to a planner."""
 RETRY_DELAY = 0.3
 """Seconds between retries while the store is unavailable."""
 PLANNING_INTERVAL = 0.4
@@ -114,24 +121,48 @@
 
 
 class ConfigurationFollower(_Follower):
-    """Sends each published version of the configuration to the gateway."""
+    """Sends the configuration and the evacuated domains to the gateway.
 
-    def __init__(self, client: store.StoreClient, tell: Tell):
+    Parameters
+    ----------
+    client : StoreClient
+        The connection that this task owns.
+    tell : callable
+        Called with `RoutesConfigured` and `EvacuationRead`.
+    evacuation_bound : float, optional
+        Seconds after which a request to evacuate a failure domain has to be
+        known; by default, evacuations are not read.
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        tell: Tell,
+        evacuation_bound: float | None = None,
+    ):
         super().__init__("configuration", client)
         self._tell = tell
         self._offset: int | None = None
+        self._follows_evacuations = evacuation_bound is not None
+        self._wait = _configuration_wait(evacuation_bound)
+        self._evacuated: set[str] = set()
 
     def _poll(self):
-        if self._offset is None:
+        is_whole = self._offset is None
+        if is_whole:
             records, self._offset = self._client.read_newest(OPERATOR_TOPIC)
         else:
             try:
                 records, self._offset = self._client.read(
-                    OPERATOR_TOPIC, self._offset, CONFIGURATION_WAIT
+                    OPERATOR_TOPIC, self._offset, self._wait
                 )
             except errors.RecordsExpired:
                 self._offset = None
                 return 0.0
+        if self._follows_evacuations and (is_whole or records):
+            # Before the configuration, so that no gateway that has one
+            # lacks the other.
+            self._read_evacuations(records, is_whole)
         versions = [
             record for record in records if record.key == CONFIGURATION_KEY
         ]
@@ -139,6 +170,42 @@
             send_configuration(versions[-1].value, "store", self._tell)
         return 0.01 if versions or self._offset else RETRY_DELAY
 
+    def _read_evacuations(self, records, is_whole):
+        if is_whole:
+            self._evacuated.clear()
+        for key, value in records:
+            if not key.startswith(documents.EVACUATION_PREFIX):
+                continue
+            try:
+                domain = documents.parse_evacuation(key)
+            except errors.BadDocument as exc:
+                loguru.logger.error("store: ignored a record: {}", exc)
+                continue
+            if value:
+                self._evacuated.add(domain)
+            else:
+                self._evacuated.discard(domain)
+        try:
+            known = evacuation.make(self._offset, self._evacuated)
+        except ValueError as exc:
+            loguru.logger.error("store: evacuations ignored: {}", exc)
+            return
+        self._tell(pool_messages.EvacuationRead(known, "store"))
+
+
+def _configuration_wait(evacuation_bound):
+    """Return for how many seconds a read may wait for a record.
+
+    A request to evacuate that is accepted just after the connection has gone
+    silent has to be known within the bound: the read times out, is retried
+    and answered.
+    """
+    if evacuation_bound is None:
+        return CONFIGURATION_WAIT
+    spent = 2.0 * store.TIMEOUT + RETRY_DELAY + NOTIFICATION_TIME
+    wait = min(CONFIGURATION_WAIT, evacuation_bound - spent)
+    return max(MIN_CONFIGURATION_WAIT, wait)
+
 
 def send_configuration(raw: bytes, source: str, tell: Tell) -> None:
     """Parse a published configuration and send it on.
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -16,6 +16,7 @@
 import xxhash
 from returns import pipeline
 
+from cardamompath_core import evacuation
 from cardamompath_core import planner_election
 from cardamompathd import pool_app
 from cardamompathd import pool_messages
@@ -166,6 +167,7 @@
         cfg.resubmit_delay,
         documents.is_job_name,
         policy,
+        evacuation.OFF if cfg.evacuation_bound is None else evacuation.UNKNOWN,
     )
     tell_planner = app.controllers[pool_messages.PLANNER]
     tell_fleet = app.controllers[pool_messages.FLEET]
@@ -181,7 +183,9 @@
     )
     tasks = (
         followers.ConfigurationFollower(
-            store.make_client(cfg.store_address), tell_gateway
+            store.make_client(cfg.store_address),
+            tell_gateway,
+            cfg.evacuation_bound,
         ),
         executor_follower,
         followers.MemberFollower(
--- a/packages/daemon/src/cardamompathd/platform/settings.py
+++ b/packages/daemon/src/cardamompathd/platform/settings.py
@@ -44,6 +44,9 @@
     """Factor by which a task takes longer outside the rack of its data."""
     resubmit_delay: float = planner_state.RESUBMIT_DELAY
     """Seconds after which a caller without an answer submits a job again."""
+    evacuation_bound: float | None = None
+    """Seconds after which no task starts in a failure domain whose evacuation
+    was requested; None if evacuations are not followed."""
 
 
 def load(path: str | None = None) -> Settings:
@@ -77,6 +80,7 @@
             _read_thread_millicores(raw.get("limits", {})),
             _parse_factor(bounds.get("remote_factor", 1.0)),
             _read_resubmit_delay(bounds),
+            _read_evacuation_bound(bounds),
         )
     except (OSError, *errors.MALFORMED) as exc:
         raise errors.BadSettings(f"{path}: {exc!r}") from exc
@@ -85,10 +89,20 @@
 def _read_resubmit_delay(bounds):
     if "resend_ms" not in bounds:
         return planner_state.RESUBMIT_DELAY
-    delay = float(bounds["resend_ms"]) / 1000.0
-    if not (math.isfinite(delay) and delay > 0.0):
-        raise ValueError(f"resend_ms {bounds['resend_ms']!r} is out of range")
-    return delay
+    return _read_duration(bounds, "resend_ms")
+
+
+def _read_evacuation_bound(bounds):
+    if "evacuate_ms" not in bounds:
+        return None
+    return _read_duration(bounds, "evacuate_ms")
+
+
+def _read_duration(bounds, name):
+    duration = float(bounds[name]) / 1000.0
+    if not (math.isfinite(duration) and duration > 0.0):
+        raise ValueError(f"{name} {bounds[name]!r} is out of range")
+    return duration
 
 
 def _read_thread_millicores(limits):
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -10,6 +10,7 @@
 
 import loguru
 
+from cardamompath_core import evacuation
 from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
 from cardamompath_core import types
@@ -95,6 +96,7 @@
     resubmit_delay: float = planner_state.RESUBMIT_DELAY,
     is_batch_name: Callable[[str], bool] = bool,
     policy: pool_policy.PoolPolicy | None = None,
+    known_evacuation: evacuation.Evacuation = evacuation.OFF,
 ) -> Instance:
     """Start the tasks of an instance.
 
@@ -118,6 +120,8 @@
         Returns whether a text is a valid name of a batch.
     policy : PoolPolicy, optional
         How batches share the executors; by default, all choices are off.
+    known_evacuation : Evacuation
+        `evacuation.UNKNOWN` if evacuations are followed, or `evacuation.OFF`.
 
     Raises
     ------
@@ -139,12 +143,17 @@
         remote_rack_factor,
         resubmit_delay,
         policy,
+        known_evacuation,
     )
     actor_ref = sockets.SocketActor.start(
         [
-            fleet.make_controller(own_member),
+            fleet.make_controller(own_member, known_evacuation),
             gateway.make_controller(
-                own_member.name, own_member.domain, is_batch_name, policy
+                own_member.name,
+                own_member.domain,
+                is_batch_name,
+                policy,
+                known_evacuation,
             ),
             planner_controller,
         ],
--- a/packages/daemon/src/cardamompathd/tests/test_platform_names.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_names.py
@@ -14,6 +14,7 @@
     r"ack_index|run-start|run-stop|keyed\.|log-(append|read|newest|join)"
     r"|ended_runs|est_runtime_ms|expires_ms|X-Cardamompath"
     r"|CARDAMOMPATH_SETTINGS|gang_timeout_ms|config_apply_ms|cloud_api"
+    r"|evacuate_ms|evacuate/"
     r"|fencing_token|clock_ms|path_prefix|max_attempts_ms|hold_max_ms"
 )
 
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -302,6 +302,52 @@
         self.assertEqual(polls, [0, 1])
 
 
+class EvacuationTest(unittest.TestCase):
+    def setUp(self):
+        self.client, self.pool = make_client()
+        self.sent = []
+
+    def poll(self, task, *responses):
+        """Return the domains that were sent last, and the offset."""
+        self.pool.responses = list(responses)
+        for _ in responses:
+            task._poll()
+        return self.sent[-1].evacuation[::-1] if self.sent else None
+
+    def test_requests_and_withdrawals_are_read(self):
+        task = followers.ConfigurationFollower(
+            self.client, self.sent.append, 5.0
+        )
+        # The domains of the second page would not be evacuated.
+        page = newest_response(("evacuate/a", b"{}"), more=True)
+        with self.assertRaises(errors.StoreUnavailable):
+            self.poll(task, page, Response(503))
+        self.assertEqual(self.sent, [])
+        names = ("", "d" * 256, "\ud800", "a")
+        keys = [(f"evacuate/{name}", store.UNREADABLE) for name in names]
+        page = newest_response(*keys, ("other", b"1"))
+        self.assertEqual(self.poll(task, page), (("a",), 9))
+        both = read_response(("evacuate/b", b"{}"), ("evacuate/a", b""))
+        self.assertEqual(self.poll(task, both), (("b",), 11))
+        # The history is no longer kept, and the key is gone by then.
+        expired = (Response(410), newest_response())
+        self.assertEqual(self.poll(task, *expired), ((), 9))
+
+    def test_reading_after_a_silent_one_is_within_the_bound(self):
+        for bound in (1.9, 5.0, None):
+            task = followers.ConfigurationFollower(
+                self.client, self.sent.append, bound
+            )
+            self.poll(task, newest_response(), read_response())
+            url = urllib.parse.urlsplit(self.pool.calls[-1][1])
+            wait = float(urllib.parse.parse_qs(url.query)["wait_ms"][0]) / 1e3
+            again = followers.RETRY_DELAY + store.TIMEOUT
+            if bound is not None:
+                self.assertLess(wait + store.TIMEOUT + again, bound)
+        self.assertEqual(wait, followers.CONFIGURATION_WAIT)
+        self.assertEqual(len(self.sent), 2)
+
+
 class ConfigurationTest(unittest.TestCase):
     def test_invalid_configuration_is_not_sent(self):
         sent = []
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
@@ -55,7 +55,7 @@
     ),
     "platform": 'platform = {addr = "10.200.1.7:8169"}',
     "limits": "limits = {cpu_share = 0.537}",
-    "bounds": "bounds = {remote_factor = 1.5}",
+    "bounds": "bounds = {remote_factor = 1.5, evacuate_ms = 5_000}",
 }
 """The lines of a valid settings file, by field."""
 ROUTE = {
@@ -301,6 +301,7 @@
         self.assertEqual(cfg.seeds, (("10.2.0.30", 8166),))
         self.assertEqual(cfg.thread_millicores, 537)
         self.assertEqual(cfg.remote_rack_factor, 1.5)
+        self.assertEqual(cfg.evacuation_bound, 5.0)
 
     def test_field_of_another_type_or_out_of_range(self):
         # Any error but that of the parser ended the process at a reload.
@@ -325,6 +326,9 @@
             "bounds": (
                 "bounds = []",
                 "bounds = {remote_factor = nan}",
+                "bounds = {evacuate_ms = 0}",
+                "bounds = {evacuate_ms = inf}",
+                'bounds = {evacuate_ms = "soon"}',
                 f"bounds = {{remote_factor = 1{'0' * 400}}}",
             ),
         }
