--- a/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
@@ -27,6 +27,9 @@
 """Limit on the pairs of part and event that are counted."""
 
 ANSWERED = "answered"
+EVACUATIONS = {"evacuation in force": 1, "evacuation ended": 0}
+"""Events that tell of evacuated failure domains, and the value of the metric
+that they set for each of these."""
 
 
 class DecisionCounts:
@@ -40,12 +43,15 @@
         self._event_counts: collections.Counter = collections.Counter()
         self._bucket_counts: dict[str, list[int]] = {}
         self._time_sums: collections.Counter = collections.Counter()
+        self._evacuations: dict[str, int] = {}
 
     def count(self, decision: pool_messages.Decision) -> None:
         """Count a decision."""
         key = (decision.part, decision.event)
         if key in self._event_counts or len(self._event_counts) < MAX_SERIES:
             self._event_counts[key] += 1
+        if decision.event in EVACUATIONS:
+            self._set_evacuations(decision)
         if decision.event == ANSWERED:
             self._count_response_time(
                 decision.fields["state"], decision.fields["age_ms"]
@@ -58,6 +64,21 @@
         buckets[bisect.bisect_left(BOUNDS_MS, age_ms)] += 1
         self._time_sums[state] += age_ms / 1000.0
 
+    def _set_evacuations(self, decision):
+        for domain in decision.fields["domains"]:
+            if (
+                domain in self._evacuations
+                or len(self._evacuations) < MAX_SERIES
+            ):
+                self._evacuations[domain] = EVACUATIONS[decision.event]
+
+    def evacuations(self) -> list[tuple[float, dict[str, str]]]:
+        """Return 1 for each evacuated domain, 0 for each former one."""
+        return [
+            (value, {"domain": domain})
+            for domain, value in self._evacuations.copy().items()
+        ]
+
     def event_counts(self) -> list[tuple[float, dict[str, str]]]:
         """Return the count of each decision with its labels."""
         return [
@@ -125,5 +146,12 @@
             "Sum of the times of answers, by outcome.",
             lambda _: counts.time_sums(),
         ),
+        metrics.Instrument(
+            "gauge",
+            "cardamompath.evacuated",
+            "",
+            "Whether a failure domain is evacuated, by domain.",
+            lambda _: counts.evacuations(),
+        ),
         *metrics.PROCESS_INSTRUMENTS,
     )
--- a/packages/daemon/src/cardamompathd/tests/test_decisions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_decisions.py
@@ -85,6 +85,19 @@
         )
         self.assertIn('le="+Inf",state="complete"} 3', page)
 
+    def test_page_shows_which_domains_are_evacuated(self):
+        # The metric kept the value of an evacuation that had ended.
+        counts = pool_metrics.DecisionCounts()
+        scrape = pool_metrics.make_scrape(counts)
+        for event, value in (
+            ("evacuation in force", 1),
+            ("evacuation ended", 0),
+        ):
+            fields = {"domains": ["a"]}
+            counts.count(pool_messages.Decision("gateway", event, "", fields))
+            line = f'cardamompath_evacuated{{domain="a"}} {value}'
+            self.assertIn(line, scrape())
+
     def test_series_are_limited(self):
         counts = pool_metrics.DecisionCounts()
         for number in range(2 * pool_metrics.MAX_SERIES):
