--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -6,6 +6,7 @@
 import random
 
 from cardamompath_core import batches
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompath_core import routes
@@ -41,6 +42,7 @@
     pool_messages.BatchQuery,
     pool_messages.BatchQueryAnswered,
     pool_messages.CancellationsReported,
+    pool_messages.EvacuationRead,
     pool_messages.LossesReported,
 )
 """Messages between instances that their gateways receive."""
@@ -244,13 +246,17 @@
         self.alive = True
         self.decisions = []
         suffix = len(simulation.instances)
+        known = evacuation.OFF
+        if simulation.evacuation is not None:
+            known = evacuation.UNKNOWN
         controllers = (
-            fleet.make_controller(self.member),
-            gateway.make_controller(name, domain),
+            fleet.make_controller(self.member, known),
+            gateway.make_controller(name, domain, known_evacuation=known),
             planner.make_controller(
                 name,
                 lambda: int(simulation.now * 1000.0) * 1000 + suffix,
                 simulation.now,
+                known_evacuation=known,
             ),
         )
         self.controllers = {
@@ -299,10 +305,14 @@
         Failure domains, with an instance and two executors in each.
     seed : int
         Seed of what happens by chance.
+    evacuations : bool
+        Whether the instances follow evacuations.
     """
 
-    def __init__(self, domains=("a", "b", "c"), seed=0):
+    def __init__(self, domains=("a", "b", "c"), seed=0, evacuations=False):
         self.now = 100.0
+        self.evacuation = evacuation.make(0, ()) if evacuations else None
+        """The evacuated domains by the store."""
         self.rng = random.Random(seed)
         self.run_time = 0.2
         """Seconds for which a task runs."""
@@ -352,6 +362,7 @@
         """Send the list of executors to every instance, now and regularly."""
         for instance in list(self.instances.values()):
             self.send_listing(instance)
+            self.send_evacuation(instance)
         self.schedule(LISTING_INTERVAL, self.send_listings)
 
     def add_instance(self, name, domain, started):
@@ -361,10 +372,26 @@
             pool_messages.FLEET, pool_messages.AddressesFound(found, "seeds")
         )
         self.send_listing(instance)
+        self.send_evacuation(instance)
         return instance
 
+    def evacuate(self, *domains):
+        """Have the store accept that just these domains are evacuated."""
+        self.evacuation = evacuation.make(self.evacuation.offset + 1, domains)
+        for instance in list(self.instances.values()):
+            self.send_evacuation(instance)
+
+    def send_evacuation(self, instance):
+        if self.evacuation is not None and self._serves(instance):
+            read = pool_messages.EvacuationRead(self.evacuation, "store")
+            instance.receive(pool_messages.GATEWAY, read)
+
+    def _serves(self, instance):
+        """Return whether the store answers an instance."""
+        return self.store_up and instance.name not in self.rejected_by_store
+
     def send_listing(self, instance):
-        if self.store_up and instance.name not in self.rejected_by_store:
+        if self._serves(instance):
             specs = tuple(
                 executor.spec
                 for executor in self.executors.values()
--- a/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
@@ -10,9 +10,9 @@
 EXECUTORS_PER_DOMAIN = 8
 
 
-def make_simulation():
+def make_simulation(evacuations=False):
     """Make a fleet with two failure domains that have two planners each."""
-    simulation = pool_simulation.Simulation(("a", "b"))
+    simulation = pool_simulation.Simulation(("a", "b"), 0, evacuations)
     for domain in ("a", "b"):
         for index in range(1, INSTANCES_PER_DOMAIN):
             simulation.add_instance(f"n-{domain}{index}", domain, 2000 + index)
