--- a/packages/core/src/cardamompath_core/quotas.py
+++ b/packages/core/src/cardamompath_core/quotas.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from cardamompath_core import fair_shares
 from cardamompath_core import queueing
 from cardamompath_core import types
 
@@ -100,7 +101,8 @@
         services = self.shares.services.get(team)
         if services and service not in services:
             return True
-        return self.in_flight[team] >= self.shares.teams.get(team, 0.0)
+        share = self.shares.teams.get(team, 0.0)
+        return fair_shares.is_at_share(self.in_flight[team], share)
 
     def may_borrow(self, team: str, service: str) -> bool:
         """Return whether a team may use slots of other instances."""
