Core: shares allow a quarter of variation

Cause: the use of equal groups varies with their bursts, and each time the order by the time left was given up. Change: TOLERANCE of 1.25.

--- a/packages/core/src/cardamompath_core/fair_shares.py
+++ b/packages/core/src/cardamompath_core/fair_shares.py
@@ -20,6 +20,7 @@
 __all__ = [
     "Balance",
     "LargeSize",
+    "TOLERANCE",
     "Usage",
     "balance",
     "fill_level",
@@ -32,6 +33,10 @@
 """Time constant of the average use in seconds.  Borrowed capacity has to be
 returned within a second, which is three time constants; runs of most batches
 end within one."""
+TOLERANCE = 1.25
+"""Multiple of its share that a group may use before others come first.  The
+use of groups that ask for the same varies by about a quarter with their
+bursts; without it the order by the time left is lost for nothing."""
 MIN_WEIGHT = 1e-6
 """Weight that counts in place of 0, for groups that only borrow."""
 NEGLIGIBLE_USE = 1e-4
