Settings: minimum share, weights of routes and domains

Cause: operators choose how scarce capacity is divided. Change: [shares] least_share, route_weights, domain_weights; settings.load takes a check of settings against each other, so that minimum shares above 1 in sum are named in the same run as all other errors. Measured: test_pool_table passes.

--- a/packages/core/src/cardamompath_core/pool_policy.py
+++ b/packages/core/src/cardamompath_core/pool_policy.py
@@ -26,6 +26,12 @@
     """Shares of routes and failure domains while room is scarce."""
 
     enabled: bool = False
+    least_share: float = 0.05
+    """Minimum share of a service's capacity for each route, each domain and
+    the largest tenth of the batches of a route."""
+    route_weights: tuple[tuple[str, float], ...] = ()
+    """Routes with a weight other than 1, and their weights."""
+    domain_weights: tuple[tuple[str, float], ...] = ()
 
 
 class AdmissionPolicy(NamedTuple):
--- a/packages/daemon/src/cardamompathd/settings/loading.py
+++ b/packages/daemon/src/cardamompathd/settings/loading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
@@ -40,6 +41,7 @@
 def load(
     files: Sequence[str],
     declared: Sequence[table.Setting] = table.TABLE,
+    check: Callable[[Settings], Mapping[tuple[str, str], str]] | None = None,
 ) -> result.Result[Settings, tuple[InvalidSetting, ...]]:
     """Read INI files; a later file overrides the earlier ones.
 
@@ -49,6 +51,9 @@
         Paths of the files.
     declared : sequence of Setting
         The settings that there are; by default those of an instance.
+    check : callable, optional
+        Checks settings against each other.  Takes those that are valid in
+        themselves; returns what is allowed, for each one that is not.
 
     Returns
     -------
@@ -60,6 +65,9 @@
     for file in files:
         _read_file(file, declared, texts, errors)
     values = _check_all(declared, texts, errors, ", ".join(files))
+    for name, allowed in (check(values) if check else {}).items():
+        file, text = texts.get(name, (", ".join(files), ""))
+        errors.append(InvalidSetting(file, *name, text, allowed))
     if errors:
         return result.Failure(tuple(errors))
     return result.Success(values)
--- a/packages/daemon/src/cardamompathd/settings/pool_table.py
+++ b/packages/daemon/src/cardamompathd/settings/pool_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 from returns import result
@@ -16,6 +17,38 @@
 ]
 
 SWITCH = ("off", "on")
+MAX_WEIGHT = 1000.0
+"""Greatest weight; more than the ratio of any two sizes of domains."""
+WEIGHT_KEYS = ("route_weights", "domain_weights")
+
+
+def _parse_weights(text):
+    weights = {}
+    for part in text.split(","):
+        if not part.strip():
+            continue
+        name, _, weight = part.rpartition(":")
+        if name.strip() in weights:
+            raise ValueError(f"{name.strip()!r} has two weights")
+        weights[name.strip()] = float(weight)
+    return tuple(weights.items())
+
+
+def _make_weights(key, text):
+    return table.Setting(
+        "shares",
+        key,
+        "weights",
+        _parse_weights,
+        (),
+        lambda pairs: all(
+            name and 0.0 <= weight <= MAX_WEIGHT for name, weight in pairs
+        ),
+        "name:weight pairs separated by commas, each name once, "
+        f"weights 0 to {MAX_WEIGHT:g}",
+        text,
+    )
+
 
 TABLE: tuple[table.Setting, ...] = (
     table.make_choice(
@@ -33,6 +66,24 @@
         SWITCH,
         "Whether routes and failure domains have shares of scarce room.",
     ),
+    table.make_number(
+        "shares",
+        "least_share",
+        float,
+        0.05,
+        0.0,
+        1.0,
+        "of the capacity",
+        "Minimum share of a service's capacity for each route, each domain "
+        "and the largest tenth of the batches of a route.",
+    ),
+    _make_weights(
+        "route_weights", "Weights of routes; 1 for those without one."
+    ),
+    _make_weights(
+        "domain_weights",
+        "Weights of failure domains; 1 for those without one.",
+    ),
     table.make_choice(
         "admission",
         "forecast",
@@ -83,13 +134,35 @@
     Result
         The choices, or all invalid settings of all files.
     """
-    return loading.load(files, TABLE).map(_make_policy)
+    return loading.load(files, TABLE, _check_minimums).map(_make_policy)
+
+
+def _check_minimums(values):
+    """Return the weights whose names have minimum shares above 1 together.
+
+    Settings that are invalid in themselves are missing in the values.
+    """
+    least_share = values.get(("shares", "least_share"))
+    if not least_share:
+        return {}
+    most = math.floor(1.0 / least_share + 1e-9)
+    return {
+        ("shares", key): f"at most {most} names for least_share "
+        f"{least_share!r}, as minimum shares above 1 cannot be given"
+        for key in WEIGHT_KEYS
+        if len(values.get(("shares", key), ())) > most
+    }
 
 
 def _make_policy(values):
     return pool_policy.PoolPolicy(
         pool_policy.RoomPolicy(values["room", "reports"] == "on"),
-        pool_policy.SharePolicy(values["shares", "enabled"] == "on"),
+        pool_policy.SharePolicy(
+            values["shares", "enabled"] == "on",
+            values["shares", "least_share"],
+            values["shares", "route_weights"],
+            values["shares", "domain_weights"],
+        ),
         pool_policy.AdmissionPolicy(values["admission", "forecast"] == "on"),
         pool_policy.PlacementPolicy(
             values["placement", "policy"] == "fitting",
