Planner: fair shares of scarce capacity in the order of batches

Cause: under overload a domain that asks three times its part got as much of it as the others of theirs, and urgent routes left the others 4 to 8 %. Change: planner_shares computes use, demand and shares of routes, domains and the largest batches; planner_order.rank and expected_start use them where [shares] enabled is on; urgency_of moved to planner_plans, as both need it.

--- a/packages/daemon/src/cardamompathd/controllers/planner/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/__init__.py
@@ -22,6 +22,7 @@
     "planner_restarts",
     "planner_roles",
     "planner_runs",
+    "planner_shares",
     "planner_state",
     "run_losses",
 ]
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -30,6 +30,7 @@
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import planner_roles
 from cardamompathd.controllers.planner import planner_runs
+from cardamompathd.controllers.planner import planner_shares
 from cardamompathd.controllers.planner import planner_state
 
 __all__ = [
@@ -121,6 +122,7 @@
         sends += planner_health.eject_unhealthy(state, now)
         planner_estimates.refresh_estimates(state, now)
     sends += planner_estimates.report_backlog(state)
+    sends += planner_shares.review(state, now)
     return sends + planner_admission.refuse_late(state, now)
 
 
@@ -297,6 +299,7 @@
         return planner_runs.finish_batch(state, plan, outcome, now)
     planner_estimates.estimate_plan(state, plan, now)
     planner_estimates.record_demand(state, plan, now)
+    planner_shares.record_arrival(state, plan, now)
     if not plan.may_have_started and planner_admission.would_be_late(
         state, plan, now
     ):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_admission.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_admission.py
@@ -9,6 +9,7 @@
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_placement
 from cardamompathd.controllers.planner import planner_runs
+from cardamompathd.controllers.planner import planner_shares
 
 __all__ = [
     "refuse_batch",
@@ -51,6 +52,7 @@
         waited_ms=round((now - plan.received_at) * 1000.0),
         left_ms=round((plan.deadline - now) * 1000.0),
         executors=sum(state.pool.values()),
+        **planner_shares.decision_fields(state, plan, now),
     )
     delay = batch_order.retry_delay(
         planner_order.urgency_of(plan),
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -13,6 +13,7 @@
 from cardamompathd.controllers.planner import planner_permissions
 from cardamompathd.controllers.planner import planner_placement
 from cardamompathd.controllers.planner import planner_runs
+from cardamompathd.controllers.planner import planner_shares
 
 __all__ = [
     "dispatch",
@@ -206,6 +207,7 @@
         ),
         expected_ms=round(plan.expected_time * 1000.0),
         listing_changed_ms=_age_ms(state.listed_at, now),
+        **planner_shares.decision_fields(state, plan, now),
     )
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_estimates.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_estimates.py
@@ -9,6 +9,7 @@
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_placement
 from cardamompathd.controllers.planner import planner_roles
+from cardamompathd.controllers.planner import planner_shares
 
 __all__ = [
     "estimate_plan",
@@ -53,6 +54,7 @@
     policy = plan.batch.policy
     step = plan.batch.steps[0]
     rate = 0.0
+    slots = 0
     best_time = math.inf
     for (service, model, capacity), count in state.pool.items():
         if service != policy.service:
@@ -61,17 +63,16 @@
             policy.route, model, step.estimate, now
         )
         best_time = min(best_time, run_time)
-        rate += (
-            count
-            * executors.count_fitting(step.resources, capacity)
-            / run_time
-        )
+        fitting = count * executors.count_fitting(step.resources, capacity)
+        slots += fitting
+        rate += fitting / run_time
     if best_time is math.inf:
         best_time = state.run_times.expected(
             policy.route, "", step.estimate, now
         )
     plan.expected_time = best_time
     plan.pool_time = 1.0 / rate if rate > 0.0 else 0.0
+    plan.pool_share = 1.0 / slots if slots else 0.0
 
 
 def expected_start(state, plan, now):
@@ -82,7 +83,7 @@
     for other in state.plans.values():
         if other.waiting and planner_order.rank(state, other, now) <= key:
             work_ahead += len(other.waiting) * other.pool_time
-    demand = state.demand.above(plan.batch.policy.priority, now)
+    demand = state.demand.above(planner_shares.priority_of(state, plan), now)
     return now + batch_order.expected_wait(work_ahead, demand)
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_order.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_order.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from cardamompath_core import batch_order
+from cardamompathd.controllers.planner import planner_plans
+from cardamompathd.controllers.planner import planner_shares
 
 __all__ = [
     "rank",
@@ -12,17 +14,12 @@
 
 def rank(state, plan, now):
     """Return the sort key of a batch; the one to start next comes first."""
-    return batch_order.sort_key(urgency_of(plan), now)
+    urgency = urgency_of(plan)
+    if state.policy.shares.enabled:
+        return planner_shares.rank(state, plan, urgency, now)
+    return batch_order.sort_key(urgency, now)
 
 
 def urgency_of(plan):
     """Return what decides when a batch starts."""
-    policy = plan.batch.policy
-    return batch_order.Urgency(
-        policy.priority,
-        plan.submitted_at,
-        policy.stretch * plan.expected_time + policy.slack,
-        plan.expected_time,
-        plan.deadline,
-        plan.may_have_started,
-    )
+    return planner_plans.urgency_of(plan)
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_plans.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_plans.py
@@ -5,11 +5,13 @@
 import collections
 from typing import Literal
 
+from cardamompath_core import batch_order
 from cardamompathd import pool_messages
 
 __all__ = [
     "Plan",
     "Task",
+    "urgency_of",
 ]
 
 TaskStatus = Literal["waiting", "sent", "running", "unknown", "done"]
@@ -65,13 +67,17 @@
         "done_count",
         "expected_time",
         "former_executors",
+        "groups",
         "handovers",
+        "is_guaranteed",
         "log_size",
         "may_have_started",
         "min_cpu",
         "origins",
         "permitted_until",
+        "pool_share",
         "pool_time",
+        "ranked_groups",
         "received_at",
         "round",
         "seen_at",
@@ -130,6 +136,14 @@
         """Expected run time of a task where it is fastest, in seconds."""
         self.pool_time = 0.0
         """Seconds that the whole pool takes for a task, on average."""
+        self.pool_share = 0.0
+        """Share of the pool that a task of it takes while it runs."""
+        self.groups = ()
+        """Groups that have shares, see `planner_shares`."""
+        self.ranked_groups = ()
+        """Those that have shares within its priority, with that."""
+        self.is_guaranteed = False
+        """Whether it is within the minimum share of one of its groups."""
         self.size_samples = 0
         """Number of runs from which `log_size` was learned."""
         self.log_size = 0.0
@@ -176,3 +190,16 @@
             if task.step == step and task.index == index:
                 return task
         return None
+
+
+def urgency_of(plan: Plan) -> batch_order.Urgency:
+    """Return what decides when a batch starts."""
+    policy = plan.batch.policy
+    return batch_order.Urgency(
+        policy.priority,
+        plan.submitted_at,
+        policy.stretch * plan.expected_time + policy.slack,
+        plan.expected_time,
+        plan.deadline,
+        plan.may_have_started,
+    )
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_roles.py
@@ -16,6 +16,7 @@
 from cardamompathd.controllers.planner import planner_leases
 from cardamompathd.controllers.planner import planner_listings
 from cardamompathd.controllers.planner import planner_log
+from cardamompathd.controllers.planner import planner_shares
 
 __all__ = [
     "PASSIVE_TIME",
@@ -222,6 +223,7 @@
         if plan.may_have_started:
             state.remember_dropped_batch(plan.name)
     state.plans.clear()
+    planner_shares.reset(state)
     state.dropped_in_former_terms = set(state.dropped_counts)
     sends += report_backlog(state, 0.0)
     sends += announce_executors(state)
