Metrics: share, use, borrowed and lent of each group

Cause: operators have to see how scarce capacity is divided. Change: the last report of the planner is shown as cardamompath.shares, for at most 200 groups. Measured: test_decisions passes.

--- a/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
@@ -26,7 +26,15 @@
 MAX_SERIES = 500
 """Limit on the pairs of part and event that are counted."""
 
+MAX_SHARE_GROUPS = 200
+"""Limit on the groups whose shares are shown; a planner has at most 99 at a
+service."""
+
 ANSWERED = "answered"
+SHARES = "shares"
+PLANNING_ENDED = "ended to plan"
+SHARE_FIGURES = ("share", "use", "borrowed", "lent")
+"""What a report tells of each group, in percent of the capacity."""
 
 
 class DecisionCounts:
@@ -40,6 +48,8 @@
         self._event_counts: collections.Counter = collections.Counter()
         self._bucket_counts: dict[str, list[int]] = {}
         self._time_sums: collections.Counter = collections.Counter()
+        self._shares: dict[str, dict[str, list[float]]] = {}
+        """Figures of the groups by service, as reported last."""
 
     def count(self, decision: pool_messages.Decision) -> None:
         """Count a decision."""
@@ -50,6 +60,12 @@
             self._count_response_time(
                 decision.fields["state"], decision.fields["age_ms"]
             )
+        elif decision.event == SHARES:
+            self._shares[decision.fields["service"]] = decision.fields[
+                "groups"
+            ]
+        elif decision.event == PLANNING_ENDED:
+            self._shares.clear()
 
     def _count_response_time(self, state, age_ms):
         buckets = self._bucket_counts.setdefault(
@@ -77,6 +93,22 @@
             observations.append((sum(buckets), {"state": state, "le": "+Inf"}))
         return observations
 
+    def share_figures(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the shares of the groups in percent of the capacity.
+
+        The number of groups is limited.
+        """
+        groups = [
+            (service, group, figures)
+            for service, groups in self._shares.copy().items()
+            for group, figures in groups.items()
+        ]
+        return [
+            (value, {"service": service, "group": group, "figure": figure})
+            for service, group, figures in groups[:MAX_SHARE_GROUPS]
+            for figure, value in zip(SHARE_FIGURES, figures, strict=True)
+        ]
+
     def time_sums(self) -> list[tuple[float, dict[str, str]]]:
         """Return the sum of the response times in seconds for each outcome."""
         return [
@@ -125,5 +157,13 @@
             "Sum of the times of answers, by outcome.",
             lambda _: counts.time_sums(),
         ),
+        metrics.Instrument(
+            "gauge",
+            "cardamompath.shares",
+            "%",
+            "Share, use, borrowed and lent of a group while capacity is "
+            "scarce, in percent of the capacity of the service.",
+            lambda _: counts.share_figures(),
+        ),
         *metrics.PROCESS_INSTRUMENTS,
     )
--- a/packages/daemon/src/cardamompathd/tests/test_decisions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_decisions.py
@@ -85,6 +85,29 @@
         )
         self.assertIn('le="+Inf",state="complete"} 3', page)
 
+    def test_page_shows_the_last_shares_of_a_limited_number_of_groups(self):
+        counts = pool_metrics.DecisionCounts()
+        for number in (3, 2 * pool_metrics.MAX_SHARE_GROUPS):
+            groups = {f"route r{each}": [9, 5, 0, 4] for each in range(number)}
+            counts.count(
+                pool_messages.Decision(
+                    "planner",
+                    "shares",
+                    "",
+                    {"service": "desk", "groups": groups},
+                )
+            )
+        self.assertEqual(
+            len(counts.share_figures()), 4 * pool_metrics.MAX_SHARE_GROUPS
+        )
+        self.assertIn(
+            'figure="use",group="route r0",service="desk"} 5',
+            pool_metrics.make_scrape(counts)(),
+        )
+        ended = pool_messages.Decision("planner", "ended to plan", "", {})
+        counts.count(ended)
+        self.assertEqual(counts.share_figures(), [])
+
     def test_series_are_limited(self):
         counts = pool_metrics.DecisionCounts()
         for number in range(2 * pool_metrics.MAX_SERIES):
