Tests: fair shares under load and after failures

Change: LoadSimulation takes a policy, several origins, and cuts origins off; tests of shares with the three routes, a greedy domain, urgent overload, a domain cut off, and a planner that adopts runs.

--- a/packages/daemon/src/cardamompathd/tests/load_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/load_simulation.py
@@ -37,6 +37,8 @@
 """Objective: a multiple of the longest task, and seconds on top of it."""
 LATE_FACTOR = 3.0
 """Multiple of the objective up to which an answer is of use."""
+PERMIT_INTERVAL = 0.1
+"""Seconds between permissions of the other instances."""
 
 
 class Kind(NamedTuple):
@@ -77,8 +79,9 @@
 
 
 class _Request:
-    def __init__(self, kind, tasks, at):
+    def __init__(self, kind, tasks, at, origin):
         self.kind = kind
+        self.origin = origin
         self.tasks = tasks
         """Seconds of each task at speed 1."""
         self.submitted_at = at
@@ -122,9 +125,22 @@
         Factor on the rates of the requests.
     executor_count : int
         Number of executors, a quarter of them slow.
+    policy : PoolPolicy, optional
+        How batches share the executors.
+    origins : mapping, optional
+        Relative number of requests at each instance; each is of a failure
+        domain of its own.  By default all are at the planner's instance.
     """
 
-    def __init__(self, seed=1, load=1.0, executor_count=24, kinds=KINDS):
+    def __init__(
+        self,
+        seed=1,
+        load=1.0,
+        executor_count=24,
+        kinds=KINDS,
+        policy=None,
+        origins=None,
+    ):
         self.rng = random.Random(seed)
         self.load = load
         self.kinds = kinds
@@ -133,18 +149,39 @@
         self.sequence = itertools.count()
         self.requests = {}
         self.start_count = 0
+        self.cut_off = set()
+        """Instances that do not reach the planner."""
         self.executors = {
             executor.spec.name: executor
             for executor in map(_Executor, range(executor_count))
         }
         tokens = itertools.count(7)
-        controller = planner.make_controller("n-a", lambda: next(tokens), 0.0)
+        controller = planner.make_controller(
+            "n-a", lambda: next(tokens), 0.0, policy=policy
+        )
         self.receive = controller.receive
-        member = planner_election.Member("n-a", "a", ("a", 1), 1)
+        self.decisions = []
+        self.origins = dict(origins or {"n-a": 1.0})
+        self.members = tuple(
+            planner_election.Member(name, name[2:], (name, 1), 1)
+            for name in sorted({"n-a", *self.origins})
+        )
         specs = tuple(each.spec for each in self.executors.values())
         self.tell(pool_messages.ExecutorsListed(specs, self.now))
-        self.tell(fleet_views.make_view(member, (member,), ()))
+        self.tell(fleet_views.make_view(self.members[0], self.members, ()))
         self.tell(messages.TimerFired("start"))
+        for member in self.members[1:]:
+            self._permit(member.name)
+
+    def _permit(self, name):
+        """Leave the batches of an instance with the planner."""
+        until = self.now + 1.0
+        permitted = pool_messages.PlanningPermitted(
+            name, 1, 0, until, self.now, self.now
+        )
+        if name not in self.cut_off:
+            self.tell(permitted)
+        self.schedule(PERMIT_INTERVAL, self._permit, name)
 
     def schedule(self, delay, action, *args):
         entry = (self.now + delay, next(self.sequence), action, args)
@@ -174,20 +211,27 @@
         tasks = [size * _lognormal(rng, TASK_SPREAD) for _ in range(width)]
         cpu = min(10000, round(6800 * _lognormal(rng, 0.2)))
         name = f"{kind.route}{len(self.requests)}"
-        self.requests[name] = _Request(kind, tasks, self.now)
+        origin = "n-a"
+        if len(self.origins) > 1:
+            weights = self.origins.values()
+            origin = rng.choices([*self.origins], [*weights])[0]
+        self.requests[name] = _Request(kind, tasks, self.now, origin)
         estimate = size * _lognormal(rng, SPREAD)
         step = batches.Step(width, executors.Resources(cpu, 64), estimate)
         policy = batches.RoutePolicy(
             kind.route, "desk", kind.priority, 3, STRETCH, SLACK
         )
         batch = batches.Batch(name, "", (step,), policy)
-        self.tell(pool_messages.PlanBatch(batch, "n-a", 0.0, kind.patience, 0))
+        msg = pool_messages.PlanBatch(batch, origin, 0.0, kind.patience, 0)
+        if origin not in self.cut_off:
+            self.tell(msg._replace(origin_started=1))
         self.schedule(kind.patience, self._give_up, name)
         self._schedule_next(kind, until)
 
     def _give_up(self, name):
         if self.requests[name].state == "open":
-            self.tell(pool_messages.DropBatch(name, "n-a"))
+            origin = self.requests[name].origin
+            self.tell(pool_messages.DropBatch(name, origin, 1))
 
     def tell(self, msg):
         for send in self.receive(msg, self.now):
@@ -195,7 +239,11 @@
 
     def _route(self, send):
         msg = send.msg
-        if send.to == messages.TIMERS:
+        if isinstance(msg, pool_messages.SendToMember):
+            msg = msg.msg
+        if isinstance(msg, pool_messages.Decision):
+            self.decisions.append((self.now, msg))
+        elif send.to == messages.TIMERS:
             fired = messages.TimerFired(msg.key)
             self.schedule(msg.at - self.now, self.tell, fired)
         elif isinstance(msg, pool_messages.BatchEnded):
@@ -266,10 +314,36 @@
         )
         self.schedule(LATENCY, self.tell, answer)
 
-    def count(self, route):
-        """Return what the callers of a kind got."""
+    def largest(self, route):
+        """Return the names of the largest tenth of the batches of a route."""
+        sizes = sorted(
+            (sum(each.tasks), name)
+            for name, each in self.requests.items()
+            if each.kind.route == route
+        )
+        return {name for _, name in sizes[len(sizes) * 9 // 10 :]}
+
+    def total_worth(self):
+        """Return the share of the work that was asked for and is of use."""
+        asked = sum(sum(each.tasks) for each in self.requests.values())
+        given = 0.0
+        for each in self.requests.values():
+            elapsed = each.ended_at - each.submitted_at
+            if each.state == batches.COMPLETE:
+                if elapsed <= each.objective:
+                    given += sum(each.tasks)
+                elif elapsed <= LATE_FACTOR * each.objective:
+                    given += sum(each.tasks) / 5.0
+        return given / asked
+
+    def count(self, route, origin=None, names=None):
+        """Return what the callers of a kind got, or some of them."""
         requests = [
-            each for each in self.requests.values() if each.kind.route == route
+            each
+            for name, each in self.requests.items()
+            if each.kind.route == route
+            and origin in (None, each.origin)
+            and (names is None or name in names)
         ]
         in_time = late = refused = 0
         refusal_time = 0.0
