--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_shares.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_shares.py
@@ -174,12 +174,11 @@
     if service is None or not service.is_scarce:
         return {}
     figures = {
-        group.kind: [
+        ranked[1].kind: [
             _percent(service.usage.average(ranked)),
             _percent(_fair_share(state.shares, service, ranked)),
         ]
         for ranked in plan.ranked_groups
-        for group in ranked[1:]
     }
     return {
         "shares": figures,
--- a/packages/daemon/src/cardamompathd/tests/test_planner_shares.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_shares.py
@@ -34,16 +34,11 @@
 
 class SharesLoadTest(unittest.TestCase):
     def test_nothing_changes_while_there_is_room_for_all(self):
-        ends = [
-            [
-                request.ended_at
-                for request in play(
-                    enabled, 2, 0.5, origins=EVEN
-                ).requests.values()
-            ]
-            for enabled in (False, True)
-        ]
-        self.assertEqual(*ends)
+        off, on = (play(each, 2, 0.5, origins=EVEN) for each in (False, True))
+        self.assertEqual(
+            [request.ended_at for request in off.requests.values()],
+            [request.ended_at for request in on.requests.values()],
+        )
 
     def test_domain_with_three_times_its_part_takes_less_of_the_others(self):
         # Without shares all domains get the same fraction of what they ask.
