--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -32,6 +32,7 @@
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import planner_roles
 from cardamompathd.controllers.planner import planner_runs
+from cardamompathd.controllers.planner import planner_shares
 from cardamompathd.controllers.planner import planner_state
 
 __all__ = [
@@ -128,6 +129,7 @@
         planner_estimates.refresh_estimates(state, now)
     sends += planner_estimates.report_backlog(state)
     sends += planner_evacuation.refuse_shut_out(state, now)
+    sends += planner_shares.review(state, now)
     return sends + planner_admission.refuse_late(state, now)
 
 
@@ -306,6 +308,7 @@
     planner_estimates.record_demand(state, plan, now)
     if planner_evacuation.is_shut_out(state, plan, now):
         return planner_evacuation.refuse(state, plan, now)
+    planner_shares.record_arrival(state, plan, now)
     if not plan.may_have_started and planner_admission.would_be_late(
         state, plan, now
     ):
