Platform: read the list of executors for others, and merge their readings

Only the own reads of an instance told it of the executors. The follower now reports the time and the offset of its readings and merges those of others.

--- a/packages/daemon/src/cardamompathd/platform/documents.py
+++ b/packages/daemon/src/cardamompathd/platform/documents.py
@@ -14,6 +14,8 @@
 
 __all__ = [
     "EVACUATION_PREFIX",
+    "MAX_ENTRY_BYTES",
+    "is_executor_name",
     "is_job_name",
     "parse_configuration",
     "parse_evacuation",
@@ -128,6 +130,13 @@
     )
 
 
+def is_executor_name(key: str) -> bool:
+    """Return whether the key of a record can be the name of an executor."""
+    return (
+        EXECUTOR_NAME.fullmatch(key) is not None and len(key) <= MAX_NAME_BYTES
+    )
+
+
 def parse_executor(name: str, raw: bytes) -> executors.Executor:
     """Parse the entry under which an executor registered itself.
 
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -5,12 +5,14 @@
 import math
 import queue
 import threading
+import time
 from collections.abc import Callable
 from typing import Any
 
 import loguru
 
 from cardamompath_core import evacuation
+from cardamompath_core import executor_readings
 from cardamompath_core import executors
 from cardamompathd import pool_messages
 from cardamompathd.platform import documents
@@ -20,6 +22,7 @@
 __all__ = [
     "ConfigurationFollower",
     "ExecutorFollower",
+    "ExecutorReader",
     "MemberFollower",
 ]
 
@@ -52,6 +55,12 @@
 MAX_READ_GAP = 2.0
 """Seconds between two reads within which an outage may go unnoticed; too short
 for an entry to expire in it, which takes three intervals of 1.5 s."""
+QUESTION_TIMEOUT = 0.25
+"""Seconds for a call to the store on behalf of another instance, which should
+not wait longer for it than for its own list if the store is down."""
+FAILED_READS = 2
+"""Readings in a row that fail until this instance tells others that it cannot
+read the store; the first may have been on a connection that went silent."""
 MEMBER_INTERVAL = 2.0
 """Seconds between the first two reads of the registered members; each
 later interval is twice as long, as members also learn of one another
@@ -71,6 +80,8 @@
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
         self._stop_requested = False
         self._unavailable = False
+        self._failures = 0
+        """Number of polls in a row that the store did not answer."""
 
     def stop(self) -> None:
         """Stop the task after the call in progress."""
@@ -79,45 +90,71 @@
     def run(self) -> None:
         """Poll the store until the task is stopped."""
         while not self._stop_requested:
+            pause = self._poll_once()
             try:
-                pause = self._poll()
-            except errors.StoreUnavailable as exc:
-                if not self._unavailable:
-                    loguru.logger.warning(
-                        "store: {}: unavailable: {}", self.name, exc
-                    )
-                    self._on_store_unavailable()
-                self._unavailable = True
-                pause = RETRY_DELAY
+                self._wait_for_message(pause)
             except Exception:
-                # Whatever the store sends must not end the task.
-                loguru.logger.exception("store: {}: poll failed", self.name)
-                pause = RETRY_DELAY
-            else:
-                if self._unavailable:
-                    loguru.logger.info("store: {}: available again", self.name)
-                self._unavailable = False
-            self._wait_for_message(pause)
+                loguru.logger.exception("store: {}: message lost", self.name)
         self._client.close()
 
+    def _poll_once(self):
+        """Poll the store; return the seconds until the next poll."""
+        try:
+            pause = self._poll()
+        except errors.StoreUnavailable as exc:
+            if not self._unavailable:
+                loguru.logger.warning(
+                    "store: {}: unavailable: {}", self.name, exc
+                )
+                self._on_store_unavailable()
+            self._unavailable = True
+            self._failures += 1
+            self._on_failure()
+            return RETRY_DELAY
+        except Exception:
+            # Whatever the store sends must not end the task.
+            loguru.logger.exception("store: {}: poll failed", self.name)
+            return RETRY_DELAY
+        if self._unavailable:
+            loguru.logger.info("store: {}: available again", self.name)
+        self._unavailable = False
+        self._failures = 0
+        return pause
+
     def _poll(self) -> float:
         raise NotImplementedError
 
     def _on_store_unavailable(self) -> None:
         """Handle the begin of an outage of the store."""
 
-    def _wait_for_message(self, pause):
-        try:
-            msg = self._inbox.get(timeout=pause) if pause else None
-        except queue.Empty:
-            return
-        if pause and msg is None:
-            self._stop_requested = True
-        elif pause:
-            self._receive(msg)
+    def _on_failure(self) -> None:
+        """Handle a poll that the store did not answer."""
 
-    def _receive(self, msg: Any) -> None:
-        """Handle a message other than the one to stop."""
+    def _wait_for_message(self, pause):
+        """Handle messages until the next poll is due."""
+        due_at = time.monotonic() + pause
+        while pause > 0.0:
+            try:
+                msg = self._inbox.get(timeout=pause)
+            except queue.Empty:
+                return
+            if msg is None:
+                self._stop_requested = True
+                return
+            if not self._receive(msg):
+                return
+            pause = due_at - time.monotonic()
+
+    def _receive(self, msg: Any) -> bool:
+        """Handle a message other than the one to stop.
+
+        Returns
+        -------
+        bool
+            Whether the next poll is still due when it was; otherwise, it
+            follows at once.
+        """
+        return False
 
 
 class ConfigurationFollower(_Follower):
@@ -233,6 +270,9 @@
         Called with `ExecutorsListed`.
     clock : callable
         Returns the present time in seconds.
+    report : callable, optional
+        Called with `OwnListRead` and `ExecutorsRead`, after the list that they
+        concern; by default, the planner is not told of readings.
     """
 
     def __init__(
@@ -240,9 +280,13 @@
         client: store.StoreClient,
         tell: Tell,
         clock: Callable[[], float],
+        report: Tell | None = None,
     ):
         super().__init__("executors", client)
         self._tell = tell
+        self._report = report
+        self._own_read_at = -math.inf
+        """When the last own reading that succeeded began."""
         self._clock = clock
         self._offset: int | None = None
         self._executors: dict[str, executors.Executor] = {}
@@ -266,9 +310,76 @@
         """
         self._inbox.put(planning)
 
+    def receive(self, msg: Any) -> None:
+        """Handle a message to the list of executors.
+
+        Parameters
+        ----------
+        msg : SetListingRate or PeerListRead
+            The message.
+        """
+        if isinstance(msg, pool_messages.SetListingRate):
+            self.set_planning(msg.planning)
+        else:
+            self._inbox.put(msg)
+
     def _receive(self, msg):
-        self._planning = msg
-        self._listing_due = msg
+        if isinstance(msg, bool):
+            self._planning = msg
+            self._listing_due = msg
+            return False
+        self._merge(msg)
+        return True
+
+    def _on_failure(self):
+        self._report_own_reading()
+
+    def _report_own_reading(self):
+        if self._report is None:
+            return
+        can_read = self._failures < FAILED_READS and (
+            self._own_read_at > -math.inf
+        )
+        state = executor_readings.FAILING
+        if can_read:
+            state = executor_readings.READABLE
+        offset = self._offset
+        if offset is None:
+            offset = executor_readings.NO_OFFSET
+        self._report(
+            pool_messages.OwnListRead(self._own_read_at, offset, state)
+        )
+
+    def _merge(self, msg):
+        """Bring the list to the reading of another instance."""
+        reading = msg.reading
+        known = self._offset
+        if known is None:
+            known = executor_readings.NO_OFFSET
+        if not executor_readings.applies(known, reading):
+            loguru.logger.debug(
+                "store: executors: reading of {!r} since {!r} to {!r} does "
+                "not apply to {!r}",
+                msg.source,
+                reading.since,
+                reading.offset,
+                known,
+            )
+            return
+        records = [store.Record(*entry) for entry in reading.entries]
+        if reading.since == executor_readings.NO_OFFSET:
+            records = self._with_absent(records)
+        self._offset = reading.offset
+        self._apply_reading(records)
+        if self._report is not None:
+            self._report(
+                pool_messages.ExecutorsRead(
+                    msg.read_at,
+                    reading.offset,
+                    len(reading.entries),
+                    msg.source,
+                )
+            )
 
     def _on_store_unavailable(self):
         self._available_since = None
@@ -277,12 +388,10 @@
             self._send_list()
 
     def _poll(self):
+        began_at = self._clock()
         if self._offset is None or not self._planning:
             records, self._offset = self._client.read_newest(EXECUTOR_TOPIC)
-            present = {entry.key for entry in records}
-            absent = [name for name in self._executors if name not in present]
-            records += [store.Record(name, b"") for name in absent]
-            self._invalid_keys &= present
+            records = self._with_absent(records)
         else:
             try:
                 records, self._offset = self._client.read(
@@ -291,6 +400,21 @@
             except errors.RecordsExpired:
                 self._offset = None
                 return 0.0
+        self._apply_reading(records)
+        self._own_read_at = began_at
+        self._failures = 0
+        self._report_own_reading()
+        return PLANNING_INTERVAL if self._planning else IDLE_INTERVAL
+
+    def _with_absent(self, records):
+        """Return the newest records, and one for each entry that is gone."""
+        present = {entry.key for entry in records}
+        absent = [name for name in self._executors if name not in present]
+        self._invalid_keys &= present
+        return [*records, *(store.Record(name, b"") for name in absent)]
+
+    def _apply_reading(self, records):
+        """Apply what was read here or by another instance just now."""
         self._note_answer()
         before = dict(self._executors), self._complete
         for record in records:
@@ -300,7 +424,6 @@
         if before != (self._executors, self._complete) or self._listing_due:
             self._listing_due = False
             self._send_list()
-        return PLANNING_INTERVAL if self._planning else IDLE_INTERVAL
 
     def _note_answer(self):
         now = self._clock()
@@ -346,6 +469,126 @@
                 del self._missing_since[name]
 
 
+class ExecutorReader(threading.Thread):
+    """Reads the list of executors for other instances that ask for it.
+
+    It has a connection of its own, so that a poll to which the store is
+    silent delays no answer.
+
+    Parameters
+    ----------
+    client : StoreClient
+        The connection that this task owns.
+    report : callable
+        Called with `SendToMember`.
+    clock : callable
+        Returns the present time in seconds.
+    name : str
+        Name of the instance.
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        report: Tell,
+        clock: Callable[[], float],
+        name: str,
+    ):
+        super().__init__(name="executors for others", daemon=True)
+        self._client = client
+        self._report = report
+        self._clock = clock
+        self._instance_name = name
+        self._inbox: queue.SimpleQueue = queue.SimpleQueue()
+
+    def receive(self, question: pool_messages.ExecutorsAsked) -> None:
+        """Have a question answered."""
+        self._inbox.put((question, self._clock()))
+
+    def stop(self) -> None:
+        """Stop the task after the call in progress."""
+        self._inbox.put(None)
+
+    def run(self) -> None:
+        """Answer questions until the task is stopped."""
+        while (item := self._inbox.get()) is not None:
+            try:
+                self._handle(*item)
+            except Exception:
+                # Whatever the store sends must not end the task.
+                loguru.logger.exception("store: {}: not read", self.name)
+        self._client.close()
+
+    def _handle(self, question, received_at):
+        # The instance that asked takes no later answer.
+        if self._clock() <= received_at + executor_readings.MAX_AGE:
+            self._answer(question)
+
+    def _answer(self, question):
+        """Read the store for another instance, and answer it."""
+        reading = self._read_for(question)
+        try:
+            answers = executor_readings.make_answers(
+                question.number, self._instance_name, reading
+            )
+        except ValueError as exc:
+            loguru.logger.error("store: executors: not answered: {}", exc)
+            return
+        for answer in answers:
+            msg = pool_messages.ExecutorsAnswered(answer)
+            self._report(pool_messages.SendToMember(question.address, msg))
+
+    def _read_for(self, question):
+        """Return what changed since an offset, None if that is not known.
+
+        The connection may have gone silent since it was last used, and there
+        is no time to find out.
+        """
+        self._client.reconnect()
+        try:
+            return self._read_since(question.since)
+        except errors.StoreUnavailable as exc:
+            loguru.logger.debug(
+                "store: executors: question of {!r}: {}",
+                question.origin,
+                exc,
+            )
+            return None
+
+    def _read_since(self, since):
+        if since != executor_readings.NO_OFFSET:
+            try:
+                records, offset = self._client.read_changes(
+                    EXECUTOR_TOPIC, since, QUESTION_TIMEOUT
+                )
+                return _make_reading(since, offset, records)
+            except errors.RecordsExpired:
+                loguru.logger.debug(
+                    "store: executors: {!r} is no longer kept", since
+                )
+        records, offset = self._client.read_newest(
+            EXECUTOR_TOPIC, QUESTION_TIMEOUT
+        )
+        return _make_reading(executor_readings.NO_OFFSET, offset, records)
+
+
+def _make_reading(since, offset, records):
+    """Return records as a reading for another instance.
+
+    One that can name no executor is sent empty, as the number of entries has
+    to match the offsets.  A value that is too large stays an invalid one.
+    """
+    entries = []
+    for key, value in records:
+        if not documents.is_executor_name(key):
+            entries.append(executor_readings.Entry("", b""))
+        elif len(value) > documents.MAX_ENTRY_BYTES:
+            entries.append(executor_readings.Entry(key, store.UNREADABLE))
+        else:
+            entries.append(executor_readings.Entry(key, value))
+    return executor_readings.Reading(since, offset, tuple(entries))
+
+
 class MemberFollower(_Follower):
     """Registers this instance and sends the members' addresses on."""
 
--- a/packages/daemon/src/cardamompathd/platform/store.py
+++ b/packages/daemon/src/cardamompathd/platform/store.py
@@ -53,14 +53,21 @@
     """
 
     def __init__(self, address: tuple[str, int]):
-        self._pool = urllib3.HTTPConnectionPool(
-            *address, maxsize=1, retries=False, timeout=TIMEOUT
-        )
+        self._address = address
+        self._pool = _make_pool(address)
+
+    def reconnect(self) -> None:
+        """Have the next call open a new connection."""
+        self._pool.close()
+        self._pool = _make_pool(self._address)
 
-    def read_newest(self, topic: str) -> tuple[list[Record], int]:
+    def read_newest(
+        self, topic: str, timeout: float = TIMEOUT
+    ) -> tuple[list[Record], int]:
         """Return the newest record of each key, and the end offset.
 
-        Records appended after that offset may already be included.
+        Records appended after that offset may already be included.  Each call
+        for a page may take `timeout` seconds.
 
         Raises
         ------
@@ -72,7 +79,7 @@
         end = None
         for _ in range(MAX_PAGES):
             doc = self._decode_json(
-                self._call("GET", "/v1/log-newest", params)
+                self._call("GET", "/v1/log-newest", params, timeout=timeout)
             )
             try:
                 end = _parse_offset(doc["end_offset"]) if end is None else end
@@ -87,7 +94,11 @@
         raise errors.StoreUnavailable(f"newest: more than {MAX_PAGES} pages")
 
     def read(
-        self, topic: str, offset: int, wait: float
+        self,
+        topic: str,
+        offset: int,
+        wait: float,
+        timeout: float = TIMEOUT,
     ) -> tuple[list[Record], int]:
         """Return the records from an offset on, and the next offset.
 
@@ -99,6 +110,8 @@
             Offset of the first record.
         wait : float
             Seconds that the store waits for a record if there is none.
+        timeout : float
+            Seconds for the call, in addition to `wait`.
 
         Raises
         ------
@@ -107,17 +120,44 @@
         RecordsExpired
             If the record at `offset` is no longer stored.
         """
+        return self._read_page(topic, offset, wait, timeout)[:2]
+
+    def read_changes(
+        self, topic: str, offset: int, timeout: float = TIMEOUT
+    ) -> tuple[list[Record], int]:
+        """Return all records from an offset on, and the next offset.
+
+        Raises
+        ------
+        StoreUnavailable
+            If the store sent no valid response, or too many pages.
+        RecordsExpired
+            If the record at `offset` is no longer stored.
+        """
+        records: list[Record] = []
+        for _ in range(MAX_PAGES):
+            page, offset, end = self._read_page(topic, offset, 0.0, timeout)
+            records += page
+            if offset >= end or not page:
+                return records, offset
+        raise errors.StoreUnavailable(f"read: more than {MAX_PAGES} pages")
+
+    def _read_page(self, topic, offset, wait, timeout):
+        """Return records, the next offset, and the offset after the last."""
         params = {"topic": topic, "part": 0, "from": offset}
         params["wait_ms"] = round(wait * 1000.0)
-        response = self._call("GET", "/v1/log-read", params, wait, (410,))
+        response = self._call(
+            "GET", "/v1/log-read", params, wait, (410,), timeout=timeout
+        )
         if response.status == 410:
             raise errors.RecordsExpired(f"{topic} from {offset}")
         raw = response.data
         try:
+            end, _ = READ_HEADER.unpack_from(raw)
             records = _decode_records(raw[READ_HEADER.size :])
         except (struct.error, ValueError) as exc:
             raise errors.StoreUnavailable(f"read: {exc!r}") from exc
-        return records, offset + len(records)
+        return records, offset + len(records), end
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record with a value for a key.
@@ -145,6 +185,7 @@
         wait: float = 0.0,
         other_statuses: Sequence[int] = (),
         body: bytes | None = None,
+        timeout: float = TIMEOUT,
     ):
         # A key of another writer may have any characters.
         query = urllib.parse.urlencode(
@@ -154,7 +195,7 @@
         )
         try:
             response = self._pool.request(
-                method, f"{path}?{query}", body=body, timeout=TIMEOUT + wait
+                method, f"{path}?{query}", body=body, timeout=timeout + wait
             )
         except urllib3.exceptions.HTTPError as exc:
             raise errors.StoreUnavailable(repr(exc)) from exc
@@ -174,6 +215,12 @@
     return StoreClient(address)
 
 
+def _make_pool(address):
+    return urllib3.HTTPConnectionPool(
+        *address, maxsize=1, retries=False, timeout=TIMEOUT
+    )
+
+
 def _parse_offset(value):
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise TypeError(f"offset {value!r}")
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -14,6 +14,7 @@
 from cardamompath_core import batches
 from cardamompath_core import evacuation
 from cardamompath_core import executor_digests
+from cardamompath_core import executor_readings
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompath_core import routes
@@ -42,7 +43,10 @@
     "EvacuationInForce",
     "EvacuationRead",
     "ExecutorsHeld",
+    "ExecutorsAnswered",
+    "ExecutorsAsked",
     "ExecutorsListed",
+    "ExecutorsRead",
     "FLEET",
     "FindBatch",
     "FleetChanged",
@@ -60,6 +64,8 @@
     "OfferEvacuation",
     "Origin",
     "OutcomesReported",
+    "OwnListRead",
+    "PeerListRead",
     "PLANNER",
     "PlanBatch",
     "PlannerHeard",
@@ -80,6 +86,7 @@
     "StartRun",
     "StopAnswered",
     "StopRun",
+    "StoreStateChanged",
     "SubmitBatch",
     "UnwatchCaller",
     "WatchCaller",
@@ -411,6 +418,8 @@
     evacuation_offset: int = evacuation.OFF.offset
     evacuation_digest: int = executor_digests.UNKNOWN
     """Offset and digest of the evacuated domains that the sender knows."""
+    store_state: int = executor_readings.UNSUPPORTED
+    """Whether the sender can read the list of executors from the store."""
 
 
 class PlanningPermitted(NamedTuple):
@@ -582,6 +591,69 @@
     some have yet to register again."""
 
 
+class ExecutorsAsked(NamedTuple):
+    """Ask an instance to read the list of executors from the store."""
+
+    number: int
+    """Number of the question at the instance that asks."""
+    since: int
+    """Offset of the list that it has; `executor_readings.NO_OFFSET` if it has
+    none."""
+    origin: str
+    """Name of that instance."""
+    address: tuple[str, int] = ("", 0)
+    """Its address.  It is not sent on a link; the planner that is asked adds
+    it."""
+
+
+class ExecutorsAnswered(NamedTuple):
+    """One part of the answer to an `ExecutorsAsked`."""
+
+    answer: executor_readings.Answer
+
+
+class PeerListRead(NamedTuple):
+    """Another instance has read what changed in the list of executors."""
+
+    reading: executor_readings.Reading
+    read_at: float
+    """When it began to read, or earlier, in seconds."""
+    source: str
+    """Its name."""
+
+
+class OwnListRead(NamedTuple):
+    """The list of executors was read at this instance, or could not be."""
+
+    read_at: float
+    """When its last reading that succeeded began, in seconds."""
+    offset: int
+    state: int
+    """Whether the store can be read, see `executor_readings`."""
+
+
+class ExecutorsRead(NamedTuple):
+    """The reading of another instance is part of the list of this one."""
+
+    read_at: float
+    offset: int
+    entries: int
+    """Number of its entries."""
+    source: str
+    """Name of the other instance."""
+
+
+class StoreStateChanged(NamedTuple):
+    """Whether an instance can read the list of executors has changed."""
+
+    name: str
+    """Name of the instance."""
+    started: int
+    """Start time of its process, in milliseconds since 1970."""
+    state: int
+    """See `executor_readings`."""
+
+
 class RoutesConfigured(NamedTuple):
     """A version of the configuration was read, from the store or a peer."""
 
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -10,7 +10,9 @@
 import loguru
 import urllib3
 
+from cardamompath_core import executor_readings
 from cardamompathd import pool_messages
+from cardamompathd.platform import documents
 from cardamompathd.platform import errors
 from cardamompathd.platform import followers
 from cardamompathd.platform import store
@@ -253,6 +255,130 @@
         self.assertTrue(self.sent[-1].is_complete)
 
 
+class ExchangedReadingTest(unittest.TestCase):
+    """Readings of the executors for other instances, and by them."""
+
+    def setUp(self):
+        self.now = 10.0
+        self.sent = []
+        self.entry = json.dumps(ENTRY).encode()
+
+    def clock(self):
+        return self.now
+
+    def make_follower(self):
+        client, pool = make_client()
+        task = followers.ExecutorFollower(
+            client, self.sent.append, self.clock, self.sent.append
+        )
+        return task, pool
+
+    def ask(self, since, *responses):
+        """Return the answers of an instance to a question."""
+        client, pool = make_client()
+        client.reconnect = lambda: None
+        reader = followers.ExecutorReader(
+            client, self.sent.append, self.clock, "n-1"
+        )
+        self.sent.clear()
+        pool.responses = list(responses)
+        address = ("10.1.0.2", 8166)
+        question = pool_messages.ExecutorsAsked(3, since, "n-2", address)
+        reader._handle(question, self.now)
+        self.assertEqual(pool.responses, [])
+        self.assertEqual({msg.address for msg in self.sent}, {address})
+        return [msg.msg.answer for msg in self.sent]
+
+    def merge(self, task, since, offset, *entries):
+        """Have a follower merge a reading; return what it sends."""
+        self.sent.clear()
+        reading = executor_readings.Reading(
+            since, offset, tuple(store.Record(*entry) for entry in entries)
+        )
+        msg = pool_messages.PeerListRead(reading, self.now - 0.1, "n-2")
+        task.receive(msg)
+        # The next poll is due when it was.
+        self.assertTrue(task._receive(task._inbox.get()))
+        return [type(msg).__name__ for msg in self.sent]
+
+    def test_changes_since_an_offset_are_answered(self):
+        bad = ("x\n", b"7")
+        huge = ("i-2", b"1" * (documents.MAX_ENTRY_BYTES + 1))
+        pairs = (("i-1", self.entry), bad, huge)
+        answer = self.ask(6, read_response(*pairs))[0]
+        self.assertEqual(answer[2:7], (True, 6, 9, 0, 1))
+        entries = [("i-1", self.entry), ("", b""), ("i-2", store.UNREADABLE)]
+        self.assertEqual(list(answer.entries), entries)
+        # There is another page.
+        one = read_response(("i-1", self.entry))
+        answer = self.ask(7, one, one)[0]
+        self.assertEqual(answer.offset, 9)
+
+    def test_all_entries_are_answered_if_an_offset_is_not_kept(self):
+        page = newest_response(("i-1", self.entry))
+        for since, responses in ((3, [Response(410), page]), (-1, [page])):
+            answer = self.ask(since, *responses)[0]
+            self.assertEqual((answer.since, answer.offset), (-1, 9))
+
+    def test_instance_that_cannot_read_says_so(self):
+        faults = (
+            Response(503),
+            urllib3.exceptions.ReadTimeoutError(None, "", "silent"),
+            Response(200, b"nonsense"),
+        )
+        for fault in faults:
+            with self.subTest(fault=fault):
+                answer = self.ask(3, fault)[0]
+                self.assertFalse(answer.is_readable)
+
+    def test_question_that_waited_too_long_is_not_answered(self):
+        client, pool = make_client()
+        reader = followers.ExecutorReader(
+            client, self.sent.append, self.clock, "n-1"
+        )
+        question = pool_messages.ExecutorsAsked(3, 4, "n-2")
+        reader._handle(question, self.now - 2.0)
+        self.assertEqual((self.sent, pool.calls), ([], []))
+
+    def test_readings_of_others_are_merged_while_the_store_fails(self):
+        task, pool = self.make_follower()
+        pool.responses = [newest_response(("i-1", self.entry)), Response(503)]
+        task._poll_once()
+        task._poll_once()
+        sent = self.merge(task, 9, 11, ("", b""), ("i-2", self.entry))
+        self.assertEqual(sent, ["ExecutorsListed", "ExecutorsRead"])
+        names = [spec.name for spec in self.sent[0].executors]
+        self.assertEqual(names, ["i-1", "i-2"])
+        self.assertEqual(self.sent[1], (9.9, 11, 2, "n-2"))
+        # A lower offset, and changes after one that is not known.
+        for since, offset in ((9, 10), (-1, 10), (12, 13)):
+            self.assertEqual(self.merge(task, since, offset), [])
+        self.assertEqual(self.merge(task, 11, 11), ["ExecutorsRead"])
+
+    def test_entry_that_is_gone_at_another_instance_is_removed(self):
+        task, pool = self.make_follower()
+        pool.responses = [newest_response(("i-1", self.entry)), Response(503)]
+        task._poll_once()
+        task._poll_once()
+        for _ in range(8):
+            self.now += 0.4
+            self.merge(task, -1, 9)
+        self.assertEqual(task._executors, {})
+
+    def test_store_counts_as_failing_after_two_readings(self):
+        task, pool = self.make_follower()
+        fault = Response(503)
+        page = newest_response(("i-1", self.entry))
+        pool.responses = [fault, page, fault, fault, page]
+        states = []
+        for _ in range(5):
+            task._poll_once()
+            states.append(self.sent[-1].state)
+        failing, readable = executor_readings.FAILING, 2
+        expected = [failing, readable, readable, failing, readable]
+        self.assertEqual(states, expected)
+
+
 class MemberFollowerTest(unittest.TestCase):
     def test_invalid_member_is_ignored_and_logged_once(self):
         # Each read logged it again, with the whole of its value.
