Peers: messages about readings of the list of executors

Heartbeats say whether the sender can read the store, so that members of the version before are not asked; they close a link on an unknown method.

--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
@@ -180,6 +180,7 @@
         executors_digest=state.executors_digest,
         evacuation_offset=state.evacuation.offset,
         evacuation_digest=state.evacuation_digest,
+        store_state=state.store_state,
     )
     msg = pool_messages.SendToMembers(addresses, heartbeat)
     return messages.Send(pool_messages.LINKS, msg)
@@ -224,7 +225,7 @@
         sends.append(messages.Send(pool_messages.GATEWAY, offer))
     if changed:
         sends += fleet_views.publish(state, now)
-    return sends + _report_executors(peer, msg)
+    return sends + _report_executors(peer, msg) + _report_store(peer, msg)
 
 
 def _find_peer(state, msg, now):
@@ -304,6 +305,17 @@
     return [messages.Send(pool_messages.GATEWAY, held)]
 
 
+def _report_store(peer, msg):
+    """Tell the planner whether a member can read the store, if it changed."""
+    if peer.store_state == msg.store_state:
+        return []
+    peer.store_state = msg.store_state
+    changed = pool_messages.StoreStateChanged(
+        peer.member.name, peer.member.started, msg.store_state
+    )
+    return [messages.Send(pool_messages.PLANNER, changed)]
+
+
 def _handle_link_failure(state, msg, now):
     if not msg.refused:
         return ()
@@ -363,6 +375,11 @@
     return ()
 
 
+def _set_store_state(state, msg, _):
+    state.store_state = msg.state
+    return ()
+
+
 def _confirm_batches(state, msg, _):
     state.batches_confirmed = msg
     return ()
@@ -399,4 +416,5 @@
     pool_messages.DropsPending: _note_pending_drops,
     pool_messages.RemotePeerUsed: _add_remote_peer,
     pool_messages.ShardChanged: _set_shard,
+    pool_messages.StoreStateChanged: _set_store_state,
 }
--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet_state.py
@@ -7,6 +7,7 @@
 
 from cardamompath_core import evacuation
 from cardamompath_core import executor_digests
+from cardamompath_core import executor_readings
 from cardamompath_core import planner_election
 from cardamompathd import pool_messages
 
@@ -54,6 +55,8 @@
     evacuation_offset: int = evacuation.OFF.offset
     evacuation_digest: int = executor_digests.UNKNOWN
     """Offset and digest of the evacuated domains that the sender knows."""
+    store_state: int = executor_readings.UNSUPPORTED
+    """Whether the sender can read the list of executors from the store."""
 
 
 class Peer:
@@ -69,6 +72,7 @@
         "member",
         "reported_backlog",
         "sent_at",
+        "store_state",
         "timeout",
     )
 
@@ -88,6 +92,8 @@
         """The backlog that was last reported to the gateway, in seconds."""
         self.executors_digest = executor_digests.UNKNOWN
         """Of the executors that it holds, as last reported to the gateway."""
+        self.store_state = executor_readings.UNSUPPORTED
+        """Whether it can read the store, as last reported to the planner."""
 
 
 class FleetState:
@@ -105,6 +111,8 @@
         self.backlog = 0.0
         self.executors_digest = executor_digests.UNKNOWN
         """Of the executors that the planner of this instance holds."""
+        self.store_state = executor_readings.UNSUPPORTED
+        """Whether this instance can read the list of executors."""
         self.batches_confirmed = pool_messages.BatchesConfirmed(-math.inf, 0)
         """When the callers of the batches of this instance were seen."""
         self.peers: dict[str, Peer] = {}
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -11,6 +11,7 @@
 
 from cardamompath_core import batches
 from cardamompath_core import evacuation
+from cardamompath_core import executor_readings
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompathd import messages
@@ -60,6 +61,7 @@
     executors_digest: int = 0
     evacuation_offset: int = evacuation.OFF.offset
     evacuation_digest: int = 0
+    store_state: int = executor_readings.UNSUPPORTED
 
 
 class StepFields(NamedTuple):
@@ -196,9 +198,33 @@
     domains: list[str]
 
 
+class ExecutorsQuestionFields(NamedTuple):
+    """A request to read the list of executors."""
+
+    number: int
+    since: int
+    origin: str
+
+
+class ExecutorsAnswerFields(NamedTuple):
+    """One part of what was read."""
+
+    number: int
+    member: str
+    readable: int
+    since: int
+    offset: int
+    part: int
+    parts: int
+    keys: list[str]
+    values: list[bytes]
+    """The value of each key."""
+
+
 _TEXT_LIST = (Thrift.TType.LIST, (Thrift.TType.STRING, "UTF8", False))
 _I32_LIST = (Thrift.TType.LIST, (Thrift.TType.I32, None, False))
 _I64_LIST = (Thrift.TType.LIST, (Thrift.TType.I64, None, False))
+_BINARY_LIST = (Thrift.TType.LIST, (Thrift.TType.STRING, "BINARY", False))
 wire.declare(
     HeartbeatFields,
     wire.TEXT,
@@ -222,6 +248,7 @@
     wire.I64,
     wire.I64,
     wire.I64,
+    wire.I32,
 )
 wire.declare(
     StepFields,
@@ -305,6 +332,24 @@
 wire.declare(OutcomesFields, _TEXT_LIST, _TEXT_LIST)
 wire.declare(ConfigurationFields, wire.I64, wire.BINARY)
 wire.declare(EvacuationFields, wire.I64, _TEXT_LIST)
+wire.declare(
+    ExecutorsQuestionFields,
+    wire.I64,
+    wire.I64,
+    wire.TEXT,
+)
+wire.declare(
+    ExecutorsAnswerFields,
+    wire.I64,
+    wire.TEXT,
+    wire.I32,
+    wire.I64,
+    wire.I64,
+    wire.I32,
+    wire.I32,
+    _TEXT_LIST,
+    _BINARY_LIST,
+)
 
 _HEARTBEAT = wire.Method("hello", HeartbeatFields, HeartbeatFields)
 _PLAN = wire.Method("plan", PlanFields, PlanFields)
@@ -321,6 +366,12 @@
     "configuration", ConfigurationFields, ConfigurationFields
 )
 _EVACUATION = wire.Method("evacuation", EvacuationFields, EvacuationFields)
+_EXECUTORS_QUESTION = wire.Method(
+    "executors_asked", ExecutorsQuestionFields, ExecutorsQuestionFields
+)
+_EXECUTORS_ANSWER = wire.Method(
+    "executors_answered", ExecutorsAnswerFields, ExecutorsAnswerFields
+)
 _METHODS = {
     method.name: method
     for method in (
@@ -335,6 +386,8 @@
         _OUTCOMES,
         _CONFIGURATION,
         _EVACUATION,
+        _EXECUTORS_QUESTION,
+        _EXECUTORS_ANSWER,
     )
 }
 
@@ -389,6 +442,7 @@
         msg.executors_digest,
         msg.evacuation_offset,
         msg.evacuation_digest,
+        msg.store_state,
     )
 
 
@@ -417,6 +471,7 @@
         fields.executors_digest,
         fields.evacuation_offset,
         fields.evacuation_digest,
+        fields.store_state,
     )
 
 
@@ -657,6 +712,47 @@
     return pool_messages.EvacuationRead(known)
 
 
+def _encode_executors_question(msg):
+    return ExecutorsQuestionFields(msg.number, msg.since, msg.origin)
+
+
+def _decode_executors_question(fields):
+    return pool_messages.ExecutorsAsked(*fields)
+
+
+def _encode_executors_answer(msg):
+    answer = msg.answer
+    return ExecutorsAnswerFields(
+        answer.number,
+        answer.member,
+        int(answer.is_readable),
+        answer.since,
+        answer.offset,
+        answer.part,
+        answer.parts,
+        [entry.key for entry in answer.entries],
+        [entry.value for entry in answer.entries],
+    )
+
+
+def _decode_executors_answer(fields):
+    if len(fields.keys) != len(fields.values):
+        raise ValueError(f"{len(fields.values)} values")
+    # The planner checks it; closing the link would lose heartbeats.
+    pairs = zip(fields.keys, fields.values, strict=True)
+    answer = executor_readings.Answer(
+        fields.number,
+        fields.member,
+        bool(fields.readable),
+        fields.since,
+        fields.offset,
+        fields.part,
+        fields.parts,
+        tuple(executor_readings.Entry(*pair) for pair in pairs),
+    )
+    return pool_messages.ExecutorsAnswered(answer)
+
+
 _ENCODERS = {
     fleet_state.Heartbeat: (_HEARTBEAT, _encode_heartbeat),
     pool_messages.PlanBatch: (_PLAN, _encode_plan),
@@ -678,6 +774,14 @@
         lambda msg: ConfigurationFields(*msg),
     ),
     pool_messages.EvacuationRead: (_EVACUATION, _encode_evacuation),
+    pool_messages.ExecutorsAsked: (
+        _EXECUTORS_QUESTION,
+        _encode_executors_question,
+    ),
+    pool_messages.ExecutorsAnswered: (
+        _EXECUTORS_ANSWER,
+        _encode_executors_answer,
+    ),
 }
 _DECODERS = {
     "hello": (pool_messages.FLEET, _decode_heartbeat),
@@ -691,4 +795,6 @@
     "outcomes": (pool_messages.PLANNER, _decode_outcomes),
     "configuration": (pool_messages.CONFIGURATIONS, _decode_configuration),
     "evacuation": (pool_messages.GATEWAY, _decode_evacuation),
+    "executors_asked": (pool_messages.PLANNER, _decode_executors_question),
+    "executors_answered": (pool_messages.PLANNER, _decode_executors_answer),
 }
