--- a/packages/daemon/src/cardamompathd/controllers/planner/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/__init__.py
@@ -19,6 +19,7 @@
     "planner_permissions",
     "planner_placement",
     "planner_plans",
+    "planner_readings",
     "planner_restarts",
     "planner_roles",
     "planner_runs",
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -30,6 +30,7 @@
 from cardamompathd.controllers.planner import planner_outcomes
 from cardamompathd.controllers.planner import planner_permissions
 from cardamompathd.controllers.planner import planner_plans
+from cardamompathd.controllers.planner import planner_readings
 from cardamompathd.controllers.planner import planner_roles
 from cardamompathd.controllers.planner import planner_runs
 from cardamompathd.controllers.planner import planner_state
@@ -96,7 +97,7 @@
         if handler is None:
             return ()
         sends = [*handler(state, msg, now)]
-        if type(msg) in _CONFIRMATIONS:
+        if type(msg) in _CONFIRMATIONS or type(msg) in _EXCHANGES:
             # So frequent that tasks that may start now wait for the tick.
             return sends
         if type(msg) in (messages.TimerFired, pool_messages.FleetChanged):
@@ -116,6 +117,7 @@
     sends = [messages.Send(messages.TIMERS, due)]
     if state.active_since is None:
         return sends
+    sends += planner_readings.ask(state, now)
     sends += planner_permissions.drop_unpermitted(state, now)
     planner_permissions.update_common_lease(state, now)
     sends += planner_leases.check_leases(state, now)
@@ -447,10 +449,21 @@
     pool_messages.BatchesConfirmed,
     pool_messages.PlanningPermitted,
 )
+_EXCHANGES = (
+    pool_messages.ExecutorsAsked,
+    pool_messages.SendToMember,
+    pool_messages.StoreStateChanged,
+)
 _HANDLERS = {
     messages.TimerFired: _tick,
     pool_messages.FleetChanged: _update_fleet,
     pool_messages.ExecutorsListed: _update_listing,
+    pool_messages.OwnListRead: planner_readings.note_own_reading,
+    pool_messages.ExecutorsRead: planner_readings.note_reading,
+    pool_messages.StoreStateChanged: planner_readings.note_store_state,
+    pool_messages.ExecutorsAsked: planner_readings.forward_question,
+    pool_messages.ExecutorsAnswered: planner_readings.handle_answer,
+    pool_messages.SendToMember: planner_readings.forward_answer,
     pool_messages.EvacuationInForce: planner_evacuation.handle_change,
     pool_messages.PlanBatch: _plan_batch,
     pool_messages.PlanningPermitted: planner_permissions.handle_permission,
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -5,6 +5,7 @@
 import collections
 import operator
 
+from cardamompath_core import executor_readings
 from cardamompath_core import executors
 from cardamompathd.controllers.planner import planner_crashes
 from cardamompathd.controllers.planner import planner_leases
@@ -12,6 +13,7 @@
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_permissions
 from cardamompathd.controllers.planner import planner_placement
+from cardamompathd.controllers.planner import planner_readings
 from cardamompathd.controllers.planner import planner_runs
 
 __all__ = [
@@ -23,7 +25,7 @@
 lease, and the time until an instance counts as missing."""
 LISTING_TIMEOUT = 0.3
 """Seconds until the executors are listed; after that the store counts as down,
-and the last known list is used."""
+and the last known list is used, unless another instance can read the store."""
 
 
 def dispatch(state, now):
@@ -129,12 +131,20 @@
 def _is_listing_current(state, now):
     """Return whether the executors were listed since planning began.
 
-    An older list may show executors as ready that are draining by now.
+    An older list may show executors as ready that are draining by now.  A
+    list without the time of its reading counts as read when it arrived.
     """
-    is_listed = (
-        state.listed_at is not None and state.listed_at >= state.began_at
+    if state.readings.own_state == executor_readings.UNSUPPORTED:
+        is_listed = (
+            state.listed_at is not None and state.listed_at >= state.began_at
+        )
+    else:
+        is_listed = state.readings.read_at >= state.began_at
+    if is_listed:
+        return True
+    return now > state.began_at + LISTING_TIMEOUT and (
+        planner_readings.is_listed(state, now)
     )
-    return is_listed or now > state.began_at + LISTING_TIMEOUT
 
 
 def _may_start(state, plan, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
@@ -5,6 +5,7 @@
 from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompathd.controllers.planner import planner_health
+from cardamompathd.controllers.planner import planner_readings
 
 __all__ = [
     "choose_executor",
@@ -24,6 +25,8 @@
         or executor.orphans
     ):
         return False
+    if planner_readings.is_too_old(state, now):
+        return False
     return is_available(state, executor, now)
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_roles.py
@@ -16,6 +16,7 @@
 from cardamompathd.controllers.planner import planner_leases
 from cardamompathd.controllers.planner import planner_listings
 from cardamompathd.controllers.planner import planner_log
+from cardamompathd.controllers.planner import planner_readings
 
 __all__ = [
     "PASSIVE_TIME",
@@ -193,6 +194,7 @@
 def _begin_planning(state, now):
     state.active_since = now
     state.began_at = now
+    planner_readings.begin(state)
     state.idle_members = idle_members(state.fleet)
     fields = {
         "listed": len(state.listed),
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
@@ -13,6 +13,7 @@
 from cardamompath_core import cancellations
 from cardamompath_core import evacuation
 from cardamompath_core import executor_digests
+from cardamompath_core import executor_readings
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
@@ -114,6 +115,17 @@
         """Whether every live executor is listed."""
         self.listing_requested_at = -math.inf
         """When a reading of the list was last asked for."""
+        self.readings = executor_readings.Knowledge()
+        """How recent the list is, and what other instances know of it."""
+        self.asked_at = -math.inf
+        """When other instances were last asked for the list."""
+        self.list_source = "own"
+        """By which reading tasks are started, see `planner_readings`."""
+        self.question_times: dict[str, float] = {}
+        """When instances lately asked this one for the list, by name."""
+        self.invalid_answers = 0
+        """Number of answers of other instances that were dropped."""
+        self.invalid_answer_logged_at = -math.inf
         self.executors: dict[str, planner_executors.ExecutorState] = {}
         """The executors that this planner claims, by name."""
         self.evacuation = known_evacuation
--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -173,13 +173,19 @@
     tell_fleet = app.controllers[pool_messages.FLEET]
     tell_gateway = app.controllers[pool_messages.GATEWAY]
     executor_follower = followers.ExecutorFollower(
-        store.make_client(cfg.store_address), tell_planner, clock
+        store.make_client(cfg.store_address),
+        tell_planner,
+        clock,
+        tell_planner,
+    )
+    executor_reader = followers.ExecutorReader(
+        store.make_client(cfg.store_address), tell_planner, clock, cfg.name
     )
     app.receivers[pool_messages.CONFIGURATIONS] = _make_offer_handler(
         tell_gateway
     )
-    app.receivers[pool_messages.LISTINGS] = lambda msg: (
-        executor_follower.set_planning(msg.planning)
+    app.receivers[pool_messages.LISTINGS] = _make_listing_receiver(
+        executor_follower, executor_reader
     )
     tasks = (
         followers.ConfigurationFollower(
@@ -188,6 +194,7 @@
             cfg.evacuation_bound,
         ),
         executor_follower,
+        executor_reader,
         followers.MemberFollower(
             store.make_client(cfg.store_address),
             cfg.name,
@@ -225,6 +232,16 @@
     return make_token
 
 
+def _make_listing_receiver(follower, reader):
+    def receive(msg):
+        if isinstance(msg, pool_messages.ExecutorsAsked):
+            reader.receive(msg)
+        else:
+            follower.receive(msg)
+
+    return receive
+
+
 def _make_offer_handler(tell):
     def handle(msg):
         followers.send_configuration(msg.document, "a peer", tell)
