Planner: number questions from the start time of the process

A restarted instance began with question 1 again, so that an answer to its former process could count as of a later time.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_readings.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_readings.py
@@ -25,6 +25,9 @@
 MIN_QUESTION_INTERVAL = 0.2
 """Minimum number of seconds between two questions of one instance that are
 answered; half the interval at which it asks."""
+QUESTIONS_PER_MS = 1000
+"""Numbers of questions for each millisecond of the start time of a process;
+far more than are asked in it."""
 INVALID_LOG_INTERVAL = 10.0
 """Minimum number of seconds between two log lines about answers that were
 dropped; an instance with a fault repeats them with each question."""
@@ -42,8 +45,15 @@
 
 
 def begin(state):
-    """Forget what was asked in an earlier term of this planner."""
-    state.readings.asking_since = None
+    """Forget what was asked in an earlier term of this planner.
+
+    Questions of a former process of this instance had lower numbers, so that
+    no answer to one of them counts.
+    """
+    known = state.readings
+    known.asking_since = None
+    first = state.fleet.own_member.started * QUESTIONS_PER_MS
+    known.last_number = max(known.last_number, first)
     state.list_source = OWN
 
 
