Peers: answer only with entries that mean something else

Executors write their entries every 1.5 s. An instance that is asked now keeps what it has read for 2 s and compares what entries mean. The members that answer are asked again, as the first answer of each is the whole list.

Measured: in virtual time, with 8 executors, a rejection of 9 s sends at most 27 entries in all answers.

--- a/packages/core/src/cardamompath_core/executor_readings.py
+++ b/packages/core/src/cardamompath_core/executor_readings.py
@@ -8,7 +8,9 @@
 
 import math
 import operator
+from collections.abc import Callable
 from collections.abc import Iterable
+from typing import Any
 from typing import NamedTuple
 
 from cardamompath_core import planner_election
@@ -21,6 +23,7 @@
     "READABLE",
     "UNSUPPORTED",
     "Answer",
+    "Changes",
     "Entry",
     "Knowledge",
     "Question",
@@ -28,14 +31,17 @@
     "add_answer",
     "applies",
     "awaits_peers",
+    "changes_since",
     "choose_peers",
     "is_due",
     "is_listed",
     "is_too_old",
     "make_answers",
     "make_question",
+    "note_changes",
     "note_own_reading",
     "note_reading",
+    "restart_changes",
 ]
 
 ASK_AGE = 0.8
@@ -131,6 +137,78 @@
     entries: tuple[Entry, ...]
 
 
+class Changes:
+    """Entries of the list at an instance that reads it for others.
+
+    Executors write their entries again and again.  Only those that mean
+    something else than before have changed.
+    """
+
+    def __init__(self):
+        self.since = NO_OFFSET
+        """Offset from which on every change is known."""
+        self.offset = NO_OFFSET
+        """Offset up to which entries are known."""
+        self.read_at = -math.inf
+        """When they were last read, in seconds."""
+        self.entries: dict[str, tuple[int, Entry, Any]] = {}
+        """The offset of the last change, the entry and its meaning, by key."""
+
+
+def restart_changes(
+    changes: Changes,
+    entries: Iterable[Entry],
+    offset: int,
+    describe: Callable[[str, bytes], Any],
+) -> None:
+    """Keep all present entries, with no changes before.
+
+    Parameters
+    ----------
+    changes : Changes
+        The state.
+    entries : iterable of Entry
+        The newest entry of each key.
+    offset : int
+        Offset after the last one.
+    describe : callable
+        Takes a key and a value; returns what they mean, which is compared.
+    """
+    changes.since = changes.offset = offset
+    changes.entries = {
+        entry.key: (offset, entry, describe(*entry)) for entry in entries
+    }
+
+
+def note_changes(
+    changes: Changes,
+    entries: Iterable[Entry],
+    describe: Callable[[str, bytes], Any],
+) -> None:
+    """Keep the entries that were written from the last known offset on."""
+    for entry in entries:
+        changes.offset += 1
+        meaning = describe(*entry)
+        before = changes.entries.get(entry.key)
+        if before is None or before[2] != meaning:
+            kept = (changes.offset, entry, meaning)
+            changes.entries[entry.key] = kept
+
+
+def changes_since(changes: Changes, offset: int) -> Reading:
+    """Return what changed after an offset, or all that there is."""
+    if not changes.since <= offset <= changes.offset:
+        present = (entry for _, entry, _ in changes.entries.values())
+        entries = tuple(entry for entry in present if entry.value)
+        return Reading(NO_OFFSET, changes.offset, entries)
+    later = tuple(
+        entry
+        for changed_at, entry, _ in changes.entries.values()
+        if changed_at > offset
+    )
+    return Reading(offset, changes.offset, later)
+
+
 class Knowledge:
     """What a planner knows of readings of the list of executors."""
 
@@ -156,6 +234,8 @@
         """The last questions, by number."""
         self.asked_at: dict[str, float] = {}
         """When each instance was last asked, by its name."""
+        self.answered_at: dict[str, float] = {}
+        """When instances lately sent a reading, by name."""
         self.parts: dict[tuple[int, str], dict[int, Answer]] = {}
         """Parts of answers that are incomplete, by question and instance."""
 
@@ -197,9 +277,10 @@
 ) -> tuple[planner_election.Member, ...]:
     """Return the instances to ask next, at most `MAX_ASKED`.
 
-    Those that can read the store come first, then those that were not asked
-    for the longest time.  One of each failure domain comes before a second
-    one of any, and another domain before the own.
+    Those that can read the store come first, then those that sent a reading
+    lately, as they need not send all entries again, then those that were not
+    asked for the longest time.  One of each failure domain comes before a
+    second one of any, and another domain before the own.
     """
     ranked = []
     for peer in peers:
@@ -207,7 +288,8 @@
         if state in (FAILING, READABLE):
             asked_at = known.asked_at.get(peer.name, -math.inf)
             is_own = peer.domain == own_domain
-            ranked.append((-state, asked_at, is_own, peer.name, peer))
+            is_new = peer.name not in known.answered_at
+            ranked.append((-state, is_new, asked_at, is_own, peer.name, peer))
     ranked.sort()
     chosen: list[tuple[int, planner_election.Member]] = []
     second: list[tuple[int, planner_election.Member]] = []
@@ -237,6 +319,11 @@
         if now < asked_at + FORGET_TIME
     }
     known.asked_at.update(dict.fromkeys(names, now))
+    known.answered_at = {
+        name: answered_at
+        for name, answered_at in known.answered_at.items()
+        if now < answered_at + MAX_AGE
+    }
     for number in list(known.questions)[:-MAX_QUESTIONS]:
         del known.questions[number]
     known.parts = {
@@ -338,17 +425,11 @@
         entry for part in range(answer.parts) for entry in parts[part].entries
     ]
     reading = Reading(answer.since, answer.offset, tuple(entries))
-    if reading.since != NO_OFFSET and (
-        reading.offset - reading.since != len(entries)
-    ):
-        raise ValueError(
-            f"{len(entries)!r} entries from offset {reading.since!r} to "
-            f"{reading.offset!r}"
-        )
     if reading.offset < known.offset:
         # It is older than the list, whichever way the instance reads.
         return None
     known.readable_at = now
+    known.answered_at[answer.member] = now
     return reading, question.asked_at
 
 
@@ -383,9 +464,8 @@
 def applies(known_offset: int, reading: Reading) -> bool:
     """Return whether a list as of an offset can be brought to a reading.
 
-    The higher offset wins.  Entries that the list already includes are
-    followed by all later ones, so that applying them again leads to the list
-    as of the offset of the reading.
+    The higher offset wins.  A reading has the last state of every entry that
+    changed after its first offset, so that it may begin before the list ends.
     """
     if reading.offset < known_offset:
         return False
--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -58,6 +58,9 @@
 QUESTION_TIMEOUT = 0.25
 """Seconds for a call to the store on behalf of another instance, which should
 not wait longer for it than for its own list if the store is down."""
+KEEP_TIME = 2.0
+"""Seconds for which entries are kept for the next question; executors write
+theirs every 1.5 s, so that after a longer time it is less to read all."""
 FAILED_READS = 2
 """Readings in a row that fail until this instance tells others that it cannot
 read the store; the first may have been on a connection that went silent."""
@@ -473,7 +476,8 @@
     """Reads the list of executors for other instances that ask for it.
 
     It has a connection of its own, so that a poll to which the store is
-    silent delays no answer.
+    silent delays no answer.  While it is asked, it keeps what it has read, to
+    answer with what has changed.
 
     Parameters
     ----------
@@ -499,6 +503,7 @@
         self._report = report
         self._clock = clock
         self._instance_name = name
+        self._changes = executor_readings.Changes()
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
 
     def receive(self, question: pool_messages.ExecutorsAsked) -> None:
@@ -556,37 +561,52 @@
             return None
 
     def _read_since(self, since):
-        if since != executor_readings.NO_OFFSET:
-            try:
-                records, offset = self._client.read_changes(
-                    EXECUTOR_TOPIC, since, QUESTION_TIMEOUT
+        changes = self._changes
+        now = self._clock()
+        is_kept = now <= changes.read_at + KEEP_TIME
+        try:
+            if is_kept:
+                records, _ = self._client.read_changes(
+                    EXECUTOR_TOPIC, changes.offset, QUESTION_TIMEOUT
                 )
-                return _make_reading(since, offset, records)
-            except errors.RecordsExpired:
-                loguru.logger.debug(
-                    "store: executors: {!r} is no longer kept", since
+                executor_readings.note_changes(
+                    changes, map(_make_entry, records), _describe
                 )
-        records, offset = self._client.read_newest(
-            EXECUTOR_TOPIC, QUESTION_TIMEOUT
-        )
-        return _make_reading(executor_readings.NO_OFFSET, offset, records)
+        except errors.RecordsExpired:
+            is_kept = False
+        if not is_kept:
+            records, offset = self._client.read_newest(
+                EXECUTOR_TOPIC, QUESTION_TIMEOUT
+            )
+            entries = map(_make_entry, records)
+            executor_readings.restart_changes(
+                changes, entries, offset, _describe
+            )
+        changes.read_at = now
+        return executor_readings.changes_since(changes, since)
 
 
-def _make_reading(since, offset, records):
-    """Return records as a reading for another instance.
+def _make_entry(record):
+    """Return a record as an entry for another instance.
 
-    One that can name no executor is sent empty, as the number of entries has
-    to match the offsets.  A value that is too large stays an invalid one.
+    One that can name no executor has an empty key, and a value that is too
+    large stays an invalid one.
     """
-    entries = []
-    for key, value in records:
-        if not documents.is_executor_name(key):
-            entries.append(executor_readings.Entry("", b""))
-        elif len(value) > documents.MAX_ENTRY_BYTES:
-            entries.append(executor_readings.Entry(key, store.UNREADABLE))
-        else:
-            entries.append(executor_readings.Entry(key, value))
-    return executor_readings.Reading(since, offset, tuple(entries))
+    if not documents.is_executor_name(record.key):
+        return executor_readings.Entry("", b"")
+    if len(record.value) > documents.MAX_ENTRY_BYTES:
+        return executor_readings.Entry(record.key, store.UNREADABLE)
+    return executor_readings.Entry(*record)
+
+
+def _describe(key, value):
+    """Return the executor that an entry names, or why it names none."""
+    if not value:
+        return "gone"
+    try:
+        return documents.parse_executor(key, value)
+    except errors.BadDocument:
+        return "invalid"
 
 
 class MemberFollower(_Follower):
--- a/packages/daemon/src/cardamompathd/tests/test_executor_readings.py
+++ b/packages/daemon/src/cardamompathd/tests/test_executor_readings.py
@@ -21,6 +21,8 @@
 """Seconds for which a draining executor may be given work."""
 RESIZE_TIME = 3.8
 """Seconds for which a capacity that has shrunk may be filled."""
+WRITE_INTERVAL = 1.5
+"""Seconds between two entries of an executor."""
 EXCHANGED = (pool_messages.ExecutorsAsked, pool_messages.ExecutorsAnswered)
 
 
@@ -181,6 +183,8 @@
         self.earlier = earlier
         self.tasks = {}
         self.readers = {}
+        self.sent_entries = 0
+        """Entries in these messages."""
         self.sent = collections.Counter()
         """Messages about readings between instances, by type and receiver."""
         self.last_number = 0
@@ -191,13 +195,19 @@
 
     def add_instance(self, name, domain, started):
         if not self.store.records:
-            for executor in self.executors.values():
-                self.store.publish(executor.spec)
+            self.write_entries()
         instance = super().add_instance(name, domain, started)
         self.tasks[name] = FollowerTask(self, instance)
         self.readers[name] = ReaderTask(self, instance)
         return instance
 
+    def write_entries(self):
+        """Have all executors write their entries, now and regularly."""
+        for executor in self.executors.values():
+            if not executor.unreachable:
+                self.store.publish(executor.spec)
+        self.schedule(WRITE_INTERVAL, self.write_entries)
+
     def send_listing(self, instance):
         """Leave it to the followers."""
 
@@ -216,6 +226,8 @@
             msg = msg._replace(msg=pool_codec.decode(raw).msg)
         if isinstance(msg.msg, pool_messages.ExecutorsAsked):
             self.last_number = msg.msg.number
+        elif isinstance(msg.msg, pool_messages.ExecutorsAnswered):
+            self.sent_entries += len(msg.msg.answer.entries)
         if not isinstance(msg.msg, self.lost_messages):
             super()._deliver_to_peer(instance, msg)
 
@@ -293,6 +305,8 @@
         sent = self.simulation.sent.copy()
         questions = 9.0 / executor_readings.ASK_INTERVAL
         self.assertLessEqual(max(sent.values()), 3 * questions)
+        # The whole list, and one change, from each of those that are asked.
+        self.assertLessEqual(self.simulation.sent_entries, 3 * (8 + 1))
         self.advance(2.0)
         self.assertEqual(self.simulation.sent, sent)
 
