Platform: count no change as known that is later than its offset

A reading of the newest records may include later ones than the offset that it names. They were equal when they were read again, so that an instance at that offset did not get the change. The records from the offset on are now read at once, and changes count from there.

--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -552,7 +552,7 @@
         self._client.reconnect()
         try:
             return self._read_since(question.since)
-        except errors.StoreUnavailable as exc:
+        except (errors.RecordsExpired, errors.StoreUnavailable) as exc:
             loguru.logger.debug(
                 "store: executors: question of {!r}: {}",
                 question.origin,
@@ -561,29 +561,36 @@
             return None
 
     def _read_since(self, since):
-        changes = self._changes
         now = self._clock()
-        is_kept = now <= changes.read_at + KEEP_TIME
-        try:
-            if is_kept:
-                records, _ = self._client.read_changes(
-                    EXECUTOR_TOPIC, changes.offset, QUESTION_TIMEOUT
-                )
-                executor_readings.note_changes(
-                    changes, map(_make_entry, records), _describe
-                )
-        except errors.RecordsExpired:
-            is_kept = False
-        if not is_kept:
-            records, offset = self._client.read_newest(
-                EXECUTOR_TOPIC, QUESTION_TIMEOUT
-            )
-            entries = map(_make_entry, records)
-            executor_readings.restart_changes(
-                changes, entries, offset, _describe
-            )
-        changes.read_at = now
-        return executor_readings.changes_since(changes, since)
+        if now <= self._changes.read_at + KEEP_TIME:
+            try:
+                self._read_changes()
+            except errors.RecordsExpired:
+                self._read_all()
+        else:
+            self._read_all()
+        self._changes.read_at = now
+        return executor_readings.changes_since(self._changes, since)
+
+    def _read_all(self):
+        records, offset = self._client.read_newest(
+            EXECUTOR_TOPIC, QUESTION_TIMEOUT
+        )
+        executor_readings.restart_changes(
+            self._changes, map(_make_entry, records), offset, _describe
+        )
+        # Some of the records may be later than the offset.  They would not
+        # count as changed once they are read from there.
+        self._read_changes()
+        self._changes.since = self._changes.offset
+
+    def _read_changes(self):
+        records, _ = self._client.read_changes(
+            EXECUTOR_TOPIC, self._changes.offset, QUESTION_TIMEOUT
+        )
+        executor_readings.note_changes(
+            self._changes, map(_make_entry, records), _describe
+        )
 
 
 def _make_entry(record):
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -306,7 +306,7 @@
     def test_changes_since_an_offset_are_answered(self):
         self.make_reader()
         entries = (("i-1", self.entry), ("i-2", self.entry))
-        answer = self.ask(9, newest_response(*entries))
+        answer = self.ask(9, newest_response(*entries), read_response())
         self.assertEqual(answer[2:], (True, 9, 9, 0, 1, ()))
         bad = ("x\n", b"7")
         huge = ("i-2", b"1" * (documents.MAX_ENTRY_BYTES + 1))
@@ -320,12 +320,20 @@
 
     def test_all_entries_are_answered_if_an_offset_is_not_kept(self):
         self.make_reader()
-        page = newest_response(("i-1", self.entry))
+        pages = newest_response(("i-1", self.entry)), read_response()
         whole = (-1, 9, 0, 1, (("i-1", self.entry),))
-        self.assertEqual(self.ask(3, page)[3:], whole)
-        self.assertEqual(self.ask(-1, Response(410), page)[3:], whole)
+        self.assertEqual(self.ask(3, *pages)[3:], whole)
+        self.assertEqual(self.ask(-1, Response(410), *pages)[3:], whole)
         self.now += followers.KEEP_TIME + 0.1
-        self.assertEqual(self.ask(8, page)[3:], whole)
+        self.assertEqual(self.ask(8, *pages)[3:], whole)
+
+    def test_page_that_is_later_than_its_offset_hides_no_change(self):
+        # The change was in the page, and equal when it was read again, so
+        # that an instance at the offset of the page never learned of it.
+        self.make_reader()
+        later = ("i-1", json.dumps({**ENTRY, "state": "draining"}).encode())
+        answer = self.ask(9, newest_response(later), read_response(later))
+        self.assertEqual(answer[3:], (-1, 10, 0, 1, (later,)))
 
     def test_instance_that_cannot_read_says_so(self):
         faults = (
