--- a/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
@@ -31,6 +31,8 @@
 service."""
 
 ANSWERED = "answered"
+LIST_SOURCE = "executor list"
+"""Event that tells by which reading of the executors tasks are started."""
 EVACUATIONS = {"evacuation in force": 1, "evacuation ended": 0}
 """Events that tell of evacuated failure domains, and the value of the metric
 that they set for each of these."""
@@ -54,6 +56,7 @@
         self._evacuations: dict[str, int] = {}
         self._shares: dict[str, dict[str, list[float]]] = {}
         """Figures of the groups by service, as reported last."""
+        self._list_source = ""
 
     def count(self, decision: pool_messages.Decision) -> None:
         """Count a decision."""
@@ -62,6 +65,8 @@
             self._event_counts[key] += 1
         if decision.event in EVACUATIONS:
             self._set_evacuations(decision)
+        if decision.event == LIST_SOURCE:
+            self._list_source = decision.fields["source"]
         if decision.event == ANSWERED:
             self._count_response_time(
                 decision.fields["state"], decision.fields["age_ms"]
@@ -95,6 +100,14 @@
             for domain, value in self._evacuations.copy().items()
         ]
 
+    def list_sources(self) -> list[tuple[float, dict[str, str]]]:
+        """Return 1 for the reading of the executors that is in use.
+
+        It is empty as long as this was always an own one.
+        """
+        source = self._list_source
+        return [(1.0, {"source": source})] if source else []
+
     def event_counts(self) -> list[tuple[float, dict[str, str]]]:
         """Return the count of each decision with its labels."""
         return [
@@ -193,5 +206,12 @@
             "scarce, in percent of the capacity of the service.",
             lambda _: counts.share_figures(),
         ),
+        metrics.Instrument(
+            "gauge",
+            "cardamompath.executor_list",
+            "",
+            "By which reading of the executors tasks are started, by source.",
+            lambda _: counts.list_sources(),
+        ),
         *metrics.PROCESS_INSTRUMENTS,
     )
