Placement: fit tasks to uneven executors, keep room for large ones

Short batches and late ones took fast executors, and batches that need these started where they could only be late. Large tasks waited while smaller ones took each gap.

The planner computes the chance of a batch to be in time from the spread of run times.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -27,6 +27,7 @@
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_outcomes
 from cardamompathd.controllers.planner import planner_permissions
+from cardamompathd.controllers.planner import planner_placement
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import planner_roles
 from cardamompathd.controllers.planner import planner_runs
@@ -297,6 +298,7 @@
         return planner_runs.finish_batch(state, plan, outcome, now)
     planner_estimates.estimate_plan(state, plan, now)
     planner_estimates.record_demand(state, plan, now)
+    planner_placement.record_demand(state, plan, now)
     if not plan.may_have_started and planner_admission.would_be_late(
         state, plan, now
     ):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -12,6 +12,7 @@
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_permissions
 from cardamompathd.controllers.planner import planner_placement
+from cardamompathd.controllers.planner import planner_reservations
 from cardamompathd.controllers.planner import planner_runs
 
 __all__ = [
@@ -28,28 +29,34 @@
 
 def dispatch(state, now):
     """Start the tasks that can start now; return the messages."""
+    sends = planner_reservations.drop_expired(state, now)
     waiting_plans = [
         candidate for candidate in state.plans.values() if candidate.waiting
     ]
     if not waiting_plans or not _is_listing_current(state, now):
-        return []
+        return sends
     planner_crashes.release_isolated(state, now)
     min_cpu = min(candidate.min_cpu for candidate in waiting_plans)
     usable = planner_placement.find_usable(state, min_cpu, now)
     if not usable and not state.isolated:
-        return []
+        return sends
     ranked = [
         (planner_order.rank(state, plan, now), plan)
         for plan in waiting_plans
         if _may_start(state, plan, now)
     ]
     ranked.sort(key=operator.itemgetter(0))
-    sends = []
+    keeps_room = state.policy.placement.reservations
+    mean_cpu = sum(each.min_cpu for each in waiting_plans) / len(waiting_plans)
     for _, plan in ranked:
         if planner_crashes.has_losses(state, plan):
             sends += _start_apart(state, plan, usable, min_cpu, now)
         elif usable:
             sends += _start_tasks(state, plan, usable, min_cpu, now)
+            if keeps_room and plan.waiting and usable:
+                sends += planner_reservations.reserve(
+                    state, plan, mean_cpu, now
+                )
         elif not state.isolated:
             break
     return sends
@@ -167,11 +174,11 @@
     """Start the waiting tasks of a batch that fit; return the messages."""
     sends = []
     placements = []
-    candidates = usable
+    candidates = planner_reservations.admit(state, plan, usable, now)
     while plan.waiting:
         task = plan.waiting[0]
         executor = planner_placement.choose_executor(
-            state, plan, task, candidates, now
+            state, plan, task, candidates, now, may_wait=True
         )
         if executor is None:
             break
@@ -191,6 +198,10 @@
             candidates = [item for item in candidates if item is not executor]
     if placements:
         sends.append(_log_sent_tasks(state, plan, placements, now))
+        if state.reservations:
+            sends += planner_reservations.note_starts(
+                state, plan, placements, now
+            )
     return sends
 
 
--- /dev/null
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_ends.py
@@ -0,0 +1,134 @@
+"""Forecast of when the runs of a planner end and what is free then."""
+
+from __future__ import annotations
+
+import math
+import operator
+
+from cardamompath_core import executors
+from cardamompath_core import placement
+from cardamompath_core import run_ends
+from cardamompathd.controllers.planner import planner_health
+
+__all__ = [
+    "EndForecasts",
+    "book",
+    "find_room",
+    "free_at",
+    "list_upcoming",
+]
+
+FORECAST_TIME = 0.02
+"""Seconds for which the forecast of an executor is kept unless its runs
+change; a third of the run time of a short task."""
+LIST_TIME = 0.001
+"""Seconds for which the list of all ends is kept, as events follow one another
+within a millisecond; executors whose runs have changed are passed over."""
+
+
+class EndForecasts:
+    """Forecasts that are kept for a while, as each event needs them."""
+
+    __slots__ = (
+        "booked",
+        "booked_at",
+        "by_executor",
+        "upcoming",
+        "upcoming_at",
+    )
+
+    def __init__(self):
+        self.by_executor: dict[str, tuple] = {}
+        """Runs of each executor, when they were forecast, and the ends."""
+        self.upcoming: list[tuple] = []
+        """When room gets free on each executor, and how much."""
+        self.upcoming_at = -math.inf
+        """When that was listed."""
+        self.booked: dict[str, executors.Resources] = {}
+        """Room that tasks wait for, by executor."""
+        self.booked_at = -math.inf
+        """The only moment for which that holds."""
+
+    def start(self, now: float) -> None:
+        """Empty what holds for one moment only."""
+        if self.booked_at != now:
+            self.booked_at = now
+            self.booked = {}
+
+
+def list_upcoming(state, is_usable, now):
+    """Return when room gets free on the usable executors, in order.
+
+    Each item has the expected time, the executor, its runs and its free
+    resources from then on.  It does not hold if the runs have changed since.
+    """
+    forecasts = state.end_forecasts
+    if now - forecasts.upcoming_at >= LIST_TIME:
+        forecasts.upcoming_at = now
+        upcoming = []
+        for executor in state.executors.values():
+            if executor.runs and is_usable(executor, now):
+                free = executor.free_resources
+                runs = tuple(executor.runs)
+                for ends_at, resources in _list_ends(state, executor, now):
+                    free = executors.add(free, resources)
+                    upcoming.append((ends_at, executor, runs, free))
+        upcoming.sort(key=operator.itemgetter(0))
+        forecasts.upcoming = upcoming
+    return forecasts.upcoming
+
+
+def book(state, executor, resources):
+    """Book room on an executor for a task that waits for it."""
+    booked = state.end_forecasts.booked
+    name = executor.spec.name
+    known = booked.get(name, executors.Resources())
+    booked[name] = executors.add(known, resources)
+
+
+def find_room(state, executor, resources, now):
+    """Return when a task is expected to fit on an executor, or None."""
+    runs = [
+        placement.RunLeft(freed, max(0.0, ends_at - now))
+        for ends_at, freed in _list_ends(state, executor, now)
+    ]
+    return placement.find_room(resources, executor.free_resources, runs)
+
+
+def free_at(state, executor, at, now):
+    """Return the resources that are expected to be free at a time."""
+    free = executor.free_resources
+    for ends_at, freed in _list_ends(state, executor, now):
+        if ends_at <= at:
+            free = executors.add(free, freed)
+    return free
+
+
+def _list_ends(state, executor, now):
+    """Return when runs are expected to end and what they free, in order."""
+    runs = tuple(executor.runs)
+    by_executor = state.end_forecasts.by_executor
+    if len(by_executor) > placement.MAX_REMEMBERED:
+        by_executor.clear()
+    known = by_executor.get(executor.spec.name)
+    if (
+        known is not None
+        and known[0] == runs
+        and now - known[1] < FORECAST_TIME
+    ):
+        return known[2]
+    slowdown = planner_health.slowdown(executor)
+    ends = []
+    for plan, task in executor.runs.values():
+        step = plan.batch.steps[task.step]
+        usual = slowdown * state.run_times.expected(
+            plan.batch.policy.route, executor.spec.model, step.estimate, now
+        )
+        has_size = plan.size_samples > 0
+        if has_size:
+            usual *= math.exp(plan.log_size)
+        left = run_ends.remaining(now - task.started_at, usual, has_size)
+        ends.append((now + left.expected, step.resources))
+    ends.sort(key=operator.itemgetter(0))
+    by_executor[executor.spec.name] = (runs, now, ends)
+    return ends
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 from cardamompath_core import executors
+from cardamompath_core import placement
+from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_health
 
 __all__ = [
     "choose_executor",
+    "expected_time",
     "find_usable",
     "has_room",
     "is_usable",
+    "list_rooms",
+    "make_target",
+    "record_demand",
 ]
 
 
@@ -47,10 +53,13 @@
     )
 
 
-def choose_executor(state, plan, task, usable, now):
-    """Return the usable executor that is expected to run a task fastest.
+def choose_executor(state, plan, task, usable, now, may_wait=False):
+    """Return the usable executor on which a task starts, None if none fits.
 
-    Among equal ones, return the one that has the least CPU left over.
+    It is the one that is expected to run the task fastest, and among equal
+    ones the one that has the least CPU left over; or, if the policy is to
+    fit, the one with the lowest `placement.score`.  If the task may wait, it
+    is None as well if a better executor is expected to have room in time.
     """
     step = plan.batch.steps[task.step]
     route = plan.batch.policy.route
@@ -58,6 +67,8 @@
     best = None
     best_key = None
     run_times = {}
+    is_fitting = state.policy.placement.fitting
+    score = None
     for executor in usable:
         spec = executor.spec
         if spec.service != service or not executors.fits(
@@ -81,9 +92,22 @@
         )
         if step.rack and step.rack not in spec.labels:
             run_time *= state.remote_rack_factor
-        key = (run_time, executor.free_resources.cpu - step.resources.cpu)
+        cpu_left = executor.free_resources.cpu - step.resources.cpu
+        if not is_fitting:
+            key = (run_time, cpu_left)
+        else:
+            if score is None:
+                # Made only if anything fits, as most tasks wait for room.
+                score = _make_score(state, plan, task, now)
+            key = score(spec.model, run_time, cpu_left)
         if best is None or key < best_key:
             best, best_key = executor, key
+    if (
+        may_wait
+        and score is not None
+        and _awaits_better(state, plan, task, best_key, score, now)
+    ):
+        return None
     return best
 
 
@@ -93,3 +117,158 @@
         for run in executor.runs
         if run.batch == plan.name and run.step == task.step
     )
+
+
+def record_demand(state, plan, now):
+    """Count how much a new batch gains by faster executors."""
+    if not state.policy.placement.fitting:
+        return
+    step = plan.batch.steps[0]
+    service = plan.batch.policy.service
+    models = _order_models(state, plan, step, now)
+    target = make_target(state, plan, plan.tasks[0], now)
+    chances = [
+        placement.chance_in_time(target, 0.0, run_time)
+        for run_time, _ in models
+    ]
+    rate = 0.0
+    for number, (run_time, model) in enumerate(models[:-1]):
+        rate += (
+            sum(
+                count * executors.count_fitting(step.resources, capacity)
+                for (name, other, capacity), count in state.pool.items()
+                if other == model and name == service
+            )
+            / run_time
+        )
+        if rate > 0.0:
+            gain = chances[number] - chances[number + 1]
+            work = max(0.0, gain) * len(plan.waiting) / rate
+            state.fast_demand.add(service, model, work, now)
+
+
+def expected_time(state, plan, task, executor, now):
+    """Return the expected seconds of a task on an executor."""
+    step = plan.batch.steps[task.step]
+    spec = executor.spec
+    run_time = state.run_times.expected(
+        plan.batch.policy.route, spec.model, step.estimate, now
+    ) * planner_health.slowdown(executor)
+    if step.rack and step.rack not in spec.labels:
+        run_time *= state.remote_rack_factor
+    return run_time
+
+
+def make_target(state, plan, task, now):
+    """Return the time objective of a task."""
+    policy = plan.batch.policy
+    best_time, since = plan.expected_time, plan.submitted_at
+    if task.step > 0:
+        # When the earlier steps should have ended is not known.
+        step = plan.batch.steps[task.step]
+        times = _order_models(state, plan, step, now)
+        best_time, since = times[0][0] if times else best_time, now
+    return placement.Target(
+        now - since, best_time, policy.stretch, policy.slack
+    )
+
+
+def list_rooms(state, plan, task, now):
+    """Return the run time of a task on each executor, and when it fits."""
+    step = plan.batch.steps[task.step]
+    rooms = []
+    for executor in state.executors.values():
+        spec = executor.spec
+        if (
+            spec.service != plan.batch.policy.service
+            or spec.name in state.isolated
+            or spec.name in state.reservations
+            or not executors.fits(step.resources, spec.capacity)
+            or (step.label and step.label not in spec.labels)
+            or not is_usable(executor, now)
+        ):
+            continue
+        room = planner_ends.find_room(state, executor, step.resources, now)
+        if room is not None:
+            run_time = expected_time(state, plan, task, executor, now)
+            rooms.append((spec.name, run_time, executor.free_resources, room))
+    return rooms
+
+
+def _make_score(state, plan, task, now):
+    """Return the function that scores an executor for a task."""
+    step = plan.batch.steps[task.step]
+    service = plan.batch.policy.service
+    prices = {}
+    price = 0.0
+    for _, model in reversed(_order_models(state, plan, step, now)):
+        if prices:
+            price = max(price, state.fast_demand.price(service, model, now))
+        prices[model] = price
+    target = make_target(state, plan, task, now)
+
+    def score(model, run_time, cpu_left, wait=0.0):
+        chance = placement.chance_in_time(target, wait, run_time)
+        return placement.score(
+            chance, prices.get(model, 0.0), run_time, cpu_left
+        )
+
+    return score
+
+
+def _order_models(state, plan, step, now):
+    """Return the run times of a step by model, the fastest first."""
+    policy = plan.batch.policy
+    names = {
+        model for service, model, _ in state.pool if service == policy.service
+    }
+    return sorted(
+        (
+            state.run_times.expected(policy.route, name, step.estimate, now),
+            name,
+        )
+        for name in names
+    )
+
+
+def _awaits_better(state, plan, task, key, score, now):
+    """Return whether a task waits for an executor that is busy.
+
+    The room that it waits for is booked, so that those behind it do not wait
+    for the same.
+    """
+    loss = key[0] - placement.MIN_WAIT_GAIN
+    if loss < 0.0:
+        return False
+    step = plan.batch.steps[task.step]
+    forecasts = state.end_forecasts
+    forecasts.start(now)
+    if len(forecasts.booked) >= placement.MAX_BOOKED:
+        return False
+    for ends_at, executor, runs, free in planner_ends.list_upcoming(
+        state, is_usable, now
+    ):
+        wait = max(0.0, ends_at - now)
+        if wait > placement.MAX_WAIT:
+            break
+        spec = executor.spec
+        if (
+            spec.service != plan.batch.policy.service
+            or not executors.fits(step.resources, free)
+            or runs != tuple(executor.runs)
+        ):
+            continue
+        booked = forecasts.booked.get(spec.name)
+        if booked is not None and not executors.fits(
+            executors.add(step.resources, booked), free
+        ):
+            continue
+        if step.label and step.label not in spec.labels:
+            continue
+        run_time = expected_time(state, plan, task, executor, now)
+        if run_time >= key[1]:
+            continue
+        if score(spec.model, run_time, 0, wait)[0] <= loss:
+            planner_ends.book(state, executor, step.resources)
+            return True
+    return False
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_roles.py
@@ -13,6 +13,7 @@
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_leases
 from cardamompathd.controllers.planner import planner_listings
 from cardamompathd.controllers.planner import planner_log
@@ -217,6 +218,9 @@
     ]
     state.executors.clear()
     state.isolated.clear()
+    state.reservations.clear()
+    state.reserve_after.clear()
+    state.end_forecasts = planner_ends.EndForecasts()
     dropped_count = len(state.plans)
     for plan in state.plans.values():
         if plan.may_have_started:
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
@@ -13,10 +13,12 @@
 from cardamompath_core import cancellations
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
+from cardamompath_core import placement
 from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
 from cardamompath_core import run_times
 from cardamompathd import pool_messages
+from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_executors
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import run_losses
@@ -151,6 +153,12 @@
         """Executors that are kept for suspect tasks, and their batches."""
         self.run_times = run_times.RunTimes()
         self.demand = batch_order.Demand()
+        self.end_forecasts = planner_ends.EndForecasts()
+        self.fast_demand = placement.FastDemand()
+        self.reservations: dict[str, placement.Reservation] = {}
+        """Room that is kept for batches, by the name of the executor."""
+        self.reserve_after: dict[str, float] = {}
+        """From when on a batch may get a reservation, by its name."""
         self.pool: collections.Counter = collections.Counter()
         """Number of usable executors by service, model and capacity."""
         self.no_quorum_since: float | None = None
--- a/packages/daemon/src/cardamompathd/tests/load_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/load_simulation.py
@@ -53,6 +53,7 @@
     priority: int
     patience: float
     """Seconds until the caller gives up."""
+    max_width: int = 1000
 
 
 KINDS = (
@@ -63,6 +64,51 @@
 """Those of the users' sites, at their mean rates."""
 
 
+class Site(NamedTuple):
+    """The executors, and the sizes of the tasks."""
+
+    capacities: tuple[int, ...] = (EXECUTOR_CPU,)
+    """Thousandths of a core; executors have them in turn."""
+    models: tuple[str, ...] = ("slow", "fast", "fast", "fast")
+    """Models that executors have in turn."""
+    speeds: dict[str, float] = SPEEDS
+    """Speed of an executor by its model."""
+    task_cpu: float = 6800
+    """Mean thousandths of a core of a task."""
+    max_task_cpu: int = 10000
+    kinds: tuple[Kind, ...] = KINDS
+
+
+def make_uneven_site(slow: float, fast: float, executor_count: int) -> Site:
+    """Return a site of uneven executors, loaded to what can be packed.
+
+    Two of three executors are slow, and independently of that two of three
+    have 32 cores, the others 48.  The routes share the work as in `KINDS`.
+    """
+    speed = (2.0 * slow + fast) / 3.0
+    capacity = executor_count * speed * (2 * 32 + 48) / 3.0
+    straggling = 1.0 + STRAGGLER_SHARE * (STRAGGLER_FACTOR - 1.0)
+    rate = PACKED_SHARE * capacity / (16.0 * straggling)
+    kinds = (
+        Kind("short", 0.21 * rate / 0.44, 8.0, 0.055, 0.0, 0, 1.5, 32),
+        Kind("usual", 0.51 * rate / 0.37, 2.0, 0.185, 0.0, 1, 1.5, 8),
+        Kind("long", 0.28 * rate / 3.32, 4.0, 0.83, 0.0, 2, 1.5, 16),
+    )
+    return Site(
+        (32000, 32000, 48000),
+        ("slow",) * 6 + ("fast",) * 3,
+        {"slow": slow, "fast": fast},
+        16000,
+        24000,
+        kinds,
+    )
+
+
+PACKED_SHARE = 0.8
+"""Share of all cores that tasks of 16 cores on average can take, as two of
+them do not always fit into 32 cores."""
+
+
 class Count(NamedTuple):
     """What the callers of one kind got, as shares of its requests."""
 
@@ -76,25 +122,48 @@
     """Mean seconds until a refusal."""
 
 
+SITE = Site()
+
+
 class _Request:
-    def __init__(self, kind, tasks, at):
+    def __init__(self, kind, tasks, cpu, best_speed, at):
         self.kind = kind
         self.tasks = tasks
         """Seconds of each task at speed 1."""
+        self.cpu = cpu
+        self.best_speed = best_speed
+        self.starts = {}
+        """When each task first started, by its index."""
         self.submitted_at = at
         self.ended_at = math.inf
         self.state = "open"
 
     @property
     def objective(self):
-        return STRETCH * max(self.tasks) / SPEEDS["fast"] + SLACK
+        return STRETCH * max(self.tasks) / self.best_speed + SLACK
+
+    @property
+    def work(self):
+        """Return its core-seconds at speed 1, which are its worth."""
+        return sum(self.tasks) * self.cpu / 1000.0
+
+    @property
+    def worth(self):
+        """Return the share of its worth that its caller got."""
+        elapsed = self.ended_at - self.submitted_at
+        if self.state != batches.COMPLETE:
+            return 0.0
+        if elapsed <= self.objective:
+            return 1.0
+        return 0.2 if elapsed <= LATE_FACTOR * self.objective else 0.0
 
 
 class _Executor:
-    def __init__(self, number):
-        model = "slow" if number % 4 == 0 else "fast"
-        capacity = executors.Resources(EXECUTOR_CPU, 32768)
-        self.speed = SPEEDS[model]
+    def __init__(self, number, site):
+        model = site.models[number % len(site.models)]
+        cpu = site.capacities[number % len(site.capacities)]
+        capacity = executors.Resources(cpu, 32768)
+        self.speed = site.speeds[model]
         self.spec = executors.Executor(
             f"x{number}",
             "desk",
@@ -121,13 +190,22 @@
     load : float
         Factor on the rates of the requests.
     executor_count : int
-        Number of executors, a quarter of them slow.
+        Number of executors.
+    site : Site
+        The executors, the kinds of requests and the sizes of their tasks.
+    policy : PoolPolicy, optional
+        Choices of the planner.
     """
 
-    def __init__(self, seed=1, load=1.0, executor_count=24, kinds=KINDS):
+    def __init__(
+        self, seed=1, load=1.0, executor_count=24, site=SITE, policy=None
+    ):
         self.rng = random.Random(seed)
         self.load = load
-        self.kinds = kinds
+        self.site = site
+        self.kinds = site.kinds
+        self.decisions = []
+        """The lines of the decision log, in order."""
         self.now = 100.0
         self.events = []
         self.sequence = itertools.count()
@@ -135,10 +213,14 @@
         self.start_count = 0
         self.executors = {
             executor.spec.name: executor
-            for executor in map(_Executor, range(executor_count))
+            for executor in (
+                _Executor(number, site) for number in range(executor_count)
+            )
         }
         tokens = itertools.count(7)
-        controller = planner.make_controller("n-a", lambda: next(tokens), 0.0)
+        controller = planner.make_controller(
+            "n-a", lambda: next(tokens), 0.0, policy=policy
+        )
         self.receive = controller.receive
         member = planner_election.Member("n-a", "a", ("a", 1), 1)
         specs = tuple(each.spec for each in self.executors.values())
@@ -154,7 +236,10 @@
         """Let callers send requests for some seconds, then let all end."""
         for kind in self.kinds:
             self._schedule_next(kind, self.now + seconds)
-        end = self.now + seconds + 6.0
+        self.run_until(self.now + seconds + 6.0)
+
+    def run_until(self, end):
+        """Let time pass."""
         while self.events and self.events[0][0] <= end:
             self.now, _, action, args = heapq.heappop(self.events)
             action(*args)
@@ -168,22 +253,31 @@
     def _submit(self, kind, until):
         rng = self.rng
         width = max(1, round(kind.width * _lognormal(rng, SPREAD)))
+        width = min(width, kind.max_width)
         size = kind.run_time * _lognormal(rng, SPREAD)
         if rng.random() < STRAGGLER_SHARE:
             size *= STRAGGLER_FACTOR
         tasks = [size * _lognormal(rng, TASK_SPREAD) for _ in range(width)]
-        cpu = min(10000, round(6800 * _lognormal(rng, 0.2)))
-        name = f"{kind.route}{len(self.requests)}"
-        self.requests[name] = _Request(kind, tasks, self.now)
+        cpu = round(self.site.task_cpu * _lognormal(rng, 0.2))
+        cpu = min(self.site.max_task_cpu, cpu)
         estimate = size * _lognormal(rng, SPREAD)
-        step = batches.Step(width, executors.Resources(cpu, 64), estimate)
+        self.submit(kind, tasks, cpu, estimate)
+        self._schedule_next(kind, until)
+
+    def submit(self, kind, tasks, cpu, estimate):
+        """Have the planner told of a request; return its name."""
+        name = f"{kind.route}{len(self.requests)}"
+        self.requests[name] = _Request(
+            kind, tasks, cpu, max(self.site.speeds.values()), self.now
+        )
+        step = batches.Step(len(tasks), executors.Resources(cpu, 64), estimate)
         policy = batches.RoutePolicy(
             kind.route, "desk", kind.priority, 3, STRETCH, SLACK
         )
         batch = batches.Batch(name, "", (step,), policy)
         self.tell(pool_messages.PlanBatch(batch, "n-a", 0.0, kind.patience, 0))
         self.schedule(kind.patience, self._give_up, name)
-        self._schedule_next(kind, until)
+        return name
 
     def _give_up(self, name):
         if self.requests[name].state == "open":
@@ -195,6 +289,8 @@
 
     def _route(self, send):
         msg = send.msg
+        if isinstance(msg, pool_messages.Decision):
+            self.decisions.append(msg)
         if send.to == messages.TIMERS:
             fired = messages.TimerFired(msg.key)
             self.schedule(msg.at - self.now, self.tell, fired)
@@ -213,7 +309,9 @@
         executor = self.executors[msg.executor.name]
         executor.runs.add(msg.run)
         self.start_count += 1
-        run_time = self.requests[msg.run.batch].tasks[msg.run.index]
+        request = self.requests[msg.run.batch]
+        request.starts.setdefault(msg.run.index, self.now)
+        run_time = request.tasks[msg.run.index]
         self.schedule(
             run_time / executor.speed,
             self._end,
@@ -266,6 +364,15 @@
         )
         self.schedule(LATENCY, self.tell, answer)
 
+    def share_of(self, route):
+        """Return the share of the batches of a route that are in time."""
+        worths = [
+            each.worth
+            for each in self.requests.values()
+            if each.kind.route == route
+        ]
+        return worths.count(1.0) / len(worths)
+
     def count(self, route):
         """Return what the callers of a kind got."""
         requests = [
@@ -294,6 +401,36 @@
         )
 
 
+def share_of_worth(requests):
+    """Return the share of the worth of requests that callers got."""
+    asked = sum(each.work for each in requests)
+    return sum(each.work * each.worth for each in requests) / asked
+
+
+def find_waits(requests):
+    """Return the waits of the started tasks in order, in seconds."""
+    return sorted(
+        start - each.submitted_at
+        for each in requests
+        for start in each.starts.values()
+    )
+
+
+def group_by_size(requests):
+    """Return those with the largest tenth of the tasks, and a fifth below."""
+    ordered = sorted(requests, key=lambda each: each.cpu, reverse=True)
+    largest, below = [], []
+    total = sum(len(each.tasks) for each in ordered)
+    seen = 0
+    for each in ordered:
+        if seen < 0.1 * total:
+            largest.append(each)
+        elif seen < 0.3 * total:
+            below.append(each)
+        seen += len(each.tasks)
+    return largest, below
+
+
 def _lognormal(rng, spread):
     """Draw a factor with a mean of 1."""
     return math.exp(rng.gauss(-spread * spread / 2.0, spread))
--- a/packages/daemon/src/cardamompathd/tests/test_planner_load.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_load.py
@@ -7,11 +7,48 @@
 
 import unittest
 
+from cardamompath_core import pool_policy
 from cardamompathd.tests import load_simulation
 
 SECONDS = 12.0
 
 
+UNEVEN_SITE = load_simulation.make_uneven_site(0.7, 1.7, 44)
+
+
+class UnevenLoadTest(unittest.TestCase):
+    def play(self, **choices):
+        policy = pool_policy.PoolPolicy(
+            placement=pool_policy.PlacementPolicy(**choices)
+        )
+        simulation = load_simulation.LoadSimulation(
+            1, 0.8, 44, UNEVEN_SITE, policy
+        )
+        simulation.play(SECONDS)
+        return simulation
+
+    def test_batches_that_need_fast_executors_get_them(self):
+        # Long batches started where they could only be late, while a fast
+        # executor was about to have room.
+        before = self.play().share_of("long")
+        after = self.play(fitting=True)
+        self.assertGreater(after.share_of("long"), before + 0.15)
+        self.assertGreater(after.share_of("short"), 0.8)
+
+    def test_reservations_are_bounded_and_used(self):
+        # Room kept for many batches at a time takes it from all others.
+        decisions = self.play(reservations=True).decisions
+        count = highest = 0
+        for event in [each.event for each in decisions]:
+            if event == "reservation made":
+                count += 1
+                highest = max(highest, count)
+            elif event.startswith("reservation"):
+                count -= 1
+        self.assertEqual(highest, 1)
+        self.assertIn("reservation used", [e.event for e in decisions])
+
+
 class PlannerLoadTest(unittest.TestCase):
     def play(self, load, seed=1):
         simulation = load_simulation.LoadSimulation(seed, load)
