Placement: one booking per dispatch, log lines and texts

Two events at one moment booked the same room twice, so that a task left the wait that it had decided on. Bookings hold for one dispatch now; a test with a full rack fails without it.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -7,6 +7,7 @@
 
 from cardamompath_core import executors
 from cardamompathd.controllers.planner import planner_crashes
+from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_leases
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_order
@@ -46,6 +47,7 @@
         if _may_start(state, plan, now)
     ]
     ranked.sort(key=operator.itemgetter(0))
+    state.end_forecasts.booked.clear()
     keeps_room = state.policy.placement.reservations
     mean_cpu = sum(each.min_cpu for each in waiting_plans) / len(waiting_plans)
     for _, plan in ranked:
@@ -59,7 +61,7 @@
                 )
         elif not state.isolated:
             break
-    return sends
+    return sends + planner_ends.take_decisions(state)
 
 
 def _start_apart(state, plan, usable, min_cpu, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_ends.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_ends.py
@@ -16,6 +16,7 @@
     "find_room",
     "free_at",
     "list_upcoming",
+    "take_decisions",
 ]
 
 FORECAST_TIME = 0.02
@@ -31,8 +32,9 @@
 
     __slots__ = (
         "booked",
-        "booked_at",
         "by_executor",
+        "decisions",
+        "told",
         "upcoming",
         "upcoming_at",
     )
@@ -45,15 +47,19 @@
         self.upcoming_at = -math.inf
         """When that was listed."""
         self.booked: dict[str, executors.Resources] = {}
-        """Room that tasks wait for, by executor."""
-        self.booked_at = -math.inf
-        """The only moment for which that holds."""
-
-    def start(self, now: float) -> None:
-        """Empty what holds for one moment only."""
-        if self.booked_at != now:
-            self.booked_at = now
-            self.booked = {}
+        """Room that tasks wait for, by executor, as of this dispatch."""
+        self.told: set[str] = set()
+        """Batches of which it was logged that they wait for an executor."""
+        self.decisions: list = []
+        """Log lines that are not sent yet."""
+
+
+def take_decisions(state):
+    """Return the log lines of the tasks that wait for an executor."""
+    decisions = state.end_forecasts.decisions
+    if decisions:
+        state.end_forecasts.decisions = []
+    return decisions
 
 
 def list_upcoming(state, is_usable, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
@@ -6,6 +6,7 @@
 from cardamompath_core import placement
 from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_health
+from cardamompathd.controllers.planner import planner_log
 
 __all__ = [
     "choose_executor",
@@ -242,7 +243,6 @@
         return False
     step = plan.batch.steps[task.step]
     forecasts = state.end_forecasts
-    forecasts.start(now)
     if len(forecasts.booked) >= placement.MAX_BOOKED:
         return False
     for ends_at, executor, runs, free in planner_ends.list_upcoming(
@@ -270,5 +270,28 @@
             continue
         if score(spec.model, run_time, 0, wait)[0] <= loss:
             planner_ends.book(state, executor, step.resources)
+            _log_wait(state, plan, executor, wait, run_time, key, now)
             return True
     return False
+
+
+def _log_wait(state, plan, executor, wait, run_time, key, now):
+    """Log once for each batch that it waits for a busy executor."""
+    forecasts = state.end_forecasts
+    if plan.name in forecasts.told:
+        return
+    if len(forecasts.told) > placement.MAX_REMEMBERED:
+        forecasts.told.clear()
+    forecasts.told.add(plan.name)
+    forecasts.decisions.append(
+        planner_log.decision(
+            "waits for executor",
+            plan.name,
+            executor=executor.spec.name,
+            expected_ms=round(wait * 1000.0),
+            run_ms=round(run_time * 1000.0),
+            run_elsewhere_ms=round(key[1] * 1000.0),
+            loss_elsewhere=key[0],
+            age_ms=round((now - plan.submitted_at) * 1000.0),
+        )
+    )
--- a/packages/daemon/src/cardamompathd/settings/pool_table.py
+++ b/packages/daemon/src/cardamompathd/settings/pool_table.py
@@ -46,14 +46,16 @@
         "fastest",
         ("fastest", "fitting"),
         "Which executor a task starts on: the fastest with room, or one that "
-        "is fast enough and leaves the least room unused.",
+        "is fast enough; then a task waits a little for a fast one that it "
+        "needs to be in time.",
     ),
     table.make_choice(
         "placement",
         "reservations",
         "off",
         SWITCH,
-        "Whether room is kept for large tasks that wait.",
+        "Whether room on an executor on which runs end soon is kept for a "
+        "large task that waits; short runs fill it.",
     ),
     table.make_number(
         "placement",
@@ -63,7 +65,8 @@
         0.0,
         10.0,
         "seconds",
-        "Time for which room is kept at most.",
+        "Time for which room is kept at most; never longer than the "
+        "objective of the batch.",
     ),
 )
 
--- a/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
@@ -6,6 +6,7 @@
 from cardamompath_core import batches
 from cardamompath_core import executors
 from cardamompath_core import planner_election
+from cardamompath_core import pool_policy
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.fleet import fleet_views
@@ -23,11 +24,17 @@
 
 
 class DispatchTest(unittest.TestCase):
+    policy = None
+
     def setUp(self):
         self.now = 10.0
         tokens = itertools.count(7)
         controller = planner.make_controller(
-            "n-a", lambda: next(tokens), 0.0, REMOTE_RACK_FACTOR
+            "n-a",
+            lambda: next(tokens),
+            0.0,
+            REMOTE_RACK_FACTOR,
+            policy=self.policy,
         )
         self.receive = controller.receive
         self.sent = []
@@ -135,3 +142,23 @@
             if isinstance(msg, pool_messages.ShardChanged)
         ]
         self.assertEqual(changes, [pool_messages.ShardChanged(0)])
+
+
+class FittingTest(DispatchTest):
+    """The same with tasks that wait for a better executor."""
+
+    policy = pool_policy.PoolPolicy(
+        placement=pool_policy.PlacementPolicy(fitting=True)
+    )
+
+    def test_task_waits_for_its_rack_until_that_is_booked(self):
+        # Elsewhere it takes three times as long and is late; a second task
+        # that waited for the same room would be as late.
+        self.list_executors(
+            make_executor("x1", "r1", cpu=4000),
+            make_executor("x2", "r2"),
+        )
+        self.assertEqual(self.plan_batch("j1", rack="r1"), ["x1"])
+        self.now += 0.15
+        self.assertEqual(self.plan_batch("j2", rack="r1"), [])
+        self.assertEqual(self.plan_batch("j3", rack="r1"), ["x2"])
