--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -177,10 +177,12 @@
     sends = []
     placements = []
     candidates = planner_reservations.admit(state, plan, usable, now)
+    # A suspect task that waited would have an executor kept for it.
+    may_wait = not planner_crashes.has_losses(state, plan)
     while plan.waiting:
         task = plan.waiting[0]
         executor = planner_placement.choose_executor(
-            state, plan, task, candidates, now, may_wait=True
+            state, plan, task, candidates, now, may_wait
         )
         if executor is None:
             break
@@ -198,6 +200,11 @@
         if executor.free_resources.cpu < min_cpu:
             usable.remove(executor)
             candidates = [item for item in candidates if item is not executor]
+        if executor.spec.name in state.reservations:
+            # It has less room beside the reservation than before.
+            candidates = planner_reservations.admit(
+                state, plan, candidates, now
+            )
     if placements:
         sends.append(_log_sent_tasks(state, plan, placements, now))
         if state.reservations:
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_ends.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_ends.py
@@ -73,7 +73,11 @@
         forecasts.upcoming_at = now
         upcoming = []
         for executor in state.executors.values():
-            if executor.runs and is_usable(executor, now):
+            if (
+                executor.runs
+                and executor.spec.name not in state.isolated
+                and is_usable(executor, now)
+            ):
                 free = executor.free_resources
                 runs = tuple(executor.runs)
                 for ends_at, resources in _list_ends(state, executor, now):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
@@ -104,7 +104,7 @@
 
 def admit(state, plan, usable, now):
     """Return the executors that no reservation keeps from a batch."""
-    if not state.reservations:
+    if not state.reservations or not plan.waiting:
         return usable
     task = plan.waiting[0]
     barred = {
