--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -29,6 +29,7 @@
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_outcomes
 from cardamompathd.controllers.planner import planner_permissions
+from cardamompathd.controllers.planner import planner_placement
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import planner_readings
 from cardamompathd.controllers.planner import planner_roles
@@ -311,6 +312,7 @@
     if planner_evacuation.is_shut_out(state, plan, now):
         return planner_evacuation.refuse(state, plan, now)
     planner_shares.record_arrival(state, plan, now)
+    planner_placement.record_demand(state, plan, now)
     if not plan.may_have_started and planner_admission.would_be_late(
         state, plan, now
     ):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -8,12 +8,14 @@
 from cardamompath_core import executor_readings
 from cardamompath_core import executors
 from cardamompathd.controllers.planner import planner_crashes
+from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_leases
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_permissions
 from cardamompathd.controllers.planner import planner_placement
 from cardamompathd.controllers.planner import planner_readings
+from cardamompathd.controllers.planner import planner_reservations
 from cardamompathd.controllers.planner import planner_runs
 from cardamompathd.controllers.planner import planner_shares
 
@@ -31,31 +33,38 @@
 
 def dispatch(state, now):
     """Start the tasks that can start now; return the messages."""
+    sends = planner_reservations.drop_expired(state, now)
     waiting_plans = [
         candidate for candidate in state.plans.values() if candidate.waiting
     ]
     if not waiting_plans or not _is_listing_current(state, now):
-        return []
+        return sends
     planner_crashes.release_isolated(state, now)
     min_cpu = min(candidate.min_cpu for candidate in waiting_plans)
     usable = planner_placement.find_usable(state, min_cpu, now)
     if not usable and not state.isolated:
-        return []
+        return sends
     ranked = [
         (planner_order.rank(state, plan, now), plan)
         for plan in waiting_plans
         if _may_start(state, plan, now)
     ]
     ranked.sort(key=operator.itemgetter(0))
-    sends = []
+    state.end_forecasts.booked.clear()
+    keeps_room = state.policy.placement.reservations
+    mean_cpu = sum(each.min_cpu for each in waiting_plans) / len(waiting_plans)
     for _, plan in ranked:
         if planner_crashes.has_losses(state, plan):
             sends += _start_apart(state, plan, usable, min_cpu, now)
         elif usable:
             sends += _start_tasks(state, plan, usable, min_cpu, now)
+            if keeps_room and plan.waiting and usable:
+                sends += planner_reservations.reserve(
+                    state, plan, mean_cpu, now
+                )
         elif not state.isolated:
             break
-    return sends
+    return sends + planner_ends.take_decisions(state)
 
 
 def _start_apart(state, plan, usable, min_cpu, now):
@@ -178,11 +187,13 @@
     """Start the waiting tasks of a batch that fit; return the messages."""
     sends = []
     placements = []
-    candidates = usable
+    candidates = planner_reservations.admit(state, plan, usable, now)
+    # A suspect task that waited would have an executor kept for it.
+    may_wait = not planner_crashes.has_losses(state, plan)
     while plan.waiting:
         task = plan.waiting[0]
         executor = planner_placement.choose_executor(
-            state, plan, task, candidates, now
+            state, plan, task, candidates, now, may_wait
         )
         if executor is None:
             break
@@ -200,8 +211,17 @@
         if executor.free_resources.cpu < min_cpu:
             usable.remove(executor)
             candidates = [item for item in candidates if item is not executor]
+        if executor.spec.name in state.reservations:
+            # It has less room beside the reservation than before.
+            candidates = planner_reservations.admit(
+                state, plan, candidates, now
+            )
     if placements:
         sends.append(_log_sent_tasks(state, plan, placements, now))
+        if state.reservations:
+            sends += planner_reservations.note_starts(
+                state, plan, placements, now
+            )
     return sends
 
 
--- a/packages/daemon/src/cardamompathd/tests/test_planner_shares.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_shares.py
@@ -69,7 +69,8 @@
         # Without it 4 and 8 % of the usual and long batches had an answer.
         short, *others = load_simulation.KINDS
         kinds = (short._replace(rate=150.0), *others)
-        simulation = play(True, 1, 1.0, 6.0, kinds=kinds)
+        site = load_simulation.Site(kinds=kinds)
+        simulation = play(True, 1, 1.0, 6.0, site=site)
         self.assertGreater(simulation.count("usual").worth, 0.1)
         self.assertGreater(simulation.count("long").worth, 0.3)
         largest = simulation.largest("usual")
@@ -79,7 +80,7 @@
         simulation = load_simulation.LoadSimulation(
             2,
             6.0,
-            kinds=load_simulation.KINDS[1:2],
+            site=load_simulation.Site(kinds=load_simulation.KINDS[1:2]),
             policy=POLICIES[True],
             origins={"n-a": 1.0, "n-b": 1.0},
         )
