Metrics: cardamompath.forecast_error

Cause: errors of forecasts have to be seen. Change: the sizes of the errors in 'forecasts compared' are counted by bucket and summed. Measured: test_decisions passes.

--- a/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
@@ -27,6 +27,7 @@
 """Limit on the pairs of part and event that are counted."""
 
 ANSWERED = "answered"
+FORECASTS_COMPARED = "forecasts compared"
 
 
 class DecisionCounts:
@@ -40,6 +41,8 @@
         self._event_counts: collections.Counter = collections.Counter()
         self._bucket_counts: dict[str, list[int]] = {}
         self._time_sums: collections.Counter = collections.Counter()
+        self._error_buckets = [0] * (len(BOUNDS_MS) + 1)
+        self._error_sum = 0.0
 
     def count(self, decision: pool_messages.Decision) -> None:
         """Count a decision."""
@@ -50,6 +53,12 @@
             self._count_response_time(
                 decision.fields["state"], decision.fields["age_ms"]
             )
+        elif decision.event == FORECASTS_COMPARED:
+            for error_ms in decision.fields["errors_ms"]:
+                size_ms = abs(error_ms)
+                bucket = bisect.bisect_left(BOUNDS_MS, size_ms)
+                self._error_buckets[bucket] += 1
+                self._error_sum += size_ms / 1000.0
 
     def _count_response_time(self, state, age_ms):
         buckets = self._bucket_counts.setdefault(
@@ -69,14 +78,17 @@
         """Return the cumulative counts of the buckets for each outcome."""
         observations = []
         for state, buckets in self._bucket_counts.copy().items():
-            total = 0
-            for bound, count in zip(BOUNDS_MS, buckets, strict=False):
-                total += count
-                le = str(bound / 1000.0)
-                observations.append((total, {"state": state, "le": le}))
-            observations.append((sum(buckets), {"state": state, "le": "+Inf"}))
+            observations += _accumulate(buckets, {"state": state})
         return observations
 
+    def error_counts(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the cumulative counts of forecast errors by their size."""
+        return _accumulate(self._error_buckets.copy(), {})
+
+    def error_sum(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the sum of the sizes of forecast errors in seconds."""
+        return [(self._error_sum, {})]
+
     def time_sums(self) -> list[tuple[float, dict[str, str]]]:
         """Return the sum of the response times in seconds for each outcome."""
         return [
@@ -85,6 +97,18 @@
         ]
 
 
+def _accumulate(buckets, labels):
+    """Return the cumulative counts of buckets, with their upper bounds."""
+    total = 0
+    observations = []
+    for bound, count in zip(BOUNDS_MS, buckets, strict=False):
+        total += count
+        le = str(bound / 1000.0)
+        observations.append((total, {**labels, "le": le}))
+    observations.append((sum(buckets), {**labels, "le": "+Inf"}))
+    return observations
+
+
 def make_scrape(counts: DecisionCounts) -> Callable[[], str]:
     """Make the function that returns the metrics page."""
     exporters: list = []
@@ -125,5 +149,19 @@
             "Sum of the times of answers, by outcome.",
             lambda _: counts.time_sums(),
         ),
+        metrics.Instrument(
+            "counter",
+            "cardamompath.forecast_error.bucket",
+            "",
+            "Forecast starts that were wrong by at most `le` seconds.",
+            lambda _: counts.error_counts(),
+        ),
+        metrics.Instrument(
+            "counter",
+            "cardamompath.forecast_error.sum",
+            "s",
+            "Sum of the sizes of the errors of forecast starts.",
+            lambda _: counts.error_sum(),
+        ),
         *metrics.PROCESS_INSTRUMENTS,
     )
--- a/packages/daemon/src/cardamompathd/tests/test_decisions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_decisions.py
@@ -85,6 +85,18 @@
         )
         self.assertIn('le="+Inf",state="complete"} 3', page)
 
+    def test_page_shows_the_sizes_of_forecast_errors(self):
+        # Early and late starts would otherwise cancel each other out.
+        counts = pool_metrics.DecisionCounts()
+        fields = {"errors_ms": [-40, 15]}
+        counts.count(
+            pool_messages.Decision("planner", "forecasts compared", "", fields)
+        )
+        page = pool_metrics.make_scrape(counts)()
+        self.assertIn('error_bucket_total{le="0.02"} 1', page)
+        self.assertIn('error_bucket_total{le="0.05"} 2', page)
+        self.assertIn("error_sum_seconds_total 0.055", page)
+
     def test_series_are_limited(self):
         counts = pool_metrics.DecisionCounts()
         for number in range(2 * pool_metrics.MAX_SERIES):
