Planner: admission by forecast, [admission] forecast

Cause: batches were admitted that were late and delayed others. Change: planner_forecast keeps the events; a batch that finds no free executor is admitted if it can be in time, and refused once it cannot; Retry-After spreads callers. LoadSimulation takes a policy, stalled executors and single requests; its default traffic is unchanged.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -21,6 +21,7 @@
 from cardamompathd.controllers.planner import planner_crashes
 from cardamompathd.controllers.planner import planner_dispatch
 from cardamompathd.controllers.planner import planner_estimates
+from cardamompathd.controllers.planner import planner_forecast
 from cardamompathd.controllers.planner import planner_health
 from cardamompathd.controllers.planner import planner_leases
 from cardamompathd.controllers.planner import planner_listings
@@ -317,6 +318,7 @@
             tasks=len(plan.tasks),
             round=msg.round,
             age_ms=round(msg.age * 1000.0),
+            **planner_forecast.admission_fields(state, plan, now),
         ),
     ]
 
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
@@ -18,6 +18,7 @@
 from cardamompath_core import run_times
 from cardamompathd import pool_messages
 from cardamompathd.controllers.planner import planner_executors
+from cardamompathd.controllers.planner import planner_forecast
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import run_losses
 
@@ -151,6 +152,7 @@
         """Executors that are kept for suspect tasks, and their batches."""
         self.run_times = run_times.RunTimes()
         self.demand = batch_order.Demand()
+        self.forecast = planner_forecast.ForecastState()
         self.pool: collections.Counter = collections.Counter()
         """Number of usable executors by service, model and capacity."""
         self.no_quorum_since: float | None = None
--- a/packages/daemon/src/cardamompathd/settings/pool_table.py
+++ b/packages/daemon/src/cardamompathd/settings/pool_table.py
@@ -38,7 +38,8 @@
         "forecast",
         "off",
         SWITCH,
-        "Whether a batch is admitted by a forecast of when runs end.",
+        "Whether a batch that finds no free executor is admitted by a "
+        "forecast of when runs end, and only if it can be in time.",
     ),
     table.make_choice(
         "placement",
--- a/packages/daemon/src/cardamompathd/tests/load_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/load_simulation.py
@@ -122,9 +122,18 @@
         Factor on the rates of the requests.
     executor_count : int
         Number of executors, a quarter of them slow.
+    policy : PoolPolicy, optional
+        How batches share the executors; by default, all choices are off.
     """
 
-    def __init__(self, seed=1, load=1.0, executor_count=24, kinds=KINDS):
+    def __init__(
+        self,
+        seed=1,
+        load=1.0,
+        executor_count=24,
+        kinds=KINDS,
+        policy=None,
+    ):
         self.rng = random.Random(seed)
         self.load = load
         self.kinds = kinds
@@ -133,19 +142,30 @@
         self.sequence = itertools.count()
         self.requests = {}
         self.start_count = 0
+        self.started = set()
+        """Names of the batches of which a task has started."""
+        self.stalled = set()
+        """Names of the executors whose runs do not end."""
         self.executors = {
             executor.spec.name: executor
             for executor in map(_Executor, range(executor_count))
         }
         tokens = itertools.count(7)
-        controller = planner.make_controller("n-a", lambda: next(tokens), 0.0)
+        self.decisions = []
+        controller = planner.make_controller(
+            "n-a", lambda: next(tokens), 0.0, policy=policy
+        )
         self.receive = controller.receive
         member = planner_election.Member("n-a", "a", ("a", 1), 1)
-        specs = tuple(each.spec for each in self.executors.values())
-        self.tell(pool_messages.ExecutorsListed(specs, self.now))
+        self.list_executors(self.executors)
         self.tell(fleet_views.make_view(member, (member,), ()))
         self.tell(messages.TimerFired("start"))
 
+    def list_executors(self, names):
+        """Tell the planner which executors are registered."""
+        specs = tuple(self.executors[name].spec for name in names)
+        self.tell(pool_messages.ExecutorsListed(specs, self.now))
+
     def schedule(self, delay, action, *args):
         entry = (self.now + delay, next(self.sequence), action, args)
         heapq.heappush(self.events, entry)
@@ -154,7 +174,11 @@
         """Let callers send requests for some seconds, then let all end."""
         for kind in self.kinds:
             self._schedule_next(kind, self.now + seconds)
-        end = self.now + seconds + 6.0
+        self.run(seconds + 6.0)
+
+    def run(self, seconds):
+        """Let some seconds pass."""
+        end = self.now + seconds
         while self.events and self.events[0][0] <= end:
             self.now, _, action, args = heapq.heappop(self.events)
             action(*args)
@@ -173,17 +197,23 @@
             size *= STRAGGLER_FACTOR
         tasks = [size * _lognormal(rng, TASK_SPREAD) for _ in range(width)]
         cpu = min(10000, round(6800 * _lognormal(rng, 0.2)))
+        estimate = size * _lognormal(rng, SPREAD)
+        self.submit(kind, tasks, cpu, estimate)
+        self._schedule_next(kind, until)
+
+    def submit(self, kind, tasks, cpu, estimate):
+        """Send a request; return its name."""
         name = f"{kind.route}{len(self.requests)}"
         self.requests[name] = _Request(kind, tasks, self.now)
-        estimate = size * _lognormal(rng, SPREAD)
-        step = batches.Step(width, executors.Resources(cpu, 64), estimate)
+        resources = executors.Resources(cpu, 64)
+        step = batches.Step(len(tasks), resources, estimate)
         policy = batches.RoutePolicy(
             kind.route, "desk", kind.priority, 3, STRETCH, SLACK
         )
         batch = batches.Batch(name, "", (step,), policy)
         self.tell(pool_messages.PlanBatch(batch, "n-a", 0.0, kind.patience, 0))
         self.schedule(kind.patience, self._give_up, name)
-        self._schedule_next(kind, until)
+        return name
 
     def _give_up(self, name):
         if self.requests[name].state == "open":
@@ -195,12 +225,15 @@
 
     def _route(self, send):
         msg = send.msg
-        if send.to == messages.TIMERS:
+        if isinstance(msg, pool_messages.Decision):
+            self.decisions.append((self.now, msg))
+        elif send.to == messages.TIMERS:
             fired = messages.TimerFired(msg.key)
             self.schedule(msg.at - self.now, self.tell, fired)
         elif isinstance(msg, pool_messages.BatchEnded):
             request = self.requests[msg.name]
             request.state = msg.outcome.state
+            request.retry_after = msg.outcome.retry_after
             request.ended_at = self.now
         elif isinstance(msg, pool_messages.StartRun):
             self.schedule(LATENCY, self._start, msg)
@@ -212,6 +245,7 @@
     def _start(self, msg):
         executor = self.executors[msg.executor.name]
         executor.runs.add(msg.run)
+        self.started.add(msg.run.batch)
         self.start_count += 1
         run_time = self.requests[msg.run.batch].tasks[msg.run.index]
         self.schedule(
@@ -228,7 +262,7 @@
 
     def _end(self, name, run, state):
         executor = self.executors[name]
-        if run not in executor.runs:
+        if run not in executor.runs or (name in self.stalled and state):
             return
         executor.runs.remove(run)
         executor.ended.append(
