--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
@@ -22,6 +22,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_executors
+from cardamompathd.controllers.planner import planner_forecast
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import planner_shares
 from cardamompathd.controllers.planner import run_losses
@@ -179,6 +180,7 @@
         """Room that is kept for batches, by the name of the executor."""
         self.reserve_after: dict[str, float] = {}
         """From when on a batch may get a reservation, by its name."""
+        self.forecast = planner_forecast.ForecastState()
         self.pool: collections.Counter = collections.Counter()
         """Number of usable executors by service, model and capacity."""
         self.no_quorum_since: float | None = None
--- a/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
@@ -40,6 +40,7 @@
 PLANNING_ENDED = "ended to plan"
 SHARE_FIGURES = ("share", "use", "borrowed", "lent")
 """What a report tells of each group, in percent of the capacity."""
+FORECASTS_COMPARED = "forecasts compared"
 
 
 class DecisionCounts:
@@ -57,6 +58,8 @@
         self._shares: dict[str, dict[str, list[float]]] = {}
         """Figures of the groups by service, as reported last."""
         self._list_source = ""
+        self._error_buckets = [0] * (len(BOUNDS_MS) + 1)
+        self._error_sum = 0.0
 
     def count(self, decision: pool_messages.Decision) -> None:
         """Count a decision."""
@@ -77,6 +80,12 @@
             ]
         elif decision.event == PLANNING_ENDED:
             self._shares.clear()
+        elif decision.event == FORECASTS_COMPARED:
+            for error_ms in decision.fields["errors_ms"]:
+                size_ms = abs(error_ms)
+                bucket = bisect.bisect_left(BOUNDS_MS, size_ms)
+                self._error_buckets[bucket] += 1
+                self._error_sum += size_ms / 1000.0
 
     def _count_response_time(self, state, age_ms):
         buckets = self._bucket_counts.setdefault(
@@ -119,12 +128,7 @@
         """Return the cumulative counts of the buckets for each outcome."""
         observations = []
         for state, buckets in self._bucket_counts.copy().items():
-            total = 0
-            for bound, count in zip(BOUNDS_MS, buckets, strict=False):
-                total += count
-                le = str(bound / 1000.0)
-                observations.append((total, {"state": state, "le": le}))
-            observations.append((sum(buckets), {"state": state, "le": "+Inf"}))
+            observations += _accumulate(buckets, {"state": state})
         return observations
 
     def share_figures(self) -> list[tuple[float, dict[str, str]]]:
@@ -143,6 +147,14 @@
             for figure, value in zip(SHARE_FIGURES, figures, strict=True)
         ]
 
+    def error_counts(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the cumulative counts of forecast errors by their size."""
+        return _accumulate(self._error_buckets.copy(), {})
+
+    def error_sum(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the sum of the sizes of forecast errors in seconds."""
+        return [(self._error_sum, {})]
+
     def time_sums(self) -> list[tuple[float, dict[str, str]]]:
         """Return the sum of the response times in seconds for each outcome."""
         return [
@@ -151,6 +163,18 @@
         ]
 
 
+def _accumulate(buckets, labels):
+    """Return the cumulative counts of buckets, with their upper bounds."""
+    total = 0
+    observations = []
+    for bound, count in zip(BOUNDS_MS, buckets, strict=False):
+        total += count
+        le = str(bound / 1000.0)
+        observations.append((total, {**labels, "le": le}))
+    observations.append((sum(buckets), {**labels, "le": "+Inf"}))
+    return observations
+
+
 def make_scrape(counts: DecisionCounts) -> Callable[[], str]:
     """Make the function that returns the metrics page."""
     exporters: list = []
@@ -213,5 +237,19 @@
             "By which reading of the executors tasks are started, by source.",
             lambda _: counts.list_sources(),
         ),
+        metrics.Instrument(
+            "counter",
+            "cardamompath.forecast_error.bucket",
+            "",
+            "Forecast starts that were wrong by at most `le` seconds.",
+            lambda _: counts.error_counts(),
+        ),
+        metrics.Instrument(
+            "counter",
+            "cardamompath.forecast_error.sum",
+            "s",
+            "Sum of the sizes of the errors of forecast starts.",
+            lambda _: counts.error_sum(),
+        ),
         *metrics.PROCESS_INSTRUMENTS,
     )
--- a/packages/daemon/src/cardamompathd/tests/load_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/load_simulation.py
@@ -225,6 +225,10 @@
         self.start_count = 0
         self.cut_off = set()
         """Instances that do not reach the planner."""
+        self.started = set()
+        """Names of the batches of which a task has started."""
+        self.stalled = set()
+        """Names of the executors whose runs do not end."""
         self.executors = {
             executor.spec.name: executor
             for executor in (
@@ -241,8 +245,7 @@
             planner_election.Member(name, name[2:], (name, 1), 1)
             for name in sorted({"n-a", *self.origins})
         )
-        specs = tuple(each.spec for each in self.executors.values())
-        self.tell(pool_messages.ExecutorsListed(specs, self.now))
+        self.list_executors(self.executors)
         self.tell(fleet_views.make_view(self.members[0], self.members, ()))
         self.tell(messages.TimerFired("start"))
         for member in self.members[1:]:
@@ -258,6 +261,11 @@
             self.tell(permitted)
         self.schedule(PERMIT_INTERVAL, self._permit, name)
 
+    def list_executors(self, names):
+        """Tell the planner which executors are registered."""
+        specs = tuple(self.executors[name].spec for name in names)
+        self.tell(pool_messages.ExecutorsListed(specs, self.now))
+
     def schedule(self, delay, action, *args):
         entry = (self.now + delay, next(self.sequence), action, args)
         heapq.heappush(self.events, entry)
@@ -337,6 +345,7 @@
         elif isinstance(msg, pool_messages.BatchEnded):
             request = self.requests[msg.name]
             request.state = msg.outcome.state
+            request.retry_after = msg.outcome.retry_after
             request.ended_at = self.now
         elif isinstance(msg, pool_messages.StartRun):
             self.schedule(LATENCY, self._start, msg)
@@ -348,6 +357,7 @@
     def _start(self, msg):
         executor = self.executors[msg.executor.name]
         executor.runs.add(msg.run)
+        self.started.add(msg.run.batch)
         self.start_count += 1
         request = self.requests[msg.run.batch]
         request.starts.setdefault(msg.run.index, self.now)
@@ -366,7 +376,7 @@
 
     def _end(self, name, run, state):
         executor = self.executors[name]
-        if run not in executor.runs:
+        if run not in executor.runs or (name in self.stalled and state):
             return
         executor.runs.remove(run)
         executor.ended.append(
