--- a/packages/core/src/cardamompath_core/run_times.py
+++ b/packages/core/src/cardamompath_core/run_times.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "DEFAULT_TIME",
     "RunTimes",
 ]
 
