Heartbeats: an optional report of the planner's capacity

Cause: gateways learn of a planner's capacity by its heartbeats. Change: a heartbeat carries a report of at most 256 bytes as a Thrift struct in a binary field, to each member at most each 0.2 s; a malformed one is dropped without its heartbeat. Without a report the bytes are as before.

--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import collections
+import math
 
 from cardamompath_core import planner_election
+from cardamompath_core import room_reports
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.fleet import fleet_rates
@@ -70,6 +72,7 @@
         if silence > max(FORGET_TIME, 2.0 * peer.timeout):
             del state.peers[name]
             state.addresses.pop(peer.member.address, None)
+            state.room_sent_at.pop(peer.member.address, None)
             link = pool_messages.SetLink(peer.member.address, False)
             sends.append(messages.Send(pool_messages.LINKS, link))
             changed = True
@@ -105,13 +108,30 @@
             state.addresses[address] = now
             permission = permissions.get(address, ())
             lists = lists_all or address in new_addresses
-            groups[interval, permission, lists].append(address)
+            has_room = _is_room_due(state, address, now)
+            groups[interval, permission, lists, has_room].append(address)
     return [
         _make_heartbeat(state, tuple(group), *key, now)
         for key, group in groups.items()
     ]
 
 
+def _is_room_due(state, address, now):
+    """Return whether a heartbeat to an address carries a report.
+
+    One that was made long ago, as before a pause, is not sent.
+    """
+    if state.room is None or (
+        now > state.room.made_at + room_reports.STALE_TIME
+    ):
+        return False
+    sent_at = state.room_sent_at.get(address, -math.inf)
+    if now < sent_at + fleet_rates.ROOM_INTERVAL - TIMER_TOLERANCE:
+        return False
+    state.room_sent_at[address] = now
+    return True
+
+
 def _addresses_of_new_members(state, now):
     """Return the addresses that need to learn those of the others."""
     if now >= state.last_found_at + NEW_MEMBER_TIME:
@@ -159,7 +179,7 @@
 
 
 def _make_heartbeat(
-    state, addresses, interval, permission, lists_addresses, now
+    state, addresses, interval, permission, lists_addresses, has_room, now
 ):
     known_addresses: tuple[tuple[str, int], ...] = ()
     if lists_addresses:
@@ -174,7 +194,10 @@
         state.backlog,
         now if state.own_member.shard_number >= 0 else 0.0,
         *permission,
-    )._replace(executors_digest=state.executors_digest)
+    )._replace(
+        executors_digest=state.executors_digest,
+        room=state.room if has_room else None,
+    )
     msg = pool_messages.SendToMembers(addresses, heartbeat)
     return messages.Send(pool_messages.LINKS, msg)
 
@@ -213,6 +236,7 @@
         sends.append(messages.Send(pool_messages.GATEWAY, offer))
     if changed:
         sends += fleet_views.publish(state, now)
+    sends += _report_room(state, msg)
     return sends + _report_executors(peer, msg)
 
 
@@ -265,6 +289,23 @@
     return sends
 
 
+def _report_room(state, msg):
+    """Tell what a heartbeat says of the capacity of a planner."""
+    if msg.room is None and not msg.room_fault:
+        return []
+    reported = pool_messages.RoomReported(
+        msg.member.name,
+        msg.member.started,
+        msg.sent_at,
+        msg.room,
+        msg.room_fault,
+    )
+    sends = [messages.Send(pool_messages.GATEWAY, reported)]
+    if state.room is not None and msg.room is not None:
+        sends.append(messages.Send(pool_messages.PLANNER, reported))
+    return sends
+
+
 def _is_successor(peer, member):
     """Return whether a heartbeat is of a later process of a member.
 
@@ -346,6 +387,11 @@
     return ()
 
 
+def _set_room(state, msg, _):
+    state.room = msg.report
+    return ()
+
+
 def _confirm_batches(state, msg, _):
     state.batches_confirmed = msg
     return ()
@@ -377,6 +423,7 @@
     pool_messages.ConfigurationInForce: _set_config_version,
     pool_messages.BacklogMeasured: _set_backlog,
     pool_messages.ExecutorsHeld: _set_executors,
+    pool_messages.RoomMeasured: _set_room,
     pool_messages.BatchesConfirmed: _confirm_batches,
     pool_messages.DropsPending: _note_pending_drops,
     pool_messages.RemotePeerUsed: _add_remote_peer,
--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet_rates.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet_rates.py
@@ -11,6 +11,7 @@
 from cardamompathd.controllers.fleet import fleet_state
 
 __all__ = [
+    "ROOM_INTERVAL",
     "interval_to",
     "lead_interval",
     "longest_planner_timeout",
@@ -33,6 +34,10 @@
 SMALL_FLEET = 12
 """Number of other members up to which all heartbeats are frequent, so that
 an instance that is cut off finds all others overdue at the same time."""
+ROOM_INTERVAL = 0.2
+"""Minimum number of seconds between two reports of a planner's capacity to a
+member.  One may be lost before the last one is stale, and an own heartbeat in
+two or three carries none."""
 MAX_LEAD_RATE = 200.0
 MAX_TO_LEADS_RATE = 25.0
 MAX_REMOTE_DOMAIN_RATE = 128.0
--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet_state.py
@@ -7,6 +7,7 @@
 
 from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
+from cardamompath_core import room_reports
 from cardamompathd import pool_messages
 
 __all__ = [
@@ -50,6 +51,8 @@
     """See `PlanningPermitted`."""
     executors_digest: int = executor_digests.UNKNOWN
     """See `ExecutorsHeld`."""
+    room: room_reports.Report | None = None
+    """What the planner of the sender can start; None if it does not tell."""
 
 
 class Peer:
@@ -95,6 +98,10 @@
         self.backlog = 0.0
         self.executors_digest = executor_digests.UNKNOWN
         """Of the executors that the planner of this instance holds."""
+        self.room: room_reports.Report | None = None
+        """What the planner of this instance can start, as last reported."""
+        self.room_sent_at: dict[tuple[str, int], float] = {}
+        """When a report was last sent to each address."""
         self.batches_confirmed = pool_messages.BatchesConfirmed(-math.inf, 0)
         """When the callers of the batches of this instance were seen."""
         self.peers: dict[str, Peer] = {}
--- a/packages/daemon/src/cardamompathd/peers/__init__.py
+++ b/packages/daemon/src/cardamompathd/peers/__init__.py
@@ -8,6 +8,7 @@
     "exchanges",
     "gossip_codec",
     "relay",
+    "room_codec",
     "server",
     "traffic",
     "wire",
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -16,6 +16,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers.fleet import fleet_state
 from cardamompathd.peers import errors
+from cardamompathd.peers import room_codec
 from cardamompathd.peers import wire
 
 __all__ = [
@@ -57,6 +58,8 @@
     planner_heard_ms: int = 0
     planner_handover: int = -1
     executors_digest: int = 0
+    room: bytes | None = None
+    """See `room_codec`; absent if the sender reports none."""
 
 
 class StepFields(NamedTuple):
@@ -210,6 +213,7 @@
     wire.I64,
     wire.I64,
     wire.I64,
+    wire.BINARY,
 )
 wire.declare(
     StepFields,
@@ -372,6 +376,7 @@
         int(msg.planner_heard_at * 1000.0),
         msg.planner_handover,
         msg.executors_digest,
+        room_codec.encode(msg.room, msg.sent_at),
     )
 
 
@@ -398,6 +403,7 @@
         fields.planner_heard_ms / 1000.0,
         fields.planner_handover,
         fields.executors_digest,
+        *room_codec.decode(fields.room, fields.sent_ms / 1000.0),
     )
 
 
--- a/packages/daemon/src/cardamompathd/peers/wire.py
+++ b/packages/daemon/src/cardamompathd/peers/wire.py
@@ -30,9 +30,11 @@
     "TEXT_MAP",
     "decode_call",
     "decode_reply",
+    "decode_struct",
     "declare",
     "encode_call",
     "encode_reply",
+    "encode_struct",
     "framed_size",
     "nested",
 ]
@@ -206,6 +208,36 @@
     return _decode(raw, methods, Thrift.TMessageType.REPLY)[1]
 
 
+def encode_struct(struct: Any) -> bytes:
+    """Return a declared struct as bytes, for a binary field of another."""
+    buffer = TTransport.TMemoryBuffer()
+    struct.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def decode_struct(raw: bytes, struct: type) -> Any:
+    """Decode a struct that `encode_struct` has encoded.
+
+    Raises
+    ------
+    BadMessage
+        If `raw` is not a valid struct of that type.
+    """
+    # The library raises many kinds of exceptions on malformed bytes.
+    try:
+        return struct.read(_make_decoder(raw))
+    except Exception as exc:
+        raise errors.BadMessage(repr(exc)) from exc
+
+
+def _make_decoder(raw):
+    return TCompactProtocol.TCompactProtocolAccelerated(
+        TTransport.TMemoryBuffer(raw),
+        string_length_limit=FRAME_LIMIT,
+        container_length_limit=CONTAINER_LIMIT,
+    )
+
+
 def _encode(name, message_type, struct):
     buffer = TTransport.TMemoryBuffer()
     protocol = TCompactProtocol.TCompactProtocolAccelerated(buffer)
@@ -216,12 +248,7 @@
 
 
 def _decode(raw, methods, expected_type):
-    buffer = TTransport.TMemoryBuffer(raw)
-    protocol = TCompactProtocol.TCompactProtocolAccelerated(
-        buffer,
-        string_length_limit=FRAME_LIMIT,
-        container_length_limit=CONTAINER_LIMIT,
-    )
+    protocol = _make_decoder(raw)
     # The library raises many kinds of exceptions on malformed bytes.
     try:
         name, message_type, _ = protocol.readMessageBegin()
--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -15,6 +15,7 @@
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
 from cardamompath_core import planner_election
+from cardamompath_core import room_reports
 from cardamompath_core import routes
 
 __all__ = [
@@ -63,6 +64,8 @@
     "ProbeAnswered",
     "ProbeExecutor",
     "RemotePeerUsed",
+    "RoomMeasured",
+    "RoomReported",
     "RoutesConfigured",
     "Run",
     "RunLoss",
@@ -361,7 +364,8 @@
     planner: str
     """Name of the instance that planned the batch."""
     handover: int = 0
-    """The hand-over whose drop it acknowledges; 0 otherwise."""
+    """The hand-over whose drop it acknowledges, or that it rejects; 0 if it
+    does not tell."""
 
 
 class OutcomesReported(NamedTuple):
@@ -404,6 +408,10 @@
     """See `PlanningPermitted`."""
     executors_digest: int = executor_digests.UNKNOWN
     """Digest of the executors that the planner of the sender holds."""
+    room: room_reports.Report | None = None
+    """What the planner of the sender can start; None if it does not tell."""
+    room_fault: str = ""
+    """Why the report in the heartbeat was dropped; empty if it was not."""
 
 
 class PlanningPermitted(NamedTuple):
@@ -502,6 +510,28 @@
     """Seconds that its executors need for the waiting tasks."""
 
 
+class RoomMeasured(NamedTuple):
+    """The planner of this instance has made a report of its capacity."""
+
+    report: room_reports.Report | None
+    """None once it no longer plans."""
+
+
+class RoomReported(NamedTuple):
+    """A planner reported its capacity."""
+
+    name: str
+    """Name of the planner."""
+    started: int
+    """Start time of its process, in milliseconds since 1970."""
+    sent_at: float
+    """When the report was sent, in seconds of the planner's clock."""
+    report: room_reports.Report | None
+    """None if it was dropped."""
+    fault: str = ""
+    """Why it was dropped; empty if it was not."""
+
+
 class ExecutorsHeld(NamedTuple):
     """The executors that a planner holds changed.
 
