Planner: reports its capacity, and numbers its rejections

Change: where the setting is on, planner_room reports at most ten times a second how many tasks of each recent size can start now and within 0.1 s, by the expected ends of the runs, and the work that waits. A rejection names the hand-over, is repeated if that arrives again, and a later hand-over of the batch is considered afresh; before, the first rejection was repeated for ever.

--- a/packages/daemon/src/cardamompathd/controllers/planner/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/__init__.py
@@ -21,6 +21,7 @@
     "planner_plans",
     "planner_restarts",
     "planner_roles",
+    "planner_room",
     "planner_runs",
     "planner_state",
     "run_losses",
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -13,6 +13,7 @@
 from cardamompath_core import batches
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
+from cardamompath_core import offers
 from cardamompath_core import pool_policy
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -29,6 +30,7 @@
 from cardamompathd.controllers.planner import planner_permissions
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import planner_roles
+from cardamompathd.controllers.planner import planner_room
 from cardamompathd.controllers.planner import planner_runs
 from cardamompathd.controllers.planner import planner_state
 
@@ -95,6 +97,8 @@
             return sends
         if type(msg) in (messages.TimerFired, pool_messages.FleetChanged):
             sends += planner_roles.update_role(state, started_at, now)
+            if state.active_since is None:
+                sends += planner_room.withdraw_report(state)
             sends += _accept_early_batches(state, now)
         if state.active_since is not None:
             sends += planner_dispatch.dispatch(state, now)
@@ -121,6 +125,7 @@
         sends += planner_health.eject_unhealthy(state, now)
         planner_estimates.refresh_estimates(state, now)
     sends += planner_estimates.report_backlog(state)
+    sends += planner_room.report_room(state, now)
     return sends + planner_admission.refuse_late(state, now)
 
 
@@ -203,7 +208,9 @@
 def _is_revoked(state, msg):
     """Return whether a drop has revoked a hand-over, or a later one."""
     key = (state.origin_of(msg), msg.batch.name)
-    return msg.handover <= state.revoked_handovers.get(key, -1)
+    return offers.is_revoked(
+        msg.handover, state.revoked_handovers.get(key, -1)
+    )
 
 
 def _plan_batch(state, msg, now):
@@ -211,6 +218,9 @@
     if msg.handover and _is_revoked(state, msg):
         # It was under way on a broken link, and the drop on the next one.
         return []
+    rejected = planner_room.repeat_rejection(state, msg)
+    if rejected is not None:
+        return [rejected]
     if state.fleet is None:
         # How to reach the origin is told by the first view.
         state.early_batches[name] = (msg, now)
@@ -218,7 +228,11 @@
     planner_crashes.note_losses(state, name, msg.losses, now)
     ended_outcome = state.ended_outcomes.get(name)
     origin = state.origin_of(msg)
-    if ended_outcome is not None:
+    if ended_outcome is not None and planner_room.is_new_offer(
+        state, msg, ended_outcome
+    ):
+        del state.ended_outcomes[name]
+    elif ended_outcome is not None:
         return [
             planner_runs.report_outcome(state, name, origin, ended_outcome)
         ]
@@ -245,7 +259,12 @@
             "this instance is cut off from the others",
             planner_roles.PASSIVE_TIME,
         )
-        return [planner_runs.report_outcome(state, name, origin, outcome)]
+        handover = state.remember_rejection(
+            origin, name, msg.handover, outcome
+        )
+        return [
+            planner_runs.report_outcome(state, name, origin, outcome, handover)
+        ]
     state.early_batches[name] = (msg, now)
     return []
 
@@ -297,6 +316,7 @@
         return planner_runs.finish_batch(state, plan, outcome, now)
     planner_estimates.estimate_plan(state, plan, now)
     planner_estimates.record_demand(state, plan, now)
+    planner_room.note_sizes(state, plan, now)
     if not plan.may_have_started and planner_admission.would_be_late(
         state, plan, now
     ):
@@ -437,6 +457,7 @@
 _CONFIRMATIONS = (
     pool_messages.BatchesConfirmed,
     pool_messages.PlanningPermitted,
+    pool_messages.RoomReported,
 )
 _HANDLERS = {
     messages.TimerFired: _tick,
@@ -445,6 +466,7 @@
     pool_messages.PlanBatch: _plan_batch,
     pool_messages.PlanningPermitted: planner_permissions.handle_permission,
     pool_messages.BatchesConfirmed: planner_permissions.note_confirmation,
+    pool_messages.RoomReported: planner_room.note_report,
     pool_messages.DropBatch: _handle_drop,
     pool_messages.BatchQuery: planner_cancellations.handle_query,
     pool_messages.CancellationsReported: (
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "dispatch",
+    "is_listing_current",
 ]
 
 HEAL_TIME = 1.5
@@ -31,7 +32,7 @@
     waiting_plans = [
         candidate for candidate in state.plans.values() if candidate.waiting
     ]
-    if not waiting_plans or not _is_listing_current(state, now):
+    if not waiting_plans or not is_listing_current(state, now):
         return []
     planner_crashes.release_isolated(state, now)
     min_cpu = min(candidate.min_cpu for candidate in waiting_plans)
@@ -126,7 +127,7 @@
             return
 
 
-def _is_listing_current(state, now):
+def is_listing_current(state, now):
     """Return whether the executors were listed since planning began.
 
     An older list may show executors as ready that are draining by now.
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_estimates.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_estimates.py
@@ -11,6 +11,7 @@
 from cardamompathd.controllers.planner import planner_roles
 
 __all__ = [
+    "EMPTY_POOL_BACKLOG",
     "estimate_plan",
     "expected_start",
     "record_demand",
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_runs.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_runs.py
@@ -338,7 +338,14 @@
         )
     ]
     for origin in plan.origins:
-        sends.append(report_outcome(state, plan.name, origin, outcome))
+        handover = 0
+        if outcome.state == batches.REFUSED:
+            handover = state.remember_rejection(
+                origin, plan.name, plan.handovers.get(origin, 0), outcome
+            )
+        sends.append(
+            report_outcome(state, plan.name, origin, outcome, handover)
+        )
     return sends + drop_plan(state, plan)
 
 
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_state.py
@@ -15,6 +15,7 @@
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
+from cardamompath_core import room_reports
 from cardamompath_core import run_times
 from cardamompathd import pool_messages
 from cardamompathd.controllers.planner import planner_executors
@@ -25,6 +26,7 @@
     "RESUBMIT_DELAY",
     "Permission",
     "PlannerState",
+    "Rejection",
 ]
 
 
@@ -59,6 +61,14 @@
     all of them."""
 
 
+class Rejection(NamedTuple):
+    """A hand-over that this planner has rejected."""
+
+    handover: int
+    """Number of the hand-over at its origin."""
+    outcome: batches.Outcome
+
+
 class PlannerState:
     """The state of the planner of an instance."""
 
@@ -142,6 +152,18 @@
             tuple[pool_messages.Origin, str], int
         ] = collections.OrderedDict()
         """The last hand-over of a batch that each origin has revoked."""
+        self.rejections: collections.OrderedDict[
+            tuple[pool_messages.Origin, str], Rejection
+        ] = collections.OrderedDict()
+        """The last hand-over of a batch by each origin that was rejected, if
+        planners report their capacity."""
+        self.recent_sizes = room_reports.RecentSizes()
+        self.room_measured_at = -math.inf
+        """When the capacity was last reported; minus infinity if it is not
+        reported at present."""
+        self.forecast_ends: dict[planner_plans.Task, Any] = {}
+        """When the run of each task may end soon; see
+        `planner_room.ForecastEnd`."""
         self.cancellations = cancellations.CancellationMemory()
         self.losses = run_losses.LossMemory()
         self.lost_boots: dict[tuple[str, int], Any] = {}
@@ -209,6 +231,29 @@
         while len(self.revoked_handovers) > MAX_REMEMBERED:
             self.revoked_handovers.popitem(last=False)
 
+    def remember_rejection(
+        self,
+        origin: pool_messages.Origin,
+        name: str,
+        handover: int,
+        outcome: batches.Outcome,
+    ) -> int:
+        """Keep that a hand-over was rejected.
+
+        Returns
+        -------
+        int
+            The number by which the rejection names it; 0 if planners do not
+            report their capacity, as a batch then never comes back.
+        """
+        if not self.policy.room.reports or not handover:
+            return 0
+        self.rejections.pop((origin, name), None)
+        self.rejections[origin, name] = Rejection(handover, outcome)
+        while len(self.rejections) > MAX_REMEMBERED:
+            self.rejections.popitem(last=False)
+        return handover
+
     def remember_dropped_batch(self, name: str) -> None:
         """Count that a batch was dropped, in case it comes again."""
         self.dropped_counts[name] = self.dropped_counts.get(name, 0) + 1
