Gateway: chooses planners by their reports, offers rejected batches on

Change: where the setting is on, a gateway keeps the last report of each planner by name and start time, ages it by the fastest message so far, deducts what it and probably the others have sent since, and draws among the planners with capacity. A rejected batch is offered to the next planner that reports capacity in time, on one report once.

--- a/packages/daemon/src/cardamompathd/controllers/gateway/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/__init__.py
@@ -10,6 +10,7 @@
     "gateway_members",
     "gateway_planners",
     "gateway_queries",
+    "gateway_rooms",
     "gateway_state",
 ]
 
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from cardamompath_core import batches
+from cardamompath_core import offers
 from cardamompath_core import pool_policy
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -20,6 +21,7 @@
 from cardamompathd.controllers.gateway import gateway_members
 from cardamompathd.controllers.gateway import gateway_planners
 from cardamompathd.controllers.gateway import gateway_queries
+from cardamompathd.controllers.gateway import gateway_rooms
 from cardamompathd.controllers.gateway import gateway_state
 
 __all__ = [
@@ -246,7 +248,13 @@
         # A planner repeats its refusal if the batch is sent to it again.
         # The planner that got the batch since may have started tasks.
         return ()
-    if refused and gateway_planners.can_retry_elsewhere(state, pending):
+    if refused and not offers.concerns_offer(msg.handover, pending.handover):
+        # It is about an earlier offer to the same planner, which may have
+        # started tasks since it got the present one.
+        return ()
+    if refused and state.policy.room.reports:
+        gateway_rooms.note_rejection(state, pending, msg)
+    if refused and gateway_planners.can_retry_elsewhere(state, pending, now):
         return _retry_elsewhere(state, pending, now)
     if refused and pending.round > 0:
         # An earlier planner may have started tasks of it.
@@ -296,7 +304,7 @@
             for planner in planners
         ):
             sends += gateway_planners.hand_over(state, pending, now)
-    gateway_members.forget_former(state)
+    gateway_members.forget_former(state, now)
     return sends + gateway_queries.update_members(state, now)
 
 
@@ -368,6 +376,7 @@
     pool_messages.BatchEnded: _handle_end,
     pool_messages.FleetChanged: _update_fleet,
     pool_messages.BacklogChanged: gateway_members.update_backlog,
+    pool_messages.RoomReported: gateway_rooms.note_report,
     pool_messages.PlannerHeard: gateway_members.note_planner_heard,
     pool_messages.ExecutorsHeld: gateway_members.note_executors,
     pool_messages.LossesReported: gateway_members.note_losses,
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_members.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_members.py
@@ -5,6 +5,7 @@
 from cardamompath_core import executor_digests
 from cardamompathd import messages
 from cardamompathd import pool_messages
+from cardamompathd.controllers.gateway import gateway_rooms
 
 __all__ = [
     "TIMER_KEY",
@@ -97,7 +98,7 @@
     return ()
 
 
-def forget_former(state):
+def forget_former(state, now):
     """Forget what is known of processes neither alive nor missing."""
     members = {
         (member.name, member.started)
@@ -106,6 +107,7 @@
     for facts in (state.executors_held, state.planners_heard):
         for key in facts.keys() - members:
             del facts[key]
+    gateway_rooms.forget_former(state, members, now)
 
 
 def note_losses(state, msg, _):
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_planners.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from cardamompath_core import offers
 from cardamompath_core import planner_election
+from cardamompath_core import room_reports
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.fleet import fleet_rates
+from cardamompathd.controllers.gateway import gateway_rooms
 
 __all__ = [
     "RESEND_INTERVAL",
@@ -28,12 +31,16 @@
 be shorter: two round trips, and the cost of traffic between domains."""
 MAX_PLANNERS_TRIED = 2
 """Maximum number of planners that a batch is offered to while none of its
-tasks has started."""
+tasks has started, if they do not report their capacity."""
+WAIT_STEP = 0.02
+"""Seconds up to which expected waits count as equal; the step to which
+planners round their backlog."""
 
 
 def hand_over(state, pending, now):
     """Send a batch to its planner, or to a new one if that is gone."""
-    planner = _choose_planner(state, pending)
+    pending.choice = None
+    planner = _choose_planner(state, pending, now)
     if planner is None:
         return []
     sends = []
@@ -47,8 +54,12 @@
         pending.resend_at = now + RESEND_INTERVAL
         state.last_handover += 1
         pending.handover = state.last_handover
+        pending.handed_at = now
+        pending.planner = planner
+        gateway_rooms.note_sent(state, pending, now)
     pending.planner = planner
     pending.handed_over = True
+    sends += _log_choice(pending)
     sends += _report_remote_planner(state, pending)
     msg = pool_messages.PlanBatch(
         pending.batch,
@@ -157,7 +168,7 @@
     return send_to(state, planner, drop)
 
 
-def _choose_planner(state, pending):
+def _choose_planner(state, pending, now):
     """Return the planner of a batch, or the one that took over its shard."""
     for planner in state.assignment.planners:
         if is_same_incarnation(planner, pending.planner):
@@ -171,6 +182,15 @@
     ordered = planner_election.order_planners(
         pending.batch.name, state.domain, state.assignment
     )
+    if state.policy.room.reports:
+        pending.choice = room_reports.choose(
+            _find_candidates(state, pending, ordered, now),
+            pending.batch.name,
+            WAIT_STEP,
+        )
+        for planner in ordered if pending.choice else ():
+            if planner.name == pending.choice.candidate.name:
+                return planner
     ordered = [
         member for member in ordered if member.name not in pending.refused_by
     ] or ordered
@@ -180,6 +200,37 @@
     return min(ordered, key=lambda member: _cost(state, member), default=None)
 
 
+def _find_candidates(state, pending, planners, now):
+    waits = {
+        planner.name: (_distance(state, planner), backlog_of(state, planner))
+        for planner in planners
+    }
+    return gateway_rooms.make_candidates(state, pending, planners, waits, now)
+
+
+def _log_choice(pending):
+    """Log why a batch goes to its planner, if reports decided that."""
+    if pending.choice is None:
+        return []
+    candidate, reason = pending.choice
+    fields = {
+        "planner": candidate.name,
+        "why": reason,
+        "room": candidate.room,
+        "needed": candidate.needed,
+        "booked": round(candidate.taken, 1),
+        "wait_ms": round(candidate.wait * 1000.0),
+        "report_ms": None,
+    }
+    if candidate.age is not None:
+        fields["room"] = round(candidate.room, 1)
+        fields["report_ms"] = round(candidate.age * 1000.0)
+    decision = pool_messages.Decision(
+        "gateway", "planner chosen", pending.batch.name, fields
+    )
+    return [messages.Send(pool_messages.DECISION_LOG, decision)]
+
+
 def backlog_of(state, planner):
     """Return the backlog that a planner reported, in seconds."""
     return state.backlogs.get(planner.name, 0.0) if planner else 0.0
@@ -187,10 +238,13 @@
 
 def _cost(state, planner):
     """Return the estimated wait of a batch at a planner, in seconds."""
+    return backlog_of(state, planner) + _distance(state, planner)
+
+
+def _distance(state, planner):
+    """Return the seconds by which a planner is further away than others."""
     is_remote = state.assignment.by_domain and planner.domain != state.domain
-    return backlog_of(state, planner) + (
-        REMOTE_DOMAIN_COST if is_remote else 0.0
-    )
+    return REMOTE_DOMAIN_COST if is_remote else 0.0
 
 
 def send_to(state, planner, msg):
@@ -201,12 +255,14 @@
     return messages.Send(pool_messages.LINKS, to_member)
 
 
-def can_retry_elsewhere(state, pending):
+def can_retry_elsewhere(state, pending, now):
     """Return whether a refused batch may be offered to another planner.
 
-    The batch must have had only one planner so far, as then none of its
-    tasks has started.
+    No planner that had the batch may have been given up without its word, as
+    only then none of its tasks has started.
     """
+    if state.policy.room.reports:
+        return _can_offer(state, pending, now)
     if pending.round > 0 or len(pending.refused_by) + 1 >= MAX_PLANNERS_TRIED:
         return False
     return any(
@@ -215,3 +271,20 @@
         and backlog_of(state, planner) <= IDLE_BACKLOG
         for planner in state.assignment.planners
     )
+
+
+def _can_offer(state, pending, now):
+    """Return whether a planner reports capacity for a batch in time."""
+    if not offers.may_offer(pending.round):
+        return False
+    urgency = gateway_rooms.urgency_of(pending)
+    planners = state.assignment.planners
+    distances = {
+        planner.name: _distance(state, planner) for planner in planners
+    }
+    return any(
+        room_reports.can_serve(
+            candidate, urgency, distances[candidate.name], now
+        )
+        for candidate in _find_candidates(state, pending, planners, now)
+    )
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
@@ -11,10 +11,12 @@
 from cardamompath_core import executor_digests
 from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
+from cardamompath_core import room_reports
 from cardamompath_core import routes
 from cardamompathd.controllers.gateway import gateway_drops
 from cardamompathd.controllers.gateway import gateway_planners
 from cardamompathd.controllers.gateway import gateway_queries
+from cardamompathd.controllers.gateway import gateway_rooms
 from cardamompathd.controllers.planner import run_losses
 
 __all__ = [
@@ -28,14 +30,17 @@
 
     __slots__ = (
         "batch",
+        "choice",
         "deadline",
         "ended_planner",
         "former_executors",
+        "handed_at",
         "handed_over",
         "handover",
         "permitted_until",
         "planner",
         "refused_by",
+        "rejected_reports",
         "resend_at",
         "round",
         "shard",
@@ -57,6 +62,14 @@
         """Whether its planners had different shards."""
         self.refused_by: set[str] = set()
         """Names of the planners that refused the batch."""
+        self.rejected_reports: dict[tuple[str, int], float] = {}
+        """When the report was made on which a planner last rejected the
+        batch, in seconds of its clock, by its name and start time; infinity
+        if it is not to be asked again."""
+        self.choice: room_reports.Choice | None = None
+        """Why it was sent to its planner, if that was chosen by reports."""
+        self.handed_at = now
+        """When it was sent to its planner for the first time."""
         self.round = 0
         """Number of earlier planners that may have started tasks of it."""
         self.handed_over = False
@@ -123,6 +136,15 @@
         """Number of the term of each planner, by its name and start time."""
         self.backlogs: dict[str, float] = {}
         """Backlog in seconds by the name of the planner."""
+        self.rooms: dict[tuple[str, int], room_reports.HeardReport] = {}
+        """The last report of the capacity of a planner, by its name and start
+        time."""
+        self.clock_offsets: dict[tuple[str, int], tuple[float, float]] = {}
+        """How far the clock here is ahead of that of a planner, by its name
+        and start time; see `room_reports.estimate_offset`."""
+        self.send_rates = room_reports.SendRates()
+        self.room_faults: dict[tuple[str, int], gateway_rooms.Fault] = {}
+        """Reports of a planner that were dropped."""
         self.executors_held: dict[tuple[str, int], int] = {}
         """Digest of the executors that a planner holds, by its name and start
         time; see `ExecutorsHeld`."""
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -246,11 +246,12 @@
         suffix = len(simulation.instances)
         controllers = (
             fleet.make_controller(self.member),
-            gateway.make_controller(name, domain),
+            gateway.make_controller(name, domain, policy=simulation.policy),
             planner.make_controller(
                 name,
                 lambda: int(simulation.now * 1000.0) * 1000 + suffix,
                 simulation.now,
+                policy=simulation.policy,
             ),
         )
         self.controllers = {
@@ -299,9 +300,12 @@
         Failure domains, with an instance and two executors in each.
     seed : int
         Seed of what happens by chance.
+    policy : PoolPolicy, optional
+        How batches share the executors.
     """
 
-    def __init__(self, domains=("a", "b", "c"), seed=0):
+    def __init__(self, domains=("a", "b", "c"), seed=0, policy=None):
+        self.policy = policy
         self.now = 100.0
         self.rng = random.Random(seed)
         self.run_time = 0.2
--- a/packages/daemon/src/cardamompathd/tests/test_decisions.py
+++ b/packages/daemon/src/cardamompathd/tests/test_decisions.py
@@ -85,6 +85,18 @@
         )
         self.assertIn('le="+Inf",state="complete"} 3', page)
 
+    def test_page_shows_choices_and_all_dropped_reports(self):
+        # One line tells of several reports.
+        counts = pool_metrics.DecisionCounts()
+        for event, fields in (
+            ("planner chosen", {"why": "capacity in time"}),
+            ("room report dropped", {"reason": "malformed", "count": 7}),
+        ):
+            counts.count(pool_messages.Decision("gateway", event, "", fields))
+        page = pool_metrics.make_scrape(counts)()
+        self.assertIn('choices_total{why="capacity in time"} 1', page)
+        self.assertIn('dropped_total{reason="malformed"} 7', page)
+
     def test_series_are_limited(self):
         counts = pool_metrics.DecisionCounts()
         for number in range(2 * pool_metrics.MAX_SERIES):
--- a/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
@@ -23,11 +23,17 @@
 
 
 class DispatchTest(unittest.TestCase):
+    policy = None
+
     def setUp(self):
         self.now = 10.0
         tokens = itertools.count(7)
         controller = planner.make_controller(
-            "n-a", lambda: next(tokens), 0.0, REMOTE_RACK_FACTOR
+            "n-a",
+            lambda: next(tokens),
+            0.0,
+            REMOTE_RACK_FACTOR,
+            policy=self.policy,
         )
         self.receive = controller.receive
         self.sent = []
