Model: offers of a batch to one planner after another

Cause: a rejection that arrives twice, or one after a start, would have a task run at two planners. Change: a model of hand-over, rejection and offer with the functions of core/offers, and four broken variants.

--- a/packages/proof/src/cardamompath_proof/model/__main__.py
+++ b/packages/proof/src/cardamompath_proof/model/__main__.py
@@ -7,6 +7,7 @@
 from cardamompath_proof.model import exploration
 from cardamompath_proof.model import jobs
 from cardamompath_proof.model import notes
+from cardamompath_proof.model import offers
 from cardamompath_proof.model import variants
 
 __all__ = [
@@ -41,6 +42,7 @@
         notes,
         notes.Bounds(operators=1, expired=2),
     ),
+    ("offers: two planners, a silence", offers, offers.Bounds()),
 )
 """Protocols that CI explores: name, module and bounds."""
 
@@ -68,6 +70,11 @@
         notes,
         notes.Bounds(restarts=0, expired=1),
     ),
+    (
+        "offers: two planners, more offers and reports",
+        offers,
+        offers.Bounds(offers=8, reports=4),
+    ),
 )
 """Protocols that only ``make model-wide`` explores, which takes minutes."""
 
--- a/packages/proof/src/cardamompath_proof/model/variants.py
+++ b/packages/proof/src/cardamompath_proof/model/variants.py
@@ -12,6 +12,7 @@
 from cardamompath_proof.model import job_rules
 from cardamompath_proof.model import jobs
 from cardamompath_proof.model import notes
+from cardamompath_proof.model import offers
 
 __all__ = [
     "VARIANTS",
@@ -84,6 +85,13 @@
     return Variant(name, broken_property, protocol)
 
 
+def _make_offer_variant(name, broken_property, **rules):
+    protocol = offers.make_protocol(
+        offers.RULES._replace(**rules), offers.Bounds(), name
+    )
+    return Variant(name, broken_property, protocol)
+
+
 VARIANTS = (
     _make_job_variant(
         "no fence before a start",
@@ -164,5 +172,25 @@
         _ONE_OPERATOR._replace(snapshots=1, restarts=1, expired=3, updates=0),
         snapshot_offset=max,
     ),
+    _make_offer_variant(
+        "offer while the former planner may have started",
+        "a task runs at one planner",
+        concerns_offer=lambda number, present: True,
+    ),
+    _make_offer_variant(
+        "offer after a planner was given up",
+        "a rejected batch has not run",
+        may_offer=lambda planners_left: True,
+    ),
+    _make_offer_variant(
+        "rejection after a start",
+        "a rejected batch has not run",
+        may_reject=lambda is_started: True,
+    ),
+    _make_offer_variant(
+        "rejected offer accepted when it arrives again",
+        "a task runs at one planner",
+        is_rejected=lambda number, last_rejected: False,
+    ),
 )
 """All broken variants."""
