Metrics: choices of a planner by reason, dropped reports

Cause: an operator has to see why batches go where they go. Change: two counters from the decisions, and the text of the setting. Measured: test_decisions and test_pool_table pass.

--- a/packages/daemon/src/cardamompathd/settings/pool_table.py
+++ b/packages/daemon/src/cardamompathd/settings/pool_table.py
@@ -23,8 +23,9 @@
         "reports",
         "off",
         SWITCH,
-        "Whether planners report the room that they have, so that a batch "
-        "goes to one that can start it.",
+        "Whether planners report how many tasks they can start, so that a "
+        "batch goes to one that has room for it, and a rejected batch is "
+        "offered to the next one.",
     ),
     table.make_choice(
         "shares",
--- a/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
@@ -27,6 +27,9 @@
 """Limit on the pairs of part and event that are counted."""
 
 ANSWERED = "answered"
+PLANNER_CHOSEN = "planner chosen"
+REPORT_DROPPED = "room report dropped"
+"""Events of which fields are counted as well."""
 
 
 class DecisionCounts:
@@ -40,6 +43,8 @@
         self._event_counts: collections.Counter = collections.Counter()
         self._bucket_counts: dict[str, list[int]] = {}
         self._time_sums: collections.Counter = collections.Counter()
+        self._choice_counts: collections.Counter = collections.Counter()
+        self._drop_counts: collections.Counter = collections.Counter()
 
     def count(self, decision: pool_messages.Decision) -> None:
         """Count a decision."""
@@ -50,6 +55,12 @@
             self._count_response_time(
                 decision.fields["state"], decision.fields["age_ms"]
             )
+        elif decision.event == PLANNER_CHOSEN:
+            self._choice_counts[decision.fields["why"]] += 1
+        elif decision.event == REPORT_DROPPED:
+            self._drop_counts[decision.fields["reason"]] += decision.fields[
+                "count"
+            ]
 
     def _count_response_time(self, state, age_ms):
         buckets = self._bucket_counts.setdefault(
@@ -65,6 +76,20 @@
             for (part, event), count in self._event_counts.copy().items()
         ]
 
+    def choice_counts(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the count of the choices of a planner for each reason."""
+        return [
+            (count, {"why": why})
+            for why, count in self._choice_counts.copy().items()
+        ]
+
+    def drop_counts(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the count of dropped reports for each reason."""
+        return [
+            (count, {"reason": reason})
+            for reason, count in self._drop_counts.copy().items()
+        ]
+
     def bucket_counts(self) -> list[tuple[float, dict[str, str]]]:
         """Return the cumulative counts of the buckets for each outcome."""
         observations = []
@@ -111,6 +136,20 @@
             "Decisions, by part and event.",
             lambda _: counts.event_counts(),
         ),
+        metrics.Instrument(
+            "counter",
+            "cardamompath.planner_choices",
+            "",
+            "Choices of a planner by its reported capacity, by reason.",
+            lambda _: counts.choice_counts(),
+        ),
+        metrics.Instrument(
+            "counter",
+            "cardamompath.room_reports_dropped",
+            "",
+            "Dropped reports of the capacity of planners, by reason.",
+            lambda _: counts.drop_counts(),
+        ),
         metrics.Instrument(
             "counter",
             "cardamompath.answer_time.bucket",
