--- a/packages/core/src/cardamompath_core/room_reports.py
+++ b/packages/core/src/cardamompath_core/room_reports.py
@@ -423,9 +423,14 @@
         Present time in seconds.
     """
     age = max(0.0, now - heard.made_at)
+    queued = queued_before(heard.report, need.priority)
     size = find_room(heard.report, need.service, need.cpu)
     if size is None:
-        size = SizeRoom(need.service, class_of(need.cpu), 0, 0)
+        # A size that was not asked for lately is not reported.  A batch stays
+        # in its domain then, where its outcome is known if it comes again.
+        is_idle = candidate.is_local and queued == 0.0
+        count = need.tasks if is_idle else 0
+        size = SizeRoom(need.service, class_of(need.cpu), count, count)
     gain = size.soon - size.free
     # What other gateways send takes what becomes free first.
     peer_gain = sent.peer_rate - gain * size.cpu / HORIZON
@@ -437,7 +442,7 @@
         start += HORIZON
         room = size.soon
     reach = size.free + gain * min(spare, MAX_REACH) / HORIZON
-    wait = distance + queued_before(heard.report, need.priority)
+    wait = distance + queued
     if taken > size.free:
         wait += (taken - size.free) * HORIZON / max(gain, 1)
     elif not size.soon:
--- a/packages/core/src/cardamompath_core/tests/test_room_reports.py
+++ b/packages/core/src/cardamompath_core/tests/test_room_reports.py
@@ -107,6 +107,18 @@
         self.assertIsNone(find(report, "desk", 17000))
         self.assertIsNone(find(report, "shop", 9000))
 
+    def test_batch_of_a_size_that_is_not_reported_stays_in_its_domain(self):
+        # A batch that had completed ran again at a planner elsewhere.
+        report = make_heard(9).report
+        unknown = room_reports.HeardReport(report._replace(sizes=()), NOW)
+        local = assess("a", unknown, is_local=True)
+        remote = assess("b", make_heard(9))
+        self.assertEqual(self.choose(remote, local).candidate, local)
+        queued = (room_reports.QueuedWork(0, 0.3),)
+        busy = unknown._replace(report=unknown.report._replace(queued=queued))
+        local = assess("a", busy, is_local=True)
+        self.assertEqual(self.choose(remote, local).candidate, remote)
+
 
 class ReportTest(unittest.TestCase):
     def test_message_that_was_late_makes_its_report_no_newer(self):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_room.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_room.py
@@ -49,10 +49,12 @@
 
     due: float
     """When it is forecast again."""
+    is_soon: bool
     size_samples: int
     """Number of ended tasks of its batch that the forecast rests on."""
     started_at: float
-    is_soon: bool
+    usual: float
+    """Its usual run time there, in seconds."""
 
 
 def report_room(state, now):
@@ -138,14 +140,13 @@
     by_service = _group_sizes(state, sizes)
     free = [0] * len(sizes)
     soon = [0] * len(sizes)
-    known, state.forecast_ends = state.forecast_ends, {}
+    known, forecasts = state.forecast_ends, {}
     usual_times = {}
     for executor in usable:
         classes = by_service.get(executor.spec.service)
         if classes is None:
             continue
         can_start, cpu, memory, accelerators = True, 0, 0, 0
-        slowdown = planner_health.slowdown(executor)
         for plan, task in executor.runs.values():
             if task.stopping or plan.unpermitted_since is not None:
                 can_start = False
@@ -153,15 +154,13 @@
             if (
                 forecast is None
                 or now >= forecast.due
-                or task.started_at != forecast.started_at
-                or plan.size_samples != forecast.size_samples
+                or forecast.size_samples != plan.size_samples
+                or forecast.started_at != task.started_at
             ):
-                key = (plan, task.step, executor.spec.model)
-                usual = usual_times.get(key)
-                if usual is None:
-                    usual = usual_times[key] = _usual_time(state, *key, now)
-                forecast = _forecast_end(plan, task, usual * slowdown, now)
-            state.forecast_ends[task] = forecast
+                forecast = _forecast_end(
+                    state, executor, plan, task, forecast, usual_times, now
+                )
+            forecasts[task] = forecast
             if forecast.is_soon:
                 ending = plan.batch.steps[task.step].resources
                 cpu += ending.cpu
@@ -169,33 +168,43 @@
                 accelerators += ending.accelerators
         if not can_start and not _has_lease(executor, now):
             continue
-        left = executor.free_resources
-        later = executors.Resources(
-            left.cpu + cpu,
-            left.memory + memory,
-            left.accelerators + accelerators,
-        )
-        left_cpu, later_cpu = left.cpu, later.cpu
-        for number, needed, is_cpu_only in classes:
-            gained = later_cpu // needed.cpu
-            if not gained:
-                continue
-            count = left_cpu // needed.cpu
-            if not is_cpu_only and (
-                gained * needed.memory > left.memory
-                or gained * needed.accelerators > left.accelerators
+        left_cpu, left_memory, left_accelerators = executor.free_resources
+        later_cpu = left_cpu + cpu
+        for number, needed_cpu, needed_memory, needed_accelerators in classes:
+            if later_cpu < needed_cpu:
+                # The sizes are in ascending order.
+                break
+            count = left_cpu // needed_cpu
+            gained = later_cpu // needed_cpu
+            if (
+                gained * needed_memory > left_memory
+                or gained * needed_accelerators > left_accelerators
             ):
-                count = executors.count_fitting(needed, left)
-                gained = executors.count_fitting(needed, later)
+                needed = executors.Resources(
+                    needed_cpu, needed_memory, needed_accelerators
+                )
+                count = executors.count_fitting(
+                    needed, executor.free_resources
+                )
+                gained = executors.count_fitting(
+                    needed,
+                    executors.Resources(
+                        later_cpu,
+                        left_memory + memory,
+                        left_accelerators + accelerators,
+                    ),
+                )
             free[number] += count
             soon[number] += gained
+    state.forecast_ends = forecasts
     return free, soon
 
 
 def _group_sizes(state, sizes):
-    """Return the number and the resources of the sizes by service.
+    """Return number, CPU, memory and accelerators of the sizes by service.
 
-    A class may be larger than every executor, unlike the tasks in it.
+    They are in ascending order of the CPU.  A class may be larger than every
+    executor, unlike the tasks in it.
     """
     by_service = {}
     for number, (service, cpu, memory, accelerators) in enumerate(sizes):
@@ -203,11 +212,15 @@
             (each.cpu for each in state.largest_capacities.get(service, ())),
             default=cpu,
         )
-        needed = executors.Resources(min(cpu, largest), memory, accelerators)
-        is_cpu_only = memory == 0 and accelerators == 0
-        entry = (number, needed, is_cpu_only)
+        entry = (min(cpu, largest), number, memory, accelerators)
         by_service.setdefault(service, []).append(entry)
-    return by_service
+    return {
+        service: [
+            (number, cpu, memory, accelerators)
+            for cpu, number, memory, accelerators in sorted(entries)
+        ]
+        for service, entries in by_service.items()
+    }
 
 
 def _has_lease(executor, now):
@@ -216,21 +229,42 @@
     return executor.lease_end >= clock + planner_runs.MIN_LEASE
 
 
-def _forecast_end(plan, task, usual, now):
-    """Return whether a run is expected to end soon."""
+def _forecast_end(state, executor, plan, task, former, usual_times, now):
+    """Forecast whether a run is expected to end soon.
+
+    Parameters
+    ----------
+    former : ForecastEnd, optional
+        The last forecast of the task.
+    usual_times : dict
+        Usual run times that are known, by batch, step and model.
+    """
     samples, started_at = plan.size_samples, task.started_at
     if task.adopted:
         # When another planner started it is not known.
-        return ForecastEnd(math.inf, samples, started_at, False)
+        return ForecastEnd(math.inf, False, samples, started_at, 0.0)
+    if (
+        former is not None
+        and former.size_samples == samples
+        and former.started_at == started_at
+    ):
+        usual = former.usual
+    else:
+        key = (plan, task.step, executor.spec.model)
+        usual = usual_times.get(key)
+        if usual is None:
+            usual = usual_times[key] = _usual_time(state, *key, now)
+        usual *= planner_health.slowdown(executor)
     due = started_at + usual - room_reports.HORIZON
     if now < due:
         # At its start a run is expected to take the usual time.
-        return ForecastEnd(due, samples, started_at, False)
+        return ForecastEnd(due, False, samples, started_at, usual)
     left = run_ends.remaining(now - started_at, usual, samples > 0)
-    if left.expected <= room_reports.HORIZON:
-        return ForecastEnd(now + left.bound, samples, started_at, True)
-    due = now + left.expected - room_reports.HORIZON
-    return ForecastEnd(due, samples, started_at, False)
+    is_soon = left.expected <= room_reports.HORIZON
+    due = now + (
+        left.bound if is_soon else left.expected - room_reports.HORIZON
+    )
+    return ForecastEnd(due, is_soon, samples, started_at, usual)
 
 
 def _usual_time(state, plan, step, model, now):
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_codecs.py
@@ -8,6 +8,7 @@
 from cardamompath_core import executors
 from cardamompath_core import identity
 from cardamompath_core import planner_election
+from cardamompath_core import room_reports
 from cardamompath_proof.tests.properties import shared
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -35,6 +36,12 @@
         planner_election.Member("n-1", "a", ("10.1.0.1", 7), 1700),
         3,
         (("10.1.0.2", 7),),
+        room=room_reports.Report(
+            0.0,
+            (room_reports.SizeRoom("desk", 16000, 2, 3),),
+            (room_reports.QueuedWork(1, 0.25),),
+            1,
+        ),
     ),
     pool_messages.PlanBatch(
         batches.Batch(
