--- a/packages/daemon/src/cardamompathd/controllers/fleet/fleet_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/fleet/fleet_state.py
@@ -9,6 +9,7 @@
 from cardamompath_core import executor_digests
 from cardamompath_core import executor_readings
 from cardamompath_core import planner_election
+from cardamompath_core import room_reports
 from cardamompathd import pool_messages
 
 __all__ = [
@@ -57,6 +58,8 @@
     """Offset and digest of the evacuated domains that the sender knows."""
     store_state: int = executor_readings.UNSUPPORTED
     """Whether the sender can read the list of executors from the store."""
+    room: room_reports.Report | None = None
+    """What the planner of the sender can start; None if it does not tell."""
 
 
 class Peer:
@@ -113,6 +116,10 @@
         """Of the executors that the planner of this instance holds."""
         self.store_state = executor_readings.UNSUPPORTED
         """Whether this instance can read the list of executors."""
+        self.room: room_reports.Report | None = None
+        """What the planner of this instance can start, as last reported."""
+        self.room_sent_at: dict[tuple[str, int], float] = {}
+        """When a report was last sent to each address."""
         self.batches_confirmed = pool_messages.BatchesConfirmed(-math.inf, 0)
         """When the callers of the batches of this instance were seen."""
         self.peers: dict[str, Peer] = {}
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "dispatch",
+    "is_listing_current",
 ]
 
 HEAL_TIME = 1.5
@@ -37,7 +38,7 @@
     waiting_plans = [
         candidate for candidate in state.plans.values() if candidate.waiting
     ]
-    if not waiting_plans or not _is_listing_current(state, now):
+    if not waiting_plans or not is_listing_current(state, now):
         return sends
     planner_crashes.release_isolated(state, now)
     min_cpu = min(candidate.min_cpu for candidate in waiting_plans)
@@ -138,7 +139,7 @@
             return
 
 
-def _is_listing_current(state, now):
+def is_listing_current(state, now):
     """Return whether the executors were listed since planning began.
 
     An older list may show executors as ready that are draining by now.  A
--- a/packages/daemon/src/cardamompathd/peers/pool_codec.py
+++ b/packages/daemon/src/cardamompathd/peers/pool_codec.py
@@ -18,6 +18,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers.fleet import fleet_state
 from cardamompathd.peers import errors
+from cardamompathd.peers import room_codec
 from cardamompathd.peers import wire
 
 __all__ = [
@@ -62,6 +63,8 @@
     evacuation_offset: int = evacuation.OFF.offset
     evacuation_digest: int = 0
     store_state: int = executor_readings.UNSUPPORTED
+    room: bytes | None = None
+    """See `room_codec`; absent if the sender reports none."""
 
 
 class StepFields(NamedTuple):
@@ -249,6 +252,7 @@
     wire.I64,
     wire.I64,
     wire.I32,
+    wire.BINARY,
 )
 wire.declare(
     StepFields,
@@ -443,6 +447,7 @@
         msg.evacuation_offset,
         msg.evacuation_digest,
         msg.store_state,
+        room_codec.encode(msg.room, msg.sent_at),
     )
 
 
@@ -472,6 +477,7 @@
         fields.evacuation_offset,
         fields.evacuation_digest,
         fields.store_state,
+        *room_codec.decode(fields.room, fields.sent_ms / 1000.0),
     )
 
 
--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -251,11 +251,17 @@
             known = evacuation.UNKNOWN
         controllers = (
             fleet.make_controller(self.member, known),
-            gateway.make_controller(name, domain, known_evacuation=known),
+            gateway.make_controller(
+                name,
+                domain,
+                policy=simulation.policy,
+                known_evacuation=known,
+            ),
             planner.make_controller(
                 name,
                 lambda: int(simulation.now * 1000.0) * 1000 + suffix,
                 simulation.now,
+                policy=simulation.policy,
                 known_evacuation=known,
             ),
         )
@@ -307,9 +313,18 @@
         Seed of what happens by chance.
     evacuations : bool
         Whether the instances follow evacuations.
+    policy : PoolPolicy, optional
+        How batches share the executors.
     """
 
-    def __init__(self, domains=("a", "b", "c"), seed=0, evacuations=False):
+    def __init__(
+        self,
+        domains=("a", "b", "c"),
+        seed=0,
+        evacuations=False,
+        policy=None,
+    ):
+        self.policy = policy
         self.now = 100.0
         self.evacuation = evacuation.make(0, ()) if evacuations else None
         """The evacuated domains by the store."""
