Store: append and read records without keys

Cause: cancellations need no keys, and many of them go into one append. Change: read_page and append, which read and put now use; an expired offset tells the first that is retained.

--- a/packages/daemon/src/cardamompathd/platform/errors.py
+++ b/packages/daemon/src/cardamompathd/platform/errors.py
@@ -41,3 +41,6 @@
 
 class RecordsExpired(AdapterError):
     """The requested records have been removed from the log."""
+
+    first: int | None = None
+    """Offset of the first record that is still stored, if the store told."""
--- a/packages/daemon/src/cardamompathd/platform/store.py
+++ b/packages/daemon/src/cardamompathd/platform/store.py
@@ -6,6 +6,7 @@
 import json
 import struct
 import urllib.parse
+from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
@@ -15,6 +16,7 @@
 from cardamompathd.platform import errors
 
 __all__ = [
+    "Page",
     "Record",
     "StoreClient",
     "make_client",
@@ -43,6 +45,14 @@
     value: bytes
 
 
+class Page(NamedTuple):
+    """Records of a topic, whatever their form, in the order of the log."""
+
+    records: list[bytes]
+    end: int
+    """Offset after the last record of the topic."""
+
+
 class StoreClient:
     """A connection to the store, owned by a single task.
 
@@ -107,17 +117,27 @@
         RecordsExpired
             If the record at `offset` is no longer stored.
         """
+        records = self.read_page(topic, offset, wait).records
+        return [_decode_record(raw) for raw in records], offset + len(records)
+
+    def read_page(self, topic: str, offset: int, wait: float) -> Page:
+        """Return records of any form from an offset on.
+
+        Parameters and errors are those of `read`.
+        """
         params = {"topic": topic, "part": 0, "from": offset}
         params["wait_ms"] = round(wait * 1000.0)
         response = self._call("GET", "/v1/log-read", params, wait, (410,))
         if response.status == 410:
-            raise errors.RecordsExpired(f"{topic} from {offset}")
+            expired = errors.RecordsExpired(f"{topic} from {offset}")
+            expired.first = _parse_first_offset(response.data)
+            raise expired
         raw = response.data
         try:
-            records = _decode_records(raw[READ_HEADER.size :])
+            end, _ = READ_HEADER.unpack_from(raw)
+            return Page(_split_records(raw[READ_HEADER.size :]), end)
         except (struct.error, ValueError) as exc:
             raise errors.StoreUnavailable(f"read: {exc!r}") from exc
-        return records, offset + len(records)
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record with a value for a key.
@@ -128,8 +148,17 @@
             If the store did not confirm it.
         """
         raw_key = key.encode()
-        record = bytes([len(raw_key)]) + raw_key + value
-        body = RECORD_LENGTH.pack(len(record)) + record
+        self.append(topic, [bytes([len(raw_key)]) + raw_key + value])
+
+    def append(self, topic: str, records: Iterable[bytes]) -> None:
+        """Append records of any form in one call.
+
+        Raises
+        ------
+        StoreUnavailable
+            If the store did not confirm it; it may have taken effect.
+        """
+        body = b"".join(RECORD_LENGTH.pack(len(raw)) + raw for raw in records)
         params = {"topic": topic, "part": 0}
         self._call("POST", "/v1/log-append", params, body=body)
 
@@ -190,7 +219,15 @@
         return Record(key, UNREADABLE)
 
 
-def _decode_records(raw):
+def _parse_first_offset(raw):
+    """Return the first retained offset that a 410 tells, or None."""
+    try:
+        return _parse_offset(json.loads(raw)["first"])
+    except (LookupError, RecursionError, TypeError, ValueError):
+        return None
+
+
+def _split_records(raw):
     records = []
     start = 0
     while start < len(raw):
@@ -198,7 +235,7 @@
         start += RECORD_LENGTH.size
         if start + size > len(raw):
             raise ValueError(f"record of {size} bytes is truncated")
-        records.append(_decode_record(raw[start : start + size]))
+        records.append(raw[start : start + size])
         start += size
     return records
 
