--- a/packages/daemon/src/cardamompathd/pool_messages.py
+++ b/packages/daemon/src/cardamompathd/pool_messages.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from cardamompath_core import batches
+from cardamompath_core import cancellation_log
 from cardamompath_core import evacuation
 from cardamompath_core import executor_digests
 from cardamompath_core import executors
@@ -20,6 +21,7 @@
 
 __all__ = [
     "AddressesFound",
+    "AppendCancellation",
     "BacklogChanged",
     "BacklogMeasured",
     "BatchEnded",
@@ -27,8 +29,11 @@
     "BatchQueryAnswered",
     "BatchesConfirmed",
     "CALLER_WATCH",
+    "CANCELLATION_LOG",
     "CONFIGURATIONS",
     "CallersChecked",
+    "CancellationsLogged",
+    "CancellationsRead",
     "CancellationsReported",
     "CancelBatch",
     "ConfigurationOffered",
@@ -95,6 +100,8 @@
 """Reads configurations that other instances send."""
 LISTINGS = "listings"
 """Polls the list of registered executors."""
+CANCELLATION_LOG = "cancellation_log"
+"""Appends cancellations to the store, and reads them at the start."""
 CALLER_WATCH = "caller_watch"
 """Notices callers that disconnect."""
 DECISION_LOG = "decisions"
@@ -262,6 +269,31 @@
     """Seconds since each was cancelled."""
 
 
+class AppendCancellation(NamedTuple):
+    """Append a cancellation to the log that outlasts all instances."""
+
+    name: str
+    cancelled_at: float
+    """In seconds of the clock of this instance."""
+
+
+class CancellationsLogged(NamedTuple):
+    """Cancellations were appended to the log, or given up."""
+
+    appended: tuple[str, ...]
+    dropped: tuple[str, ...]
+    """Those that nobody would remember any more; the store did not answer
+    for that long."""
+
+
+class CancellationsRead(NamedTuple):
+    """The log of cancellations was read at the start of this instance."""
+
+    reading: cancellation_log.LogReading
+    duration: float
+    """Seconds from the start of the task until the log was read."""
+
+
 class CountWaiting(NamedTuple):
     """Ask how many batches of a route have not started.
 
