Gateway: cancellations are in the log before they are answered

Change: a cancellation is appended while the others are asked, and answered after both, or after 1 s; an instance that starts hands over its first batch once it has read the log, or 1 s after its first view; some of those that read report to the others. Off unless the adapter has such a log.

--- a/packages/daemon/src/cardamompathd/controllers/gateway/__init__.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/__init__.py
@@ -5,6 +5,7 @@
 __all__ = [
     "gateway",
     "gateway_answers",
+    "gateway_cancellations",
     "gateway_drops",
     "gateway_lookups",
     "gateway_members",
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway.py
@@ -16,6 +16,7 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.gateway import gateway_answers
+from cardamompathd.controllers.gateway import gateway_cancellations
 from cardamompathd.controllers.gateway import gateway_drops
 from cardamompathd.controllers.gateway import gateway_evacuation
 from cardamompathd.controllers.gateway import gateway_lookups
@@ -59,6 +60,7 @@
     is_batch_name: Callable[[str], bool] = bool,
     policy: pool_policy.PoolPolicy | None = None,
     known_evacuation: evacuation.Evacuation = evacuation.OFF,
+    logs_cancellations: bool = False,
 ) -> messages.Controller:
     """Make the controller of the batches whose callers wait here.
 
@@ -72,6 +74,8 @@
         How batches share the executors; by default, all choices are off.
     known_evacuation : Evacuation
         `evacuation.UNKNOWN` if evacuations are followed, or `evacuation.OFF`.
+    logs_cancellations : bool
+        Whether a task at `CANCELLATION_LOG` keeps the cancellations.
     """
     state = gateway_state.GatewayState(
         name,
@@ -79,6 +83,7 @@
         is_batch_name,
         policy or pool_policy.PoolPolicy(),
         known_evacuation,
+        logs_cancellations,
     )
 
     def receive(msg, now):
@@ -115,7 +120,7 @@
     pending = state.pending[name] = gateway_state.PendingBatch(
         batch, msg, min(deadline, state.answer_by), now
     )
-    sends = gateway_planners.hand_over(state, pending, now)
+    sends = gateway_cancellations.hand_over(state, pending, now)
     sends += gateway_drops.cancel(state, name, pending.planner)
     sends.append(_log_submitted(state, pending))
     sends.append(gateway_answers.make_timer(pending.deadline, name))
@@ -289,7 +294,8 @@
 def _update_fleet(state, msg, now):
     state.started = msg.own_member.started
     state.address = msg.own_member.address
-    if state.viewed_since is None:
+    is_first_view = state.viewed_since is None
+    if is_first_view:
         state.viewed_since = now
     reports = gateway_members.report_to_new(state, msg, now)
     state.alive = msg.alive
@@ -304,8 +310,9 @@
             gateway_planners.is_same_incarnation(planner, pending.planner)
             for planner in planners
         ):
-            sends += gateway_planners.hand_over(state, pending, now)
+            sends += gateway_cancellations.hand_over(state, pending, now)
     gateway_members.forget_former(state)
+    sends += gateway_cancellations.limit_hold(state, is_first_view)
     return sends + gateway_queries.update_members(state, now)
 
 
@@ -316,6 +323,10 @@
         return gateway_members.repeat_reports(state, now)
     if msg.key == gateway_queries.TIMER_KEY:
         return gateway_queries.resend(state, now)
+    if msg.key == gateway_queries.APPEND_TIMER_KEY:
+        return gateway_queries.finish_answered(state, now)
+    if msg.key == gateway_cancellations.TIMER_KEY:
+        return gateway_cancellations.end_hold(state, now)
     if msg.key is not None:
         return _handle_deadline(state, state.pending.get(msg.key), now)
     sends = []
@@ -331,7 +342,7 @@
                 + gateway_planners.RESEND_INTERVAL
                 + (now - pending.submitted_at)
             )
-            sends += gateway_planners.hand_over(state, pending, now)
+            sends += gateway_cancellations.hand_over(state, pending, now)
     state.timer_set = bool(state.pending)
     if state.timer_set:
         sends.append(
@@ -354,9 +365,10 @@
 
 def _refuse_unassigned(state, pending, now):
     sends = gateway_answers.drop_batch(state, pending, "no planner", now)
-    outcome = batches.Outcome(
-        batches.REFUSED, "no planner is known", NO_PLANNER_RETRY_AFTER
-    )
+    reason = "no planner is known"
+    if state.assignment.planners and not state.cancellations_known:
+        reason = "the cancellations of before the start are not known"
+    outcome = batches.Outcome(batches.REFUSED, reason, NO_PLANNER_RETRY_AFTER)
     return sends + gateway_answers.answer(state, pending, outcome, now)
 
 
@@ -367,6 +379,8 @@
     pool_messages.BatchQuery: gateway_lookups.handle_query,
     pool_messages.BatchQueryAnswered: gateway_queries.handle_answer,
     pool_messages.CancellationsReported: gateway_lookups.note_cancellations,
+    pool_messages.CancellationsRead: gateway_cancellations.handle_read,
+    pool_messages.CancellationsLogged: gateway_cancellations.handle_logged,
     pool_messages.CountWaiting: _count_waiting,
     pool_messages.GetReadiness: _report_readiness,
     pool_messages.RoutesConfigured: _set_routes,
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_members.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cardamompath_core import cancellation_log
 from cardamompath_core import executor_digests
 from cardamompathd import messages
 from cardamompathd import pool_messages
@@ -13,6 +14,7 @@
     "note_losses",
     "note_planner_heard",
     "repeat_reports",
+    "report_reading",
     "report_to_new",
     "update_backlog",
 ]
@@ -30,11 +32,13 @@
 def report_to_new(state, msg, now):
     """Tell instances that are new of recent crashes and cancellations.
 
-    Only the planners do so; all of them know of all.
+    Only the planners do so; all of them know of all.  If all instances
+    started at once, some others do so as well that have read the log of
+    cancellations, for those that could not.
     """
-    is_planner = any(
+    reports = any(
         planner.name == state.name for planner in state.assignment.planners
-    )
+    ) or _reports_reading(state, msg.alive, now)
     known = {(member.name, member.started) for member in state.alive}
     addresses = tuple(
         member.address
@@ -42,7 +46,27 @@
         if (member.name, member.started) not in known
         and member.name != state.name
     )
-    if not is_planner or not addresses:
+    return _start_reports(state, addresses, now) if reports else []
+
+
+def report_reading(state, now):
+    """Tell the other members what was read from the log of cancellations."""
+    if not _reports_reading(state, state.alive, now):
+        return []
+    addresses = tuple(
+        member.address for member in state.alive if member.name != state.name
+    )
+    return _start_reports(state, addresses, now)
+
+
+def _reports_reading(state, alive, now):
+    return now < state.reports_read_until and cancellation_log.is_reporter(
+        state.name, alive
+    )
+
+
+def _start_reports(state, addresses, now):
+    if not addresses:
         return []
     sends = [] if state.new_addresses else [_make_timer(now)]
     state.new_addresses.update(dict.fromkeys(addresses, now + REPORT_TIME))
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_queries.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_queries.py
@@ -10,15 +10,19 @@
 from typing import Any
 
 from cardamompath_core import batches
+from cardamompath_core import cancellation_log
 from cardamompath_core import planner_election
 from cardamompathd import messages
 from cardamompathd import pool_messages
 
 __all__ = [
+    "APPEND_TIMER_KEY",
     "TIMER_KEY",
     "Query",
     "ask",
+    "finish_answered",
     "handle_answer",
+    "note_appended",
     "resend",
     "update_members",
 ]
@@ -36,6 +40,8 @@
 batch exists."""
 TIMER_KEY = ("queries",)
 """Key of the timer of `resend`; names of batches are strings."""
+APPEND_TIMER_KEY = ("appends",)
+"""Key of the timers of `finish_answered`."""
 
 _NOT_KNOWN = batches.Outcome(
     batches.REFUSED, "not every instance could be asked", RETRY_AFTER
@@ -58,6 +64,7 @@
     """A question that not every instance has answered."""
 
     __slots__ = (
+        "append_by",
         "asked",
         "awaited",
         "give_up_at",
@@ -80,6 +87,9 @@
         self.has_route = has_route
         """Whether the path belongs to a route that is in force."""
         self.give_up_at = now + QUERY_TIMEOUT
+        self.append_by: float | None = None
+        """Until when the answer waits for the append of the cancellation;
+        None if it does not wait."""
         self.asked: set[tuple[str, int]] = set()
         """Names and start times of the members that were asked."""
         self.awaited: dict[tuple[str, int], planner_election.Member] = {}
@@ -104,9 +114,24 @@
     sends = [messages.Send(pool_messages.GATEWAY, msg)]
     query.awaited[state.name, state.started] = None
     sends += _ask_new_members(state, query)
+    if cancel and state.logs_cancellations:
+        sends += _append(query, now)
     return sends + _set_timer(state, now)
 
 
+def _append(query, now):
+    """Have a cancellation appended to the log, and limit the wait for it."""
+    query.append_by = now + cancellation_log.ANSWER_TIMEOUT
+    append = pool_messages.AppendCancellation(query.msg.name, now)
+    due = messages.SetTimer(
+        query.append_by, pool_messages.GATEWAY, APPEND_TIMER_KEY
+    )
+    return [
+        messages.Send(pool_messages.CANCELLATION_LOG, append),
+        messages.Send(messages.TIMERS, due),
+    ]
+
+
 def _knows_members(state, now):
     """Return whether no other instance can have a batch."""
     return (
@@ -141,7 +166,33 @@
         return []
     query.awaited.pop((msg.member, msg.member_started), None)
     query.state = max(query.state, msg.state, key=_STATES.index)
-    return [] if query.awaited else _finish(state, query, now)
+    return _finish_if_answered(state, query, now)
+
+
+def note_appended(state, names, now):
+    """Answer the callers whose cancellations the log has now."""
+    sends = []
+    for query in list(state.queries.values()):
+        if query.append_by is not None and query.msg.name in names:
+            query.append_by = None
+            sends += _finish_if_answered(state, query, now)
+    return sends
+
+
+def finish_answered(state, now):
+    """Answer the callers that have waited long enough for an append."""
+    sends = []
+    for query in list(state.queries.values()):
+        sends += _finish_if_answered(state, query, now)
+    return sends
+
+
+def _finish_if_answered(state, query, now):
+    """Answer the caller if all members and the log have answered."""
+    awaits_append = query.append_by is not None and now < query.append_by
+    if query.awaited or awaits_append:
+        return []
+    return _finish(state, query, now)
 
 
 def update_members(state, now):
@@ -155,8 +206,7 @@
         for key in query.awaited.keys() - alive:
             del query.awaited[key]
         sends += _ask_new_members(state, query)
-        if not query.awaited:
-            sends += _finish(state, query, now)
+        sends += _finish_if_answered(state, query, now)
     return sends
 
 
@@ -169,6 +219,7 @@
             query.is_complete = False
             sends += _finish(state, query, now)
             continue
+        sends += _finish_if_answered(state, query, now)
         sends += [
             _send(state, member, query)
             for member in query.awaited.values()
@@ -189,6 +240,8 @@
         "answer": outcome.state,
         "remembered": len(state.cancellations),
     }
+    if query.msg.cancel and state.logs_cancellations:
+        fields["logged"] = query.append_by is None
     decision = pool_messages.Decision(
         "gateway", "batch looked up", query.msg.name, fields
     )
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
@@ -34,6 +34,7 @@
         "former_executors",
         "handed_over",
         "handover",
+        "held",
         "permitted_until",
         "planner",
         "refused_by",
@@ -61,6 +62,8 @@
         self.round = 0
         """Number of earlier planners that may have started tasks of it."""
         self.handed_over = False
+        self.held = False
+        """Whether it waited for the cancellations of before the start."""
         self.handover = 0
         """Number of its last hand-over to another planner."""
         self.former_executors: set[int] = set()
@@ -87,6 +90,7 @@
         is_batch_name: Callable[[str], bool],
         policy: pool_policy.PoolPolicy,
         known_evacuation: evacuation.Evacuation = evacuation.OFF,
+        logs_cancellations: bool = False,
     ):
         self.name = name
         self.policy = policy
@@ -107,6 +111,15 @@
         self.query_timer_set = False
         """Whether a timer is set that repeats questions."""
         self.cancellations = cancellations.CancellationMemory()
+        self.logs_cancellations = logs_cancellations
+        """Whether cancellations are kept in a log that outlasts all
+        instances."""
+        self.cancellations_known = not logs_cancellations
+        """Whether those of before the start were read, or are no longer waited
+        for."""
+        self.reports_read_until = -math.inf
+        """Until when this instance reports those that it has read to members
+        that are new."""
         self.started = 0
         """Start time of this process, in milliseconds since 1970."""
         self.route_table: routes.RouteTable | None = None
