Core: instances that run the shortest report what they read

Cause: those that run the longest plan, so that a store that rejects the planners silenced both groups that report.

--- a/packages/core/src/cardamompath_core/cancellation_log.py
+++ b/packages/core/src/cardamompath_core/cancellation_log.py
@@ -256,7 +256,9 @@
 def is_reporter(name: str, members: Iterable[planner_election.Member]) -> bool:
     """Return whether an instance reports what it has read to the others.
 
-    These are the instances of each failure domain that run the longest.
+    These are the instances of each failure domain that run the shortest.
+    Planners report as well, and are among those that run the longest, so that
+    a store that rejects one group does not silence both.
 
     Parameters
     ----------
@@ -271,5 +273,5 @@
     return any(
         name == reporter
         for ranked in by_domain.values()
-        for _, reporter in sorted(ranked)[:REPORTERS_PER_DOMAIN]
+        for _, reporter in sorted(ranked)[-REPORTERS_PER_DOMAIN:]
     )
