Platform: instances keep cancellations in the store

Cause: the task that does so was not started. Change: every instance starts it before its followers, as the first batches wait for it.

--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -4,6 +4,7 @@
 
 import os
 import queue
+import secrets
 import signal
 import threading
 import time
@@ -21,6 +22,7 @@
 from cardamompathd import pool_app
 from cardamompathd import pool_messages
 from cardamompathd.callers import server
+from cardamompathd.platform import cancellation_log
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
 from cardamompathd.platform import executor_protocol
@@ -168,6 +170,7 @@
         documents.is_job_name,
         policy,
         evacuation.OFF if cfg.evacuation_bound is None else evacuation.UNKNOWN,
+        logs_cancellations=True,
     )
     tell_planner = app.controllers[pool_messages.PLANNER]
     tell_fleet = app.controllers[pool_messages.FLEET]
@@ -175,6 +178,13 @@
     executor_follower = followers.ExecutorFollower(
         store.make_client(cfg.store_address), tell_planner, clock
     )
+    log_task = cancellation_log.CancellationLog(
+        store.make_client(cfg.store_address),
+        secrets.randbits(64),
+        tell_gateway,
+        clock,
+    )
+    app.receivers[pool_messages.CANCELLATION_LOG] = log_task.append
     app.receivers[pool_messages.CONFIGURATIONS] = _make_offer_handler(
         tell_gateway
     )
@@ -182,6 +192,8 @@
         executor_follower.set_planning(msg.planning)
     )
     tasks = (
+        # The first batches wait for what it reads.
+        log_task,
         followers.ConfigurationFollower(
             store.make_client(cfg.store_address),
             tell_gateway,
--- a/packages/daemon/src/cardamompathd/pool_app.py
+++ b/packages/daemon/src/cardamompathd/pool_app.py
@@ -97,6 +97,7 @@
     is_batch_name: Callable[[str], bool] = bool,
     policy: pool_policy.PoolPolicy | None = None,
     known_evacuation: evacuation.Evacuation = evacuation.OFF,
+    logs_cancellations: bool = False,
 ) -> Instance:
     """Start the tasks of an instance.
 
@@ -122,6 +123,9 @@
         How batches share the executors; by default, all choices are off.
     known_evacuation : Evacuation
         `evacuation.UNKNOWN` if evacuations are followed, or `evacuation.OFF`.
+    logs_cancellations : bool
+        Whether the platform adapter keeps the cancellations in a log, with a
+        task at `pool_messages.CANCELLATION_LOG`.
 
     Raises
     ------
@@ -154,6 +158,7 @@
                 is_batch_name,
                 policy,
                 known_evacuation,
+                logs_cancellations,
             ),
             planner_controller,
         ],
