Metrics: records of cancellations, by result

Cause: operators have to see cancellations that were not written, and records that no instance can read. Change: a counter from the decisions.

--- a/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
@@ -30,6 +30,17 @@
 EVACUATIONS = {"evacuation in force": 1, "evacuation ended": 0}
 """Events that tell of evacuated failure domains, and the value of the metric
 that they set for each of these."""
+CANCELLATIONS = {
+    "cancellations appended": (("count", "appended"),),
+    "cancellations not appended": (("count", "not_appended"),),
+    "cancellations read": (
+        ("count", "read"),
+        ("expired", "expired"),
+        ("unreadable", "unreadable"),
+    ),
+}
+"""Events that tell of the log of cancellations; for each, the fields with
+numbers of records and the label under which these are counted."""
 
 
 class DecisionCounts:
@@ -44,6 +55,7 @@
         self._bucket_counts: dict[str, list[int]] = {}
         self._time_sums: collections.Counter = collections.Counter()
         self._evacuations: dict[str, int] = {}
+        self._cancellations: collections.Counter = collections.Counter()
 
     def count(self, decision: pool_messages.Decision) -> None:
         """Count a decision."""
@@ -52,6 +64,8 @@
             self._event_counts[key] += 1
         if decision.event in EVACUATIONS:
             self._set_evacuations(decision)
+        for field, result in CANCELLATIONS.get(decision.event, ()):
+            self._cancellations[result] += decision.fields[field]
         if decision.event == ANSWERED:
             self._count_response_time(
                 decision.fields["state"], decision.fields["age_ms"]
@@ -79,6 +93,13 @@
             for domain, value in self._evacuations.copy().items()
         ]
 
+    def cancellations(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the records of cancellations, by what became of them."""
+        return [
+            (count, {"result": result})
+            for result, count in self._cancellations.copy().items()
+        ]
+
     def event_counts(self) -> list[tuple[float, dict[str, str]]]:
         """Return the count of each decision with its labels."""
         return [
@@ -153,5 +174,12 @@
             "Whether a failure domain is evacuated, by domain.",
             lambda _: counts.evacuations(),
         ),
+        metrics.Instrument(
+            "counter",
+            "cardamompath.cancellation_records",
+            "",
+            "Records of cancellations in the store, by result.",
+            lambda _: counts.cancellations(),
+        ),
         *metrics.PROCESS_INSTRUMENTS,
     )
