Store: one function reads, whatever the records are

Cause: the test of the stand-in decodes records of a read with _decode_records, which the change to records without keys had removed. Change: it is back, and read and read_page share the call. Measured: test_store of the stand-ins, test_platform_store and the properties of the platform's inputs pass (46 tests).

--- a/packages/daemon/src/cardamompathd/platform/store.py
+++ b/packages/daemon/src/cardamompathd/platform/store.py
@@ -117,14 +117,17 @@
         RecordsExpired
             If the record at `offset` is no longer stored.
         """
-        records = self.read_page(topic, offset, wait).records
-        return [_decode_record(raw) for raw in records], offset + len(records)
+        records, _ = self._read(topic, offset, wait, _decode_records)
+        return records, offset + len(records)
 
     def read_page(self, topic: str, offset: int, wait: float) -> Page:
         """Return records of any form from an offset on.
 
         Parameters and errors are those of `read`.
         """
+        return Page(*self._read(topic, offset, wait, _split_records))
+
+    def _read(self, topic, offset, wait, decode):
         params = {"topic": topic, "part": 0, "from": offset}
         params["wait_ms"] = round(wait * 1000.0)
         response = self._call("GET", "/v1/log-read", params, wait, (410,))
@@ -135,7 +138,7 @@
         raw = response.data
         try:
             end, _ = READ_HEADER.unpack_from(raw)
-            return Page(_split_records(raw[READ_HEADER.size :]), end)
+            return decode(raw[READ_HEADER.size :]), end
         except (struct.error, ValueError) as exc:
             raise errors.StoreUnavailable(f"read: {exc!r}") from exc
 
@@ -240,6 +243,10 @@
     return records
 
 
+def _decode_records(raw):
+    return [_decode_record(record) for record in _split_records(raw)]
+
+
 def _decode_record(raw):
     if not raw or len(raw) <= raw[0]:
         # Not a keyed record, but it still counts as one offset.
