--- a/packages/core/src/cardamompath_core/tests/test_cancellation_log.py
+++ b/packages/core/src/cardamompath_core/tests/test_cancellation_log.py
@@ -88,9 +88,7 @@
             for domain in "ab"
             for index in range(9)
         ]
-        reporters = [
-            member.name
-            for member in members
-            if cancellation_log.is_reporter(member.name, members)
-        ]
+        names = [member.name for member in members]
+        is_reporter = cancellation_log.is_reporter
+        reporters = [name for name in names if is_reporter(name, members)]
         self.assertEqual(reporters, ["n-a7", "n-a8", "n-b7", "n-b8"])
