--- a/packages/daemon/src/cardamompathd/tests/pool_simulation.py
+++ b/packages/daemon/src/cardamompathd/tests/pool_simulation.py
@@ -17,6 +17,9 @@
 from cardamompathd.controllers.fleet import fleet_state
 from cardamompathd.controllers.gateway import gateway
 from cardamompathd.controllers.planner import planner
+from cardamompathd.platform import cancellation_log
+from cardamompathd.platform import errors
+from cardamompathd.platform import store
 
 LATENCY = 0.002
 """Seconds until a message arrives."""
@@ -235,6 +238,29 @@
         )
 
 
+class FakeLogClient:
+    """The connection of an instance to the simulated log."""
+
+    def __init__(self, simulation, instance):
+        self.simulation = simulation
+        self.instance = instance
+
+    def append(self, _, records):
+        log = self.read_page("", 0, 0.0).records
+        self.simulation.log = log + records
+        self.simulation.append_times.append(self.simulation.now)
+        if self.simulation.appends_to_lose > 0:
+            self.simulation.appends_to_lose -= 1
+            raise errors.StoreUnavailable("the answer was lost")
+
+    def read_page(self, _, offset, __):
+        is_up = self.simulation.log_up
+        if not (is_up and self.simulation.serves(self.instance)):
+            raise errors.StoreUnavailable("simulated")
+        log = self.simulation.log
+        return store.Page(log[offset:], len(log))
+
+
 class Instance:
     """An instance with its controllers."""
 
@@ -251,7 +277,12 @@
             known = evacuation.UNKNOWN
         controllers = (
             fleet.make_controller(self.member, known),
-            gateway.make_controller(name, domain, known_evacuation=known),
+            gateway.make_controller(
+                name,
+                domain,
+                known_evacuation=known,
+                logs_cancellations=simulation.log is not None,
+            ),
             planner.make_controller(
                 name,
                 lambda: int(simulation.now * 1000.0) * 1000 + suffix,
@@ -268,6 +299,23 @@
             pool_messages.GATEWAY,
             pool_messages.RoutesConfigured(TABLE, b"", "store"),
         )
+        if simulation.log is not None:
+            self.log_task = cancellation_log.CancellationLog(
+                FakeLogClient(simulation, self),
+                simulation.rng.getrandbits(64),
+                lambda msg: simulation.schedule(
+                    LATENCY, lambda: self.receive(pool_messages.GATEWAY, msg)
+                ),
+                lambda: simulation.now,
+            )
+            simulation.schedule(LATENCY, self.step_log)
+
+    def step_log(self):
+        """Let the task of the log make its calls, and again when due."""
+        if self.alive:
+            pause = self.log_task.step()
+            if pause is not None:
+                self.simulation.schedule(max(pause, 0.001), self.step_log)
 
     def receive(self, to, msg):
         lag = self.simulation.lags.get(self.name, 0.0)
@@ -307,10 +355,26 @@
         Seed of what happens by chance.
     evacuations : bool
         Whether the instances follow evacuations.
+    cancellation_log : bool
+        Whether they keep cancellations in a log of the store.
     """
 
-    def __init__(self, domains=("a", "b", "c"), seed=0, evacuations=False):
+    def __init__(
+        self,
+        domains=("a", "b", "c"),
+        seed=0,
+        evacuations=False,
+        cancellation_log=False,
+    ):
         self.now = 100.0
+        self.log = [] if cancellation_log else None
+        """The records of cancellations."""
+        self.log_up = True
+        """Whether the store answers calls for them, as far as it is up."""
+        self.append_times = []
+        """When records were appended."""
+        self.appends_to_lose = 0
+        """Number of appends whose answers are lost next."""
         self.evacuation = evacuation.make(0, ()) if evacuations else None
         """The evacuated domains by the store."""
         self.rng = random.Random(seed)
@@ -382,16 +446,16 @@
             self.send_evacuation(instance)
 
     def send_evacuation(self, instance):
-        if self.evacuation is not None and self._serves(instance):
+        if self.evacuation is not None and self.serves(instance):
             read = pool_messages.EvacuationRead(self.evacuation, "store")
             instance.receive(pool_messages.GATEWAY, read)
 
-    def _serves(self, instance):
+    def serves(self, instance):
         """Return whether the store answers an instance."""
         return self.store_up and instance.name not in self.rejected_by_store
 
     def send_listing(self, instance):
-        if self._serves(instance):
+        if self.serves(instance):
             specs = tuple(
                 executor.spec
                 for executor in self.executors.values()
@@ -580,6 +644,9 @@
             self.answers[msg.reply_to] = msg.answer
         elif send.to == pool_messages.DECISION_LOG:
             instance.decisions.append(msg)
+        elif send.to == pool_messages.CANCELLATION_LOG:
+            instance.log_task.append(msg)
+            self.schedule(LATENCY, instance.step_log)
         elif send.to == pool_messages.LISTINGS:
             self.send_listing(instance)
         elif isinstance(msg, pool_messages.SendToMember):
--- a/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
+++ b/packages/daemon/src/cardamompathd/tests/test_large_fleet.py
@@ -10,9 +10,11 @@
 EXECUTORS_PER_DOMAIN = 8
 
 
-def make_simulation(evacuations=False):
+def make_simulation(evacuations=False, cancellation_log=False):
     """Make a fleet with two failure domains that have two planners each."""
-    simulation = pool_simulation.Simulation(("a", "b"), 0, evacuations)
+    simulation = pool_simulation.Simulation(
+        ("a", "b"), 0, evacuations, cancellation_log
+    )
     for domain in ("a", "b"):
         for index in range(1, INSTANCES_PER_DOMAIN):
             simulation.add_instance(f"n-{domain}{index}", domain, 2000 + index)
