--- a/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
+++ b/packages/daemon/src/cardamompathd/telemetry/pool_metrics.py
@@ -44,6 +44,17 @@
 PLANNER_CHOSEN = "planner chosen"
 REPORT_DROPPED = "room report dropped"
 """Events of which fields are counted as well."""
+CANCELLATIONS = {
+    "cancellations appended": (("count", "appended"),),
+    "cancellations not appended": (("count", "not_appended"),),
+    "cancellations read": (
+        ("count", "read"),
+        ("expired", "expired"),
+        ("unreadable", "unreadable"),
+    ),
+}
+"""Events that tell of the log of cancellations; for each, the fields with
+numbers of records and the label under which these are counted."""
 
 
 class DecisionCounts:
@@ -65,6 +76,7 @@
         self._error_sum = 0.0
         self._choice_counts: collections.Counter = collections.Counter()
         self._drop_counts: collections.Counter = collections.Counter()
+        self._cancellations: collections.Counter = collections.Counter()
 
     def count(self, decision: pool_messages.Decision) -> None:
         """Count a decision."""
@@ -75,6 +87,8 @@
             self._set_evacuations(decision)
         if decision.event == LIST_SOURCE:
             self._list_source = decision.fields["source"]
+        for field, result in CANCELLATIONS.get(decision.event, ()):
+            self._cancellations[result] += decision.fields[field]
         if decision.event == ANSWERED:
             self._count_response_time(
                 decision.fields["state"], decision.fields["age_ms"]
@@ -128,6 +142,13 @@
         source = self._list_source
         return [(1.0, {"source": source})] if source else []
 
+    def cancellations(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the records of cancellations, by what became of them."""
+        return [
+            (count, {"result": result})
+            for result, count in self._cancellations.copy().items()
+        ]
+
     def event_counts(self) -> list[tuple[float, dict[str, str]]]:
         """Return the count of each decision with its labels."""
         return [
@@ -290,5 +311,12 @@
             "Sum of the sizes of the errors of forecast starts.",
             lambda _: counts.error_sum(),
         ),
+        metrics.Instrument(
+            "counter",
+            "cardamompath.cancellation_records",
+            "",
+            "Records of cancellations in the store, by result.",
+            lambda _: counts.cancellations(),
+        ),
         *metrics.PROCESS_INSTRUMENTS,
     )
