Command line: checks and explains the settings of the pool

Cause: deploy/pool.ini has a table of its own, by which no command checked it. Measured: its test fails without the flag; 9 tests of the commands passed.

--- a/packages/cli/src/cardamompath_cli/settings.py
+++ b/packages/cli/src/cardamompath_cli/settings.py
@@ -12,6 +12,7 @@
 from cardamompath_cli import exits
 from cardamompath_cli import options
 from cardamompathd.settings import loading
+from cardamompathd.settings import pool_table
 from cardamompathd.settings import table
 
 __all__ = [
@@ -25,7 +26,8 @@
 
 def check(command: Check) -> int:
     """Print every fault in the settings files."""
-    loaded = loading.load(command.files)
+    load = pool_table.load if command.pool else loading.load
+    loaded = load(command.files)
     valid = pipeline.is_successful(loaded)
     faults = () if valid else loaded.failure()
     if command.json:
@@ -42,12 +44,13 @@
 
 def explain(command: Explain) -> int:
     """Print the table of all settings."""
+    declared = pool_table.TABLE if command.pool else table.TABLE
     if command.json:
-        rows = [_make_row(entry) for entry in table.TABLE]
+        rows = [_make_row(entry) for entry in declared]
         print(json.dumps({"settings": rows}))
         return exits.DONE
     section = ""
-    for entry in table.TABLE:
+    for entry in declared:
         if entry.section != section:
             section = entry.section
             print(f"[{section}]")
@@ -63,6 +66,16 @@
     return {name: getattr(entry, name) for name in fields}
 
 
+PoolFlag = Annotated[
+    bool,
+    cappa.Arg(
+        long=True,
+        help="The settings of how batches share executors, as in "
+        "deploy/pool.ini, in place of those of an instance.",
+    ),
+]
+
+
 @cappa.command(invoke=check)
 class Check:
     """Check settings files and print every fault."""
@@ -71,6 +84,7 @@
         list[str],
         cappa.Arg(help="INI files; later files override earlier ones."),
     ]
+    pool: PoolFlag = False
     json: options.JsonFlag = False
 
 
@@ -78,6 +92,7 @@
 class Explain:
     """List every setting with its default, unit and allowed values."""
 
+    pool: PoolFlag = False
     json: options.JsonFlag = False
 
 
--- a/packages/cli/src/cardamompath_cli/tests/test_commands.py
+++ b/packages/cli/src/cardamompath_cli/tests/test_commands.py
@@ -147,6 +147,24 @@
         }
         self.assertLessEqual(expected, faulty)
 
+    def test_settings_of_the_pool_are_checked_by_their_own_table(self):
+        # By the table of an instance every key of a pool file is unknown.
+        file = self.write({})
+        pathlib.Path(file).write_text("[room]\nreports = on\n")
+        status, body = self.run_json("settings", "check", file, "--pool")
+        self.assertEqual((exits.DONE, []), (status, body["faults"]))
+        pathlib.Path(file).write_text(
+            "[room]\nreports = yes\n[shares]\nleast_share = 2\n"
+        )
+        status, body = self.run_json("settings", "check", file, "--pool")
+        self.assertEqual(exits.USAGE, status)
+        faulty = {(fault["section"], fault["key"]) for fault in body["faults"]}
+        expected = {("room", "reports"), ("shares", "least_share")}
+        self.assertEqual(expected, faulty)
+        status, body = self.run_json("settings", "explain", "--pool")
+        names = {(row["section"], row["key"]) for row in body["settings"]}
+        self.assertIn(("placement", "reservations"), names)
+
     def test_help_names_exit_codes_and_bad_usage_fails(self):
         status, text = self.run_command("--help")
         self.assertIn("Exit codes", text)
