Gateway: reports of evacuated domains count as none

With room reports on, a gateway chose planners by reports that were made before the evacuation, although it knew that their domains were evacuated. Only the backlog took that into account, which a fresh report replaces. Batches were rejected by each planner of the domain in turn, for up to 0.75 s.

A planner whose domain is evacuated has no fresh report now. The check is a method of the state that the backlog uses as well.

The new test fails before (the batch goes to a0 instead of c0); the 41 tests of room reports and evacuations pass.

--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_planners.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_planners.py
@@ -238,11 +238,7 @@
     One whose failure domain is evacuated has none of its executors left,
     which its next heartbeats will tell.
     """
-    if (
-        planner
-        and state.assignment.by_domain
-        and planner.domain in state.evacuation.domains
-    ):
+    if planner and state.is_evacuated(planner):
         return planner_estimates.EMPTY_POOL_BACKLOG
     return state.backlogs.get(planner.name, 0.0) if planner else 0.0
 
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_rooms.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_rooms.py
@@ -83,7 +83,13 @@
 
 
 def find_fresh(state, planner, now):
-    """Return the report of a planner, None if there is no fresh one."""
+    """Return the report of a planner, None if there is no fresh one.
+
+    A report of a planner whose failure domain is evacuated counts as none, as
+    it may have been made before the planner learned of the evacuation.
+    """
+    if state.is_evacuated(planner):
+        return None
     heard = state.rooms.get((planner.name, planner.started))
     if heard is None or now > heard.made_at + room_reports.STALE_TIME:
         return None
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
@@ -187,6 +187,13 @@
         self.timer_set = False
         """Whether a timer is set that sends batches again."""
 
+    def is_evacuated(self, planner: planner_election.Member) -> bool:
+        """Return whether all executors of a planner are evacuated."""
+        return (
+            self.assignment.by_domain
+            and planner.domain in self.evacuation.domains
+        )
+
     def executors_of(self, planner: planner_election.Member) -> int:
         """Return the digest of the executors that a planner holds."""
         return self.executors_held.get(
--- a/packages/daemon/src/cardamompathd/tests/test_room_reports.py
+++ b/packages/daemon/src/cardamompathd/tests/test_room_reports.py
@@ -4,6 +4,7 @@
 import unittest
 
 from cardamompath_core import batches
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
@@ -46,8 +47,12 @@
 
     def __init__(self):
         self.now = 1000.0
-        self.receive = gateway.make_controller("a8", "a", policy=POLICY)
-        self.receive = self.receive.receive
+        self.receive = gateway.make_controller(
+            "a8",
+            "a",
+            policy=POLICY,
+            known_evacuation=evacuation.UNKNOWN,
+        ).receive
         self.decisions = []
         members = [make_member(f"{d}{n}") for d in DOMAINS for n in range(9)]
         self.tell(
@@ -196,6 +201,16 @@
         self.gateway.now += room_reports.STALE_TIME + 0.01
         self.assertEqual(self.gateway.submit()[0][0][0], "a")
 
+    def test_reports_of_evacuated_domains_count_as_none(self):
+        # Reports that were made before the evacuation attracted batches to
+        # each planner of the domain in turn, which rejected them.
+        self.gateway.report_all(0, a0=4, b0=4, c0=4)
+        known = evacuation.make(1, ["a", "b"])
+        self.gateway.tell(pool_messages.EvacuationRead(known))
+        self.assertEqual(self.gateway.submit(), [("c0", 1)])
+        self.assertEqual(self.gateway.reject("c0", 1), [])
+        self.assertEqual(self.gateway.answers, [batches.REFUSED])
+
     def test_report_on_a_late_link_is_stale(self):
         self.gateway.report("c1", 0)
         self.gateway.now += 2.0
