Store: the list keeps its offset once records have expired

The follower of the executors dropped its offset when the store no longer had the records there. If the store then rejected this instance, peers answered with what had changed since that offset, which does not apply to a list without one. Their answers counted as readable, so that the planner awaited them and started nothing for as long as the store rejected it.

The offset stays, and a flag has the follower read all entries instead.

The new test fails before (offset -1 instead of 9); the 31 tests of the module pass.

--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -292,6 +292,10 @@
         """When the last own reading that succeeded began."""
         self._clock = clock
         self._offset: int | None = None
+        self._is_expired = False
+        """Whether the store no longer has the records at the offset, so that
+        it has to be asked for all entries.  Readings of others still build on
+        the list as of the offset."""
         self._executors: dict[str, executors.Executor] = {}
         self._missing_since: dict[str, float] = {}
         """When the entries of executors that still count were found to be
@@ -392,8 +396,9 @@
 
     def _poll(self):
         began_at = self._clock()
-        if self._offset is None or not self._planning:
+        if self._offset is None or self._is_expired or not self._planning:
             records, self._offset = self._client.read_newest(EXECUTOR_TOPIC)
+            self._is_expired = False
             records = self._with_absent(records)
         else:
             try:
@@ -401,7 +406,7 @@
                     EXECUTOR_TOPIC, self._offset, 0.0
                 )
             except errors.RecordsExpired:
-                self._offset = None
+                self._is_expired = True
                 return 0.0
         self._apply_reading(records)
         self._own_read_at = began_at
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -367,6 +367,22 @@
             self.assertEqual(self.merge(task, since, offset), [])
         self.assertEqual(self.merge(task, 11, 11), ["ExecutorsRead"])
 
+    def test_readings_of_others_are_merged_after_records_have_expired(self):
+        # The list had no offset any more, so that no change applied to it,
+        # and a planner that the store then rejected started nothing.
+        task, pool = self.make_follower()
+        task._receive(True)
+        first = newest_response(("i-1", self.entry))
+        pool.responses = [first, Response(410), Response(503)]
+        for _ in range(3):
+            task._poll_once()
+        self.assertEqual(self.sent[-1].offset, 9)
+        sent = self.merge(task, 9, 11, ("i-2", self.entry))
+        self.assertIn("ExecutorsRead", sent)
+        pool.responses = [newest_response(("i-3", self.entry))]
+        task._poll_once()
+        self.assertIn("log-newest", pool.calls[-1][1])
+
     def test_entry_that_is_gone_at_another_instance_is_removed(self):
         task, pool = self.make_follower()
         pool.responses = [newest_response(("i-1", self.entry)), Response(503)]
