Store: a reading that failed halfway is not continued

If the records that the reader of others followed had expired, it read all entries and then the records after their offset. If the second call failed, the next question within 2 s read only changes from that offset. An entry that had changed in the page of the first call did not count as changed then, so that a planner at that offset never learned that an executor drains.

The time of the last reading is reset before all entries are read, so that the next question reads all again.

The new test fails before; the 42 tests of the followers and of the readings pass.

--- a/packages/daemon/src/cardamompathd/platform/followers.py
+++ b/packages/daemon/src/cardamompathd/platform/followers.py
@@ -578,6 +578,8 @@
         return executor_readings.changes_since(self._changes, since)
 
     def _read_all(self):
+        # If the second call fails, what was kept is of no use.
+        self._changes.read_at = -math.inf
         records, offset = self._client.read_newest(
             EXECUTOR_TOPIC, QUESTION_TIMEOUT
         )
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -335,6 +335,17 @@
         answer = self.ask(9, newest_response(later), read_response(later))
         self.assertEqual(answer[3:], (-1, 10, 0, 1, (later,)))
 
+    def test_reading_that_failed_halfway_hides_no_change(self):
+        # The second call failed, and the next question read only changes,
+        # which were in the page of the first call already.
+        self.make_reader()
+        self.ask(9, newest_response(("i-1", self.entry)), read_response())
+        later = ("i-1", json.dumps({**ENTRY, "state": "draining"}).encode())
+        pages = newest_response(later), Response(503)
+        self.assertFalse(self.ask(9, Response(410), *pages).is_readable)
+        answer = self.ask(9, newest_response(later), read_response(later))
+        self.assertEqual(answer.entries, (later,))
+
     def test_instance_that_cannot_read_says_so(self):
         faults = (
             Response(503),
