Core: a batch that is cancelled again is remembered anew

The memory of cancellations keeps the first time of a batch, and forgets old ones only when it is read. A planner adds a cancellation without reading, so that a second one more than 30 s after the first kept the time of that one, and was forgotten at the next batch. The same happened at gateways to entries behind a younger one; those that are read from the log are added with their age, and so are out of order.

A cancellation that comes after the first one is over counts from its own time.

The new test fails before; the tests of cancellations pass.

--- a/packages/core/src/cardamompath_core/cancellations.py
+++ b/packages/core/src/cardamompath_core/cancellations.py
@@ -39,9 +39,16 @@
         return len(self._by_name)
 
     def add(self, name: str, cancelled_at: float, existed: bool) -> None:
-        """Remember a cancellation; the first time of a batch counts."""
+        """Remember a cancellation.
+
+        The first time of a batch counts, unless it is over by the second.
+        """
         known = self._by_name.get(name)
-        if known is not None:
+        if known is not None and (
+            cancelled_at > known.cancelled_at + MEMORY_TIME
+        ):
+            del self._by_name[name]
+        elif known is not None:
             cancelled_at = known.cancelled_at
             existed = existed or known.existed
         self._by_name[name] = Cancellation(name, cancelled_at, existed)
--- a/packages/daemon/src/cardamompathd/tests/test_cancellations.py
+++ b/packages/daemon/src/cardamompathd/tests/test_cancellations.py
@@ -385,6 +385,17 @@
         self.assertIsNone(memory.find("j4", 50.0))
         self.assertIsNotNone(memory.find("j5", 50.0))
 
+    def test_batch_that_is_cancelled_again_later_is_remembered_anew(self):
+        # A planner that nobody had asked since kept the first time, and
+        # forgot the second cancellation at the next batch.
+        memory = cancellations.CancellationMemory()
+        memory.add("a", 10.0, True)
+        memory.add("b", 20.0, True)
+        memory.add("a", 45.0, False)
+        self.assertFalse(memory.find("a", 60.0).existed)
+        self.assertIsNone(memory.find("b", 60.0))
+        self.assertIsNone(memory.find("a", 75.1))
+
 
 if __name__ == "__main__":
     unittest.main()
