Planner: an outcome elsewhere replaces a rejection here

With room reports a batch that this planner rejected goes to another one, and the planner that runs it reports its outcome to those of its domain. This planner kept its own rejection instead. If the gateway and the answer were lost and the request arrived again at another gateway, the batch was rejected as not run, or started a second time, although it was complete.

A reported outcome replaces a rejection.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_outcomes.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_outcomes.py
@@ -70,9 +70,13 @@
 
 
 def note_report(state, msg, _):
-    """Keep outcomes that another planner has reported."""
+    """Keep outcomes that another planner has reported.
+
+    A batch that was rejected here may have been offered to that one since.
+    """
     for name, outcome_state in zip(msg.names, msg.states, strict=True):
-        if name not in state.ended_outcomes:
+        known = state.ended_outcomes.get(name)
+        if known is None or known.state == batches.REFUSED:
             outcome = batches.Outcome(outcome_state, "it ended before")
             state.remember_outcome(name, outcome)
     return []
--- a/packages/daemon/src/cardamompathd/tests/test_room_reports.py
+++ b/packages/daemon/src/cardamompathd/tests/test_room_reports.py
@@ -355,7 +355,8 @@
         self.assertEqual(self.last_report().sizes, (size,))
         self.assertGreater(self.last_report().queued[0].seconds, 5.0)
 
-    def test_rejected_offer_is_considered_again_under_a_later_number(self):
+    def offer_while_full(self):
+        """Offer a batch that is rejected; return the message."""
         spec = test_planner_dispatch.make_executor("x1")
         self.list_executors(spec)
         self.plan_batch("j0", count=2)
@@ -366,6 +367,23 @@
             origin_started=1, handover=4,
         )  # fmt: skip
         self.assertEqual(self.rejections(msg), [4])
+        return msg
+
+    def test_rejected_batch_that_ended_elsewhere_does_not_start(self):
+        # Its answer may be lost with its gateway, and its request arrive
+        # again at another one, which offers it here.
+        msg = self.offer_while_full()
+        self.tell(pool_messages.OutcomesReported(("j1",), (batches.COMPLETE,)))
+        again = msg._replace(origin_started=2, handover=1)
+        answers = [
+            each.outcome.state
+            for each in self.tell(again)
+            if isinstance(each, pool_messages.BatchEnded)
+        ]
+        self.assertEqual(answers, [batches.COMPLETE])
+
+    def test_rejected_offer_is_considered_again_under_a_later_number(self):
+        msg = self.offer_while_full()
         runs = [
             each
             for each in self.sent
