Gateway: the need of a pending batch is computed once

Each choice of a planner by reports adds up what all pending batches of the service need, and computed each need from the steps again; a rejected batch makes two such choices.

The need is kept with the batch.

--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_rooms.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_rooms.py
@@ -224,14 +224,16 @@
 
 
 def _need_of(pending):
-    policy = pending.batch.policy
-    first = _first_steps(pending)
-    return room_reports.Need(
-        policy.service,
-        policy.priority,
-        max(step.resources.cpu for step in first),
-        sum(step.count for step in first),
-    )
+    if pending.need is None:
+        policy = pending.batch.policy
+        first = _first_steps(pending)
+        pending.need = room_reports.Need(
+            policy.service,
+            policy.priority,
+            max(step.resources.cpu for step in first),
+            sum(step.count for step in first),
+        )
+    return pending.need
 
 
 def _first_steps(pending):
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_state.py
@@ -39,6 +39,7 @@
         "handed_over",
         "handover",
         "held",
+        "need",
         "permitted_until",
         "planner",
         "refused_by",
@@ -70,6 +71,9 @@
         if it is not to be asked again."""
         self.choice: room_reports.Choice | None = None
         """Why it was sent to its planner, if that was chosen by reports."""
+        self.need: room_reports.Need | None = None
+        """What it needs to start, once that was asked for; each choice of a
+        planner adds up the needs of all pending batches."""
         self.handed_at = now
         """When it was sent to its planner for the first time."""
         self.round = 0
