Planner: equal steps are checked for evacuations once in a tick

While a domain is evacuated, each tick looked for an available executor for each step of each waiting batch, past all evacuated ones.

Steps of one service with the same resources and label share a result within a tick.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_evacuation.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_evacuation.py
@@ -50,30 +50,43 @@
 def refuse_shut_out(state, now):
     """Refuse the batches that cannot start because of an evacuation."""
     sends = []
+    results = {}
     for plan in list(state.plans.values()):
-        if is_shut_out(state, plan, now):
+        if is_shut_out(state, plan, now, results):
             sends += refuse(state, plan, now)
     return sends
 
 
-def is_shut_out(state, plan, now):
+def is_shut_out(state, plan, now, results=None):
     """Return whether a batch has not started and an evacuation prevents it.
 
     It does if a step fits executors of evacuated domains, and no other one
     that is available, or if no executor is left.
+
+    Parameters
+    ----------
+    results : dict, optional
+        Results of the steps of other batches at the same time; those of this
+        one are added.
     """
     if not state.evacuation.domains or plan.may_have_started:
         return False
-    return any(
-        _is_step_shut_out(state, plan, step, now) for step in plan.batch.steps
-    )
-
-
-def _is_step_shut_out(state, plan, step, now):
+    results = {} if results is None else results
+    service = plan.batch.policy.service
+    for step in plan.batch.steps:
+        key = (service, step.resources, step.label)
+        if key not in results:
+            results[key] = _is_step_shut_out(state, service, step, now)
+        if results[key]:
+            return True
+    return False
+
+
+def _is_step_shut_out(state, service, step, now):
     # The executors of a domain may be gone once it is evacuated.
     evacuated = state.listing_complete and not state.executors
     for executor in state.executors.values():
-        if not _fits(plan, step, executor.spec):
+        if not _fits(service, step, executor.spec):
             continue
         if planner_placement.is_available(state, executor, now):
             return False
@@ -81,9 +94,9 @@
     return evacuated
 
 
-def _fits(plan, step, spec):
+def _fits(service, step, spec):
     return (
-        spec.service == plan.batch.policy.service
+        spec.service == service
         and executors.fits(step.resources, spec.capacity)
         and (not step.label or step.label in spec.labels)
     )
--- a/packages/daemon/src/cardamompathd/tests/test_evacuation.py
+++ b/packages/daemon/src/cardamompathd/tests/test_evacuation.py
@@ -1,6 +1,7 @@
 """Evacuation of failure domains by the real controllers."""
 
 import unittest
+from unittest import mock
 
 from cardamompath_core import batches
 from cardamompath_core import evacuation
@@ -11,6 +12,7 @@
 from cardamompathd.controllers.planner import planner_crashes
 from cardamompathd.controllers.planner import planner_evacuation
 from cardamompathd.controllers.planner import planner_executors
+from cardamompathd.controllers.planner import planner_placement
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import planner_state
 from cardamompathd.tests import pool_simulation
@@ -232,6 +234,40 @@
                 self.assertEqual("x" in state.isolated, is_kept)
 
 
+class CostTest(unittest.TestCase):
+    def test_batches_with_equal_tasks_are_checked_once(self):
+        # Each tick looked at the evacuated executors for each waiting batch.
+        state = planner_state.PlannerState(
+            "n-a", int, known_evacuation=evacuation.make(1, ["a"])
+        )
+        for name in ("a1", "a2", "b1"):
+            spec = executors.Executor(
+                name, "desk", name[0], (name, 1), 1, "ready",
+                executors.Resources(8000, 65536),
+            )  # fmt: skip
+            state.executors[name] = planner_executors.ExecutorState(
+                spec, 1, 10.0
+            )
+        for index in range(20):
+            batch = batches.Batch(
+                f"j{index}",
+                "",
+                pool_simulation.make_steps(1),
+                pool_simulation.POLICY,
+            )
+            msg = pool_messages.PlanBatch(batch, "n-b", 0.0, 5.0, 0)
+            origin = pool_messages.Origin("n-b", 1)
+            plan = planner_plans.Plan(msg, origin, 0, 10.0)
+            state.plans[plan.name] = plan
+        with mock.patch.object(
+            planner_placement,
+            "is_available",
+            wraps=planner_placement.is_available,
+        ) as checked:
+            self.assertEqual(planner_evacuation.refuse_shut_out(state, 11), [])
+        self.assertEqual(checked.call_count, len(state.executors))
+
+
 class OfferTest(unittest.TestCase):
     def test_late_or_malformed_offer_changes_nothing(self):
         # A malformed one closed the link, so that heartbeats were lost.
