Planner: a batch that another origin had started is not rejected

If two instances hand over the same batch, the planner takes the larger round of the two, but a batch that waited since the hand-over of the first one still counted as not started. The planner could reject it to both as not run, although the former planner of the second one may run tasks of it. With room reports the first one then offered it to a planner that starts it at once, beside those runs.

A hand-over after a former planner marks the batch as one that may have started.

The new test fails before (a rejection after the objective); the 45 tests of room reports and of the large fleet pass.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner.py
@@ -289,6 +289,8 @@
     if origin not in plan.origins:
         plan.origins[origin] = msg.term
         plan.round = max(plan.round, msg.round)
+        # Its former planner may run tasks, of which no other origin knows.
+        plan.may_have_started |= msg.round > 0
         plan.shard_changed |= msg.shard_changed
         plan.former_executors.update(_former_digests(state, msg))
         plan.permitted_until = max(
--- a/packages/daemon/src/cardamompathd/tests/test_room_reports.py
+++ b/packages/daemon/src/cardamompathd/tests/test_room_reports.py
@@ -402,6 +402,28 @@
         self.assertEqual(self.rejections(msg._replace(handover=5)), [])
         self.assertEqual(self.sent[-1].request, "j1")
 
+    def test_batch_that_another_origin_had_started_is_not_rejected(self):
+        # The first origin was told that nothing had run, and would have
+        # offered the batch to a planner that starts it at once.
+        self.list_executors(test_planner_dispatch.make_executor("x1"))
+        self.plan_batch("j0", count=2)
+        step = batches.Step(1, executors.Resources(8000, 1), 0.2)
+        policy = batches.RoutePolicy("other", "desk", 0, 2, 1.6, 0.06)
+        msg = pool_messages.PlanBatch(
+            batches.Batch("j1", "", (step,), policy), "n-a", 0.0, 5.0, 0,
+            origin_started=1, handover=4,
+        )  # fmt: skip
+        self.assertEqual(self.rejections(msg), [])
+        self.tell(msg._replace(origin="n-b", round=1))
+        before = len(self.sent)
+        self.wait(1.0)
+        states = [
+            each.outcome.state
+            for each in self.sent[before:]
+            if isinstance(each, pool_messages.BatchEnded)
+        ]
+        self.assertEqual(states, [])
+
     def rejections(self, msg):
         return [
             each.handover
