--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -335,6 +335,17 @@
         answer = self.ask(9, newest_response(later), read_response(later))
         self.assertEqual(answer[3:], (-1, 10, 0, 1, (later,)))
 
+    def test_reading_that_failed_halfway_hides_no_change(self):
+        # The second call failed, and the next question read only changes,
+        # which were in the page of the first call already.
+        self.make_reader()
+        self.ask(9, newest_response(("i-1", self.entry)), read_response())
+        later = ("i-1", json.dumps({**ENTRY, "state": "draining"}).encode())
+        pages = newest_response(later), Response(503)
+        self.assertFalse(self.ask(9, Response(410), *pages).is_readable)
+        answer = self.ask(9, newest_response(later), read_response(later))
+        self.assertEqual(answer.entries, (later,))
+
     def test_instance_that_cannot_read_says_so(self):
         faults = (
             Response(503),
@@ -367,6 +378,22 @@
             self.assertEqual(self.merge(task, since, offset), [])
         self.assertEqual(self.merge(task, 11, 11), ["ExecutorsRead"])
 
+    def test_readings_of_others_are_merged_after_records_have_expired(self):
+        # The list had no offset any more, so that no change applied to it,
+        # and a planner that the store then rejected started nothing.
+        task, pool = self.make_follower()
+        task._receive(True)
+        first = newest_response(("i-1", self.entry))
+        pool.responses = [first, Response(410), Response(503)]
+        for _ in range(3):
+            task._poll_once()
+        self.assertEqual(self.sent[-1].offset, 9)
+        sent = self.merge(task, 9, 11, ("i-2", self.entry))
+        self.assertIn("ExecutorsRead", sent)
+        pool.responses = [newest_response(("i-3", self.entry))]
+        task._poll_once()
+        self.assertIn("log-newest", pool.calls[-1][1])
+
     def test_entry_that_is_gone_at_another_instance_is_removed(self):
         task, pool = self.make_follower()
         pool.responses = [newest_response(("i-1", self.entry)), Response(503)]
--- a/packages/daemon/src/cardamompathd/tests/test_room_reports.py
+++ b/packages/daemon/src/cardamompathd/tests/test_room_reports.py
@@ -4,6 +4,7 @@
 import unittest
 
 from cardamompath_core import batches
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
@@ -46,8 +47,12 @@
 
     def __init__(self):
         self.now = 1000.0
-        self.receive = gateway.make_controller("a8", "a", policy=POLICY)
-        self.receive = self.receive.receive
+        self.receive = gateway.make_controller(
+            "a8",
+            "a",
+            policy=POLICY,
+            known_evacuation=evacuation.UNKNOWN,
+        ).receive
         self.decisions = []
         members = [make_member(f"{d}{n}") for d in DOMAINS for n in range(9)]
         self.tell(
@@ -196,6 +201,16 @@
         self.gateway.now += room_reports.STALE_TIME + 0.01
         self.assertEqual(self.gateway.submit()[0][0][0], "a")
 
+    def test_reports_of_evacuated_domains_count_as_none(self):
+        # Reports that were made before the evacuation attracted batches to
+        # each planner of the domain in turn, which rejected them.
+        self.gateway.report_all(0, a0=4, b0=4, c0=4)
+        known = evacuation.make(1, ["a", "b"])
+        self.gateway.tell(pool_messages.EvacuationRead(known))
+        self.assertEqual(self.gateway.submit(), [("c0", 1)])
+        self.assertEqual(self.gateway.reject("c0", 1), [])
+        self.assertEqual(self.gateway.answers, [batches.REFUSED])
+
     def test_report_on_a_late_link_is_stale(self):
         self.gateway.report("c1", 0)
         self.gateway.now += 2.0
@@ -340,7 +355,8 @@
         self.assertEqual(self.last_report().sizes, (size,))
         self.assertGreater(self.last_report().queued[0].seconds, 5.0)
 
-    def test_rejected_offer_is_considered_again_under_a_later_number(self):
+    def offer_while_full(self):
+        """Offer a batch that is rejected; return the message."""
         spec = test_planner_dispatch.make_executor("x1")
         self.list_executors(spec)
         self.plan_batch("j0", count=2)
@@ -351,6 +367,23 @@
             origin_started=1, handover=4,
         )  # fmt: skip
         self.assertEqual(self.rejections(msg), [4])
+        return msg
+
+    def test_rejected_batch_that_ended_elsewhere_does_not_start(self):
+        # Its answer may be lost with its gateway, and its request arrive
+        # again at another one, which offers it here.
+        msg = self.offer_while_full()
+        self.tell(pool_messages.OutcomesReported(("j1",), (batches.COMPLETE,)))
+        again = msg._replace(origin_started=2, handover=1)
+        answers = [
+            each.outcome.state
+            for each in self.tell(again)
+            if isinstance(each, pool_messages.BatchEnded)
+        ]
+        self.assertEqual(answers, [batches.COMPLETE])
+
+    def test_rejected_offer_is_considered_again_under_a_later_number(self):
+        msg = self.offer_while_full()
         runs = [
             each
             for each in self.sent
@@ -369,6 +402,28 @@
         self.assertEqual(self.rejections(msg._replace(handover=5)), [])
         self.assertEqual(self.sent[-1].request, "j1")
 
+    def test_batch_that_another_origin_had_started_is_not_rejected(self):
+        # The first origin was told that nothing had run, and would have
+        # offered the batch to a planner that starts it at once.
+        self.list_executors(test_planner_dispatch.make_executor("x1"))
+        self.plan_batch("j0", count=2)
+        step = batches.Step(1, executors.Resources(8000, 1), 0.2)
+        policy = batches.RoutePolicy("other", "desk", 0, 2, 1.6, 0.06)
+        msg = pool_messages.PlanBatch(
+            batches.Batch("j1", "", (step,), policy), "n-a", 0.0, 5.0, 0,
+            origin_started=1, handover=4,
+        )  # fmt: skip
+        self.assertEqual(self.rejections(msg), [])
+        self.tell(msg._replace(origin="n-b", round=1))
+        before = len(self.sent)
+        self.wait(1.0)
+        states = [
+            each.outcome.state
+            for each in self.sent[before:]
+            if isinstance(each, pool_messages.BatchEnded)
+        ]
+        self.assertEqual(states, [])
+
     def rejections(self, msg):
         return [
             each.handover
