Stand-ins: settings with a bound on evacuations

The settings that the stand-ins write follow no evacuations, so that no run with them can request any. An optional argument sets evacuate_ms.

--- a/packages/standins/src/cardamompath_standins/fixtures.py
+++ b/packages/standins/src/cardamompath_standins/fixtures.py
@@ -43,10 +43,18 @@
 [platform]
 addr = "127.0.0.1:{store}"
 """
+EVACUATION_TEMPLATE = """[bounds]
+evacuate_ms = {evacuate_ms}
+"""
 
 
 def make_settings(
-    name: str, domain: str, address: str, seeds: Sequence[str], store_port: int
+    name: str,
+    domain: str,
+    address: str,
+    seeds: Sequence[str],
+    store_port: int,
+    evacuate_ms: int | None = None,
 ) -> str:
     """Return the text of the settings file of an instance.
 
@@ -58,8 +66,11 @@
         IP addresses of other instances.
     store_port : int
         Port of the store at 127.0.0.1.
+    evacuate_ms : int, optional
+        Milliseconds after which a request to evacuate a failure domain has
+        to be in force; without it evacuations are not followed.
     """
-    return SETTINGS_TEMPLATE.format(
+    text = SETTINGS_TEMPLATE.format(
         name=name,
         domain=domain,
         seeds=json.dumps([f"{seed}:{CONTROL_PORT}" for seed in seeds]),
@@ -69,6 +80,9 @@
         control=CONTROL_PORT,
         store=store_port,
     )
+    if evacuate_ms is not None:
+        text += EVACUATION_TEMPLATE.format(evacuate_ms=evacuate_ms)
+    return text
 
 
 def make_configuration(
