Soak: pool files drawn from the seed

All soaks ran with the default choices, so that capacity reports, shares, admission by forecast and fitting placement were never disturbed. Each run now has a pool file that turns each on or off; neighbouring seeds get opposite choices, so that 302 and 303 run each part both ways. Regressions run without a file, as they did.

--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -13,6 +13,7 @@
 from cardamompath_proof.soak import checks
 from cardamompath_proof.soak import clients
 from cardamompath_proof.soak import faults
+from cardamompath_proof.soak import policies
 from cardamompath_proof.soak import pressure
 from cardamompath_proof.soak import regressions
 from cardamompath_proof.soak import rig as rigs
@@ -68,7 +69,10 @@
     )
     guarded = case.seed % 2 == 0
     size = SIZES[case.size]
-    with rigs.run_rig(size, program, args, keep, guarded) as rig:
+    policy = policies.draw(case.seed) if case.draws_policy else ""
+    if policy:
+        print(f"seed {case.seed}: {' '.join(policy.split())}", flush=True)
+    with rigs.run_rig(size, program, args, keep, guarded, policy) as rig:
         submitters = min(3 * len(rig.instances), MAX_SUBMITTERS)
         stop_samples = pressure.measure()
         records, stop_clients = clients.start(rig, case.seed, submitters)
@@ -157,6 +161,7 @@
             args.faults,
             tuple(args.only),
             faults.SERIES_SHARE,
+            True,
         )
         for seed in range(args.seed, args.seed + args.many)
     ]
--- a/packages/proof/src/cardamompath_proof/soak/broken.py
+++ b/packages/proof/src/cardamompath_proof/soak/broken.py
@@ -109,9 +109,12 @@
 
 
 def main() -> int:
-    """Apply the variant given as the first argument; run an instance."""
+    """Apply the variant given as the first argument; run an instance.
+
+    The other arguments are those of the instance.
+    """
     VARIANTS[sys.argv[1]]()
-    return program.main()
+    return program.main(sys.argv[2:])
 
 
 if __name__ == "__main__":
--- a/packages/proof/src/cardamompath_proof/soak/regressions.py
+++ b/packages/proof/src/cardamompath_proof/soak/regressions.py
@@ -48,6 +48,9 @@
     count: int = 14
     kinds: tuple[str, ...] = ()
     series_share: float = 0.0
+    draws_policy: bool = False
+    """Whether instances have a pool file drawn from the seed; the runs below
+    are older than these files."""
 
 
 def _make_first(seed, cause, **fields):
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -140,14 +140,26 @@
         Its arguments.
     enforces_capacity : bool
         Whether executors refuse what exceeds their capacity.
+    policy : str
+        Text of the pool file of instances; they have none when empty.
     """
 
     def __init__(
-        self, folder, size, program=PROGRAM, args=(), enforces_capacity=True
+        self,
+        folder,
+        size,
+        program=PROGRAM,
+        args=(),
+        enforces_capacity=True,
+        policy="",
     ):
         self.folder = folder
         self.program = program
-        self.args = args
+        self.args = list(args)
+        if policy:
+            path = folder / "pool.ini"
+            path.write_text(policy)
+            self.args.append(str(path))
         self.enforces_capacity = enforces_capacity
         self.violations: list[str] = []
         """Violations found while the soak runs."""
@@ -378,6 +390,7 @@
     args=(),
     keep: str = "",
     enforces_capacity: bool = True,
+    policy: str = "",
 ) -> Iterator[Rig]:
     """Start the processes of a soak, and kill them afterwards.
 
@@ -391,11 +404,13 @@
         Folder for the logs; a temporary one when empty.
     enforces_capacity : bool
         Whether executors refuse what exceeds their capacity.
+    policy : str
+        Text of the pool file of instances; they have none when empty.
     """
     with tempfile.TemporaryDirectory() as temporary:
         folder = pathlib.Path(keep or temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        rig = Rig(folder, size, program, args, enforces_capacity)
+        rig = Rig(folder, size, program, args, enforces_capacity, policy)
         try:
             rig.start()
             rig.await_ready()
--- a/packages/proof/src/cardamompath_proof/tests/test_soak.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_soak.py
@@ -17,12 +17,14 @@
 from cardamompath_proof.soak import checks
 from cardamompath_proof.soak import clients
 from cardamompath_proof.soak import faults
+from cardamompath_proof.soak import policies
 from cardamompath_proof.soak import pressure
 from cardamompath_proof.soak import publications
 from cardamompath_proof.soak import regressions
 from cardamompath_proof.soak import rig as rigs
 from cardamompath_standins import fixtures
 from cardamompath_standins import store
+from cardamompathd.settings import pool_table
 
 
 def make_submission(
@@ -449,6 +451,26 @@
         self.assertEqual(len(broken.VARIANTS), 7)
 
 
+class PolicyTest(unittest.TestCase):
+    def load(self, seed):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "pool.ini")
+            path.write_text(policies.draw(seed))
+            return pool_table.load([str(path)]).unwrap()
+
+    def test_seeds_of_ci_run_each_part_off_and_on(self):
+        # A part that is off in both is not tested by CI.
+        first, second = self.load(302), self.load(303)
+        self.assertNotEqual(first.room, second.room)
+        self.assertNotEqual(first.shares, second.shares)
+        self.assertNotEqual(first.admission, second.admission)
+        self.assertNotEqual(first.placement, second.placement)
+
+    def test_all_combinations_are_drawn(self):
+        drawn = {self.load(seed) for seed in range(300)}
+        self.assertEqual(len(drawn), 2 ** len(policies.SWITCHES))
+
+
 class SignalTest(unittest.TestCase):
     def test_second_signal_does_not_cut_the_cleanup_off(self):
         # A soak that got two at once left its processes behind, and did not
