--- a/packages/proof/src/cardamompath_proof/soak/checks.py
+++ b/packages/proof/src/cardamompath_proof/soak/checks.py
@@ -56,6 +56,12 @@
 """Seconds after a job was cancelled in which its last tasks may start."""
 RECOVERY_BOUND = 12.0
 """Seconds after the last fault until jobs are served as usual."""
+ERROR_MARK = '"level":"ERROR"'
+"""Part of a log line of an error, in the form that instances write."""
+REPLY_MARK = '"level":"ERROR","exception":"Timeout('
+"""The same of a request for which an instance got no reply of its own."""
+REPLY_TIMEOUT = 2.0
+"""Seconds after which that is so, as `platform.frontend.REPLY_TIMEOUT`."""
 MIN_SERVED_SHARE = 0.25
 """Share of the jobs that has to be served then."""
 
@@ -182,6 +188,7 @@
         *check_capacity(runs),
         *check_labels(submissions, runs),
         *check_cancelled(cancellations, runs, rig),
+        *check_logs(rig),
         *check_failed(submissions, runs, cancelled),
         *check_recovery(submissions, rig.last_fault_at),
         *check_submitted(submissions, runs),
@@ -302,6 +309,35 @@
     )
 
 
+def check_logs(rig: Any) -> list[str]:
+    """Find errors in the logs of instances.
+
+    Lines that `_is_harmless` explains are exempt.
+    """
+    return [
+        f"error in {each.log.name}: {line}"
+        for instance in rig.instances
+        for each in instance.incarnations
+        for line in each.log.read_text(errors="replace").splitlines()
+        if ERROR_MARK in line
+        and not _is_harmless(line, instance, rig.clock_offset)
+    ]
+
+
+def _is_harmless(line, instance, clock_offset):
+    """Return whether a freeze explains a request without a reply.
+
+    A request that waits for its reply while the process is frozen gets none
+    in time, and is answered with status 500.
+    """
+    if REPLY_MARK not in line:
+        return False
+    at = json.loads(line)["time"] - clock_offset
+    return any(
+        began < at < until + REPLY_TIMEOUT for began, until in instance.freezes
+    )
+
+
 def check_failed(
     submissions: Sequence[clients.Submission],
     runs: Sequence[Run],
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -165,6 +165,8 @@
         """Violations found while the soak runs."""
         self.crash_share = 0.0
         """Share of the jobs whose task crashes its executor."""
+        self.clock_offset = time.time() - clocks.boottime()
+        """Seconds to subtract from the times in the logs of instances."""
         self.last_fault_at = 0.0
         """When a fault was last injected or undone."""
         self.version = 0
--- a/packages/proof/src/cardamompath_proof/tests/test_soak.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The checks of the soak on hand-made records, and its draws of faults."""
 
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -54,10 +55,11 @@
         name="i00",
         disturbances=list(disturbances),
         freezes=list(freezes),
-        incarnations=[rigs.Incarnation(started_at, pathlib.Path())],
+        incarnations=[rigs.Incarnation(started_at, pathlib.Path(os.devnull))],
     )
     return types.SimpleNamespace(
         instances=[instance],
+        clock_offset=1000.0,
         terminations={"i00": list(terminations)},
         published=list(published),
         violations=[],
@@ -123,6 +125,43 @@
                 found = checks.check_labels([sub], [run._replace(label=label)])
                 self.assert_violations(found, count)
 
+    def check_log(self, text, **fields):
+        rig = make_rig(**fields)
+        with tempfile.TemporaryDirectory() as folder:
+            log = pathlib.Path(folder, "i00-1.log")
+            log.write_text(text)
+            rig.instances[0].incarnations.append(rigs.Incarnation(9.0, log))
+            return checks.check_logs(rig)
+
+    def test_errors_in_the_log_of_any_incarnation(self):
+        found = self.check_log(
+            '{"part":"a","event":"b","level":"WARNING"}\n'
+            '{"part":"a","event":"c","level":"ERROR"}\n'
+            '{"part":"a","event":"cut o'
+        )
+        self.assert_violations(found)
+        self.assertIn("i00-1.log", found[0])
+
+    def test_request_without_reply_unless_the_instance_was_frozen(self):
+        # Seed 303 of size small: two instances were frozen for 3.2 and 4 s
+        # while requests to cancel waited.
+        line = (
+            '{"time":1012.5,"part":"frontend","event":"DELETE failed",'
+            '"level":"ERROR","exception":"Timeout(\'2.0 seconds\')"}\n'
+        )
+        other = line.replace("Timeout", "KeyError")
+        freeze = (8.0, 12.0)
+        cases = (
+            (line, (), 1),
+            (line, [freeze], 0),
+            (line, [(6.0, 10.4)], 1),
+            (other, [freeze], 1),
+        )
+        for text, freezes, count in cases:
+            with self.subTest(text=text, freezes=freezes):
+                found = self.check_log(text, freezes=freezes)
+                self.assert_violations(found, count)
+
     def test_two_runs_of_a_task_at_the_same_time(self):
         runs = [make_run(), make_run(executor="x1", began=10.2, ended=10.4)]
         self.assert_violations(checks.check_concurrent_runs(runs))
