Soak: evacuations of failure domains, and a check of their bound

No soak evacuated a failure domain. A fault now requests it in the store for 8 to 11 s, with evacuate_ms of 5,000, and a check finds starts there later than that and a lease. Outages of the store delay the bound as in the check of routes; a single instance's path to the store does not. Jobs submitted meanwhile do not count in the share whose lowness exempts a run from the check of recovery.

--- a/packages/proof/src/cardamompath_proof/soak/__main__.py
+++ b/packages/proof/src/cardamompath_proof/soak/__main__.py
@@ -100,6 +100,7 @@
             / (end - samples[0].at),
             2,
         ),
+        round(checks.evacuated_time(rig, end), 1),
     )
     return violations, counts, collections.Counter(f.kind for f in plan)
 
--- a/packages/proof/src/cardamompath_proof/soak/broken.py
+++ b/packages/proof/src/cardamompath_proof/soak/broken.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from cardamompath_core import batches
+from cardamompath_core import evacuation
 from cardamompath_core import executors
 from cardamompathd.controllers.gateway import gateway
 from cardamompathd.controllers.planner import planner
@@ -91,6 +92,11 @@
     planner_crashes.note_losses = lambda state, name, losses, now: None
 
 
+def _ignore_evacuations() -> None:
+    """Start tasks in evacuated failure domains."""
+    evacuation.may_start_in = lambda known, domain: True
+
+
 def _replace_handler(old, new):
     for msg_type, handler in planner._HANDLERS.items():
         if handler is old:
@@ -105,6 +111,7 @@
     "deny starts": _deny_starts,
     "ignore capacity": _ignore_capacity,
     "forget crashes": _forget_crashes,
+    "ignore evacuations": _ignore_evacuations,
 }
 
 
--- a/packages/proof/src/cardamompath_proof/soak/faults.py
+++ b/packages/proof/src/cardamompath_proof/soak/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import sched
 import signal
@@ -38,6 +39,11 @@
 """Seconds of an outage of the store in which entries of executors expire."""
 RESTART_GAP = 0.5
 """Seconds between the ends of two instances that are restarted in turn."""
+EVACUATION_TIME = 8.0
+"""Seconds by which an evacuation lasts longer than other faults; it has to be
+in force after 5 s."""
+DURATIONS = (0.3, 0.8, 1.5, 3.0)
+"""Seconds that a fault lasts."""
 SERIES_SHARE = 0.3
 """Share of the faults that a series of faults follows."""
 SERIES_GAP = 0.5
@@ -98,7 +104,7 @@
     length : float
         Seconds over which they are injected.
     kinds : sequence of str
-        Keys of `KINDS`; all when empty.
+        Keys of `KINDS`; when empty all, those of `DOMAIN_KINDS` drawn apart.
     series_share : float
         Share of the faults that a series follows.
     """
@@ -110,8 +116,8 @@
         at += (
             rng.choice((0.1, 1.0, 1.0)) * 2.0 * rng.random() * (length / count)
         )
-        kind = rng.choice(sorted(kinds or KINDS))
-        duration = rng.choice((0.3, 0.8, 1.5, 3.0))
+        kind = rng.choice(sorted(kinds or MIXED_KINDS))
+        duration = rng.choice(DURATIONS)
         faults.append(Fault(at, kind, rng.randrange(1000), duration))
     series = [
         each
@@ -119,13 +125,30 @@
         for each in _draw_series(
             fault,
             random.Random(f"series/{seed}/{number}"),
-            kinds or KINDS,
+            kinds or MIXED_KINDS,
             series_share,
         )
     ]
+    if not kinds:
+        series += _draw_domain_faults(seed, length)
     return [fault for fault in sorted(faults + series) if fault.at < length]
 
 
+def _draw_domain_faults(seed, length):
+    """Draw one or two faults of each of `DOMAIN_KINDS`."""
+    rng = random.Random(f"domains/{seed}")
+    return [
+        Fault(
+            rng.uniform(0.0, length),
+            kind,
+            rng.randrange(1000),
+            rng.choice(DURATIONS),
+        )
+        for kind in sorted(DOMAIN_KINDS)
+        for _ in range(rng.randint(1, 2))
+    ]
+
+
 def _draw_series(first, rng, kinds, share):
     """Draw faults of the same family that follow a fault closely."""
     if rng.random() >= share:
@@ -432,9 +455,15 @@
     if choice == 0:
         for instance in rig.instances:
             _record_disturbance(instance, fault.duration)
+        end_outage = _begin_span(rig.outages)
         process = rig.store.popen
         process.send_signal(signal.SIGSTOP)
-        return [(fault.duration, lambda: process.send_signal(signal.SIGCONT))]
+
+        def resume():
+            process.send_signal(signal.SIGCONT)
+            end_outage()
+
+        return [(fault.duration, resume)]
     fields = {"down": True} if choice == 1 else {"lose": 2}
     return _take_store_down(rig, fault.duration, fields)
 
@@ -442,20 +471,51 @@
 def _take_store_down(rig, duration, fields) -> Undo:
     for instance in rig.instances:
         _record_disturbance(instance, duration)
+    end_outage = _begin_span(rig.outages) if "down" in fields else None
     rig.call_later(lambda: rig.set_faults(rig.store_url, **fields))
 
     def clear():
         rig.call_later(lambda: rig.set_faults(rig.store_url))
+        if end_outage is not None:
+            rig.call_later(end_outage)
 
     return [(duration, clear)]
 
 
+def _begin_span(spans):
+    """Note a span that begins now; return a function that ends it."""
+    span = [clocks.boottime(), math.inf]
+    spans.append(span)
+
+    def end():
+        span[1] = clocks.boottime()
+
+    return end
+
+
 def _publish(rig, fault) -> Undo:
     routes = tuple(f"r{fault.target % 7 + index}" for index in range(2))
     rig.call_later(lambda: rig.publish(routes))
     return []
 
 
+def _target_domain(rig, fault):
+    domains = sorted({each.domain for each in rig.instances})
+    return domains[fault.target % len(domains)]
+
+
+def _evacuate_domain(rig, fault) -> Undo:
+    domain = _target_domain(rig, fault)
+    end_scarcity = _begin_span(rig.scarcities)
+    rig.evacuate_later(domain)
+
+    def withdraw():
+        end_scarcity()
+        rig.withdraw_later(domain)
+
+    return [(fault.duration + EVACUATION_TIME, withdraw)]
+
+
 INSTANCE_KINDS: dict[str, Callable[[Any, Fault], Undo]] = {
     "kill all": _kill_all,
     "kill instance": _kill_instance,
@@ -480,7 +540,13 @@
     "publish": _publish,
     "odd entry": _write_odd_entry,
 }
-FAMILIES = (INSTANCE_KINDS, EXECUTOR_KINDS, STORE_KINDS)
+DOMAIN_KINDS: dict[str, Callable[[Any, Fault], Undo]] = {
+    "evacuate domain": _evacuate_domain,
+}
+"""These are drawn apart, so that seeds go on drawing the faults that they
+drew before these existed, as their records name seeds."""
+FAMILIES = (INSTANCE_KINDS, EXECUTOR_KINDS, STORE_KINDS, DOMAIN_KINDS)
 """Kinds of fault that occur in series."""
-KINDS = INSTANCE_KINDS | EXECUTOR_KINDS | STORE_KINDS
+MIXED_KINDS = INSTANCE_KINDS | EXECUTOR_KINDS | STORE_KINDS
+KINDS = MIXED_KINDS | DOMAIN_KINDS
 """Functions that inject a fault, by its kind."""
--- a/packages/proof/src/cardamompath_proof/soak/publications.py
+++ b/packages/proof/src/cardamompath_proof/soak/publications.py
@@ -17,6 +17,7 @@
 __all__ = [
     "Publication",
     "Publish",
+    "append",
     "make_publish",
 ]
 
@@ -48,7 +49,7 @@
     def publish(version, routes, record):
         sent_at = clocks.boottime()
         url = f"{store_url}{fixtures.CONFIGURATION_PATH}"
-        status = _append(http, url, record)
+        status = append(http, url, record)
         answered_at = clocks.boottime()
         if status == 200:
             return Publication(answered_at, answered_at, version, routes)
@@ -59,12 +60,12 @@
     return publish
 
 
-def _append(http, url, record):
-    """Return the status of the answer; 0 if there was none."""
+def append(http: urllib3.PoolManager, url: str, record: bytes) -> int:
+    """Append a record; return the status of the answer, 0 without one."""
     try:
         return http.request("POST", url, body=record).status
     except urllib3.exceptions.HTTPError as exc:
-        print(f"  no answer to a publication: {exc!r}", flush=True)
+        print(f"  no answer to an append: {exc!r}", flush=True)
         return 0
 
 
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import math
 import os
 import pathlib
 import queue
@@ -27,6 +28,7 @@
 from cardamompathd.runtime import clocks
 
 __all__ = [
+    "Evacuation",
     "Executor",
     "Instance",
     "Rig",
@@ -49,6 +51,10 @@
 """Seconds that a call to a stand-in may take, which may be paused."""
 STORE_THREADS = 512
 """Four for each instance of the largest size are enough."""
+EVACUATE_MS = 5000
+"""Milliseconds after which no task starts in an evacuated failure domain."""
+APPEND_INTERVAL = 0.1
+"""Seconds between attempts to append a request that has to take effect."""
 START_TIMEOUT = 120.0
 """Seconds in which all processes have to be ready, also beside other load."""
 
@@ -79,6 +85,16 @@
                 print(f"  call to a stand-in failed: {exc!r}", flush=True)
 
 
+class Evacuation(NamedTuple):
+    """A request to evacuate a failure domain."""
+
+    domain: str
+    since: float
+    """When the store had accepted it."""
+    until: float = math.inf
+    """When its withdrawal was first sent."""
+
+
 class Incarnation(NamedTuple):
     """One process of an executor or instance, from start to exit."""
 
@@ -165,6 +181,12 @@
         """Violations found while the soak runs."""
         self.crash_share = 0.0
         """Share of the jobs whose task crashes its executor."""
+        self.evacuations: list[Evacuation] = []
+        self.outages: list[list[float]] = []
+        """Begin and end of the spans in which the store was away for all."""
+        self.scarcities: list[list[float]] = []
+        """The same of those in which many jobs are refused as asked for: in a
+        crest or an evacuation."""
         self.clock_offset = time.time() - clocks.boottime()
         """Seconds to subtract from the times in the logs of instances."""
         self.last_fault_at = 0.0
@@ -179,6 +201,11 @@
         self._publish = publications.make_publish(self.http, self.store_url)
         self._call_thread = _CallThread()
         self._call_thread.start()
+        # Requests that are repeated until they take effect must not delay
+        # the call that makes the store available again.
+        self._operator_thread = _CallThread()
+        self._operator_thread.start()
+        self._stopped = threading.Event()
         # A network per process, so that soaks can run side by side.
         net = f"127.{1 + os.getpid() % 200}"
         self.executors = [
@@ -264,6 +291,41 @@
         if publication is not None:
             self.published.append(publication)
 
+    def evacuate_later(self, domain: str) -> None:
+        """Queue a request to evacuate a failure domain."""
+        self._operator_thread.calls.put(lambda: self._evacuate(domain))
+
+    def withdraw_later(self, domain: str) -> None:
+        """Queue the withdrawal of such a request."""
+        self._operator_thread.calls.put(lambda: self._withdraw(domain))
+
+    def _evacuate(self, domain):
+        if self._append_evacuation(domain, b"{}") and all(
+            each.domain != domain or each.until < math.inf
+            for each in self.evacuations
+        ):
+            self.evacuations.append(Evacuation(domain, clocks.boottime()))
+
+    def _withdraw(self, domain):
+        now = clocks.boottime()
+        self.evacuations = [
+            each._replace(until=min(each.until, now))
+            if each.domain == domain
+            else each
+            for each in self.evacuations
+        ]
+        self._append_evacuation(domain, b"")
+
+    def _append_evacuation(self, domain, value):
+        """Append until the store accepts it; return whether it did."""
+        record = store.encode_keyed_record(f"evacuate/{domain}", value)
+        url = f"{self.store_url}{fixtures.CONFIGURATION_PATH}"
+        while not self._stopped.is_set():
+            if publications.append(self.http, url, record) == 200:
+                return True
+            self._stopped.wait(APPEND_INTERVAL)
+        return False
+
     def set_faults(self, url: str, **fields: Any) -> None:
         """Set the faults of a stand-in."""
         body = json.dumps(fields).encode()
@@ -318,6 +380,7 @@
                 instance.address,
                 [other.address for other in others],
                 instance.proxy.port,
+                EVACUATE_MS,
             )
         )
         log = self.folder / f"{instance.name}-{len(instance.incarnations)}.log"
@@ -370,6 +433,8 @@
     def stop(self) -> None:
         """Kill all processes that were started, and stop the proxies."""
         self.call_later(None)
+        self._stopped.set()
+        self._operator_thread.calls.put(None)
         targets = [*self.instances, *self.executors]
         started = [
             process.popen
