Soak: crests of the clients of a failure domain

Load was even over failure domains and time. For 2 to 5 s the clients of one domain now send four times as many jobs.

--- a/packages/proof/src/cardamompath_proof/soak/clients.py
+++ b/packages/proof/src/cardamompath_proof/soak/clients.py
@@ -44,6 +44,9 @@
 """Seconds between two jobs of a client."""
 CANCELLED_SHARE = 0.08
 """Share of the jobs that are cancelled."""
+CREST_FACTOR = 4
+"""How many times as many jobs the clients of a failure domain send in a crest,
+at about the same answers."""
 MAX_CANCEL_DELAY = 1.0
 """Longest time in seconds from the submission of a job to its cancellation."""
 MAX_CANCELS = 4
@@ -113,10 +116,13 @@
         self._conn = None
         self._instance = None
 
+    def _candidates(self):
+        return self._rig.instances
+
     def _request(self, method, path, timeout_ms, body=None):
         """Return status, document and error; reuse the connection."""
         if self._conn is None:
-            self._instance = self._rng.choice(self._rig.instances)
+            self._instance = self._rng.choice(self._candidates())
             self._conn = http.HTTPConnection(
                 self._instance.address,
                 fixtures.FRONTEND_PORT,
@@ -165,6 +171,11 @@
         self._conn.close()
         self._conn = None
 
+    def _close_if_open(self):
+        # The next request may go to any instance.
+        if self._conn is not None:
+            self._close()
+
 
 class _Submitter(_Client):
     def run(self):
@@ -190,9 +201,27 @@
                 return
             timeout_ms = CLIENT_TIMEOUTS_MS[-1]
             time.sleep(RETRY_DELAY)
-            # The job may reach any instance.
-            if self._conn is not None:
-                self._close()
+            self._close_if_open()
+
+
+class _CrestSubmitter(_Submitter):
+    """Submits jobs in the failure domain that has a crest, while it has."""
+
+    def run(self):
+        while not self._stop_event.is_set():
+            if self._rig.crest_domain:
+                self._submit(f"{self._rng.getrandbits(64):016x}")
+                time.sleep(self._rng.uniform(0.0, MAX_PAUSE))
+            else:
+                self._close_if_open()
+                self._stop_event.wait(QUERY_INTERVAL)
+
+    def _candidates(self):
+        domain = self._rig.crest_domain
+        instances = self._rig.instances
+        return [each for each in instances if each.domain == domain] or (
+            instances
+        )
 
 
 class _Canceller(_Client):
@@ -233,11 +262,6 @@
                 break
         return False
 
-    def _close_if_open(self):
-        # The next request may go to any instance.
-        if self._conn is not None:
-            self._close()
-
 
 class _RouteQuerier(_Client):
     def run(self):
@@ -297,6 +321,11 @@
     stop_event = threading.Event()
     types = [_Submitter] * submitters + [_RouteQuerier] * queriers
     types += [_Canceller] * cancellers
+    domains = {each.domain for each in rig.instances}
+    # The last ones, so that the seeds of the others do not depend on them.
+    types += [_CrestSubmitter] * (
+        (CREST_FACTOR - 1) * submitters // len(domains)
+    )
     threads = [
         type_(rig, random.Random(f"{seed}/{index}"), records, stop_event, jobs)
         for index, type_ in enumerate(types)
--- a/packages/proof/src/cardamompath_proof/soak/faults.py
+++ b/packages/proof/src/cardamompath_proof/soak/faults.py
@@ -42,6 +42,8 @@
 EVACUATION_TIME = 8.0
 """Seconds by which an evacuation lasts longer than other faults; it has to be
 in force after 5 s."""
+CREST_TIME = 2.0
+"""Seconds by which a crest lasts longer than other faults."""
 DURATIONS = (0.3, 0.8, 1.5, 3.0)
 """Seconds that a fault lasts."""
 SERIES_SHARE = 0.3
@@ -516,6 +518,18 @@
     return [(fault.duration + EVACUATION_TIME, withdraw)]
 
 
+def _raise_crest(rig, fault) -> Undo:
+    """Let the clients of a failure domain send more jobs."""
+    rig.crest_domain = _target_domain(rig, fault)
+    end_scarcity = _begin_span(rig.scarcities)
+
+    def stop():
+        end_scarcity()
+        rig.crest_domain = ""
+
+    return [(fault.duration + CREST_TIME, stop)]
+
+
 INSTANCE_KINDS: dict[str, Callable[[Any, Fault], Undo]] = {
     "kill all": _kill_all,
     "kill instance": _kill_instance,
@@ -541,6 +555,7 @@
     "odd entry": _write_odd_entry,
 }
 DOMAIN_KINDS: dict[str, Callable[[Any, Fault], Undo]] = {
+    "crest": _raise_crest,
     "evacuate domain": _evacuate_domain,
 }
 """These are drawn apart, so that seeds go on drawing the faults that they
--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -181,6 +181,8 @@
         """Violations found while the soak runs."""
         self.crash_share = 0.0
         """Share of the jobs whose task crashes its executor."""
+        self.crest_domain = ""
+        """Failure domain whose clients send more jobs; empty if none."""
         self.evacuations: list[Evacuation] = []
         self.outages: list[list[float]] = []
         """Begin and end of the spans in which the store was away for all."""
