Soak: read errors in log lines that are cut off

A process killed while it wrote the line of an error without a reply would have ended the soak with an exception, as the line is no JSON document. The time is read from its first field; test_soak has such a line.

--- a/packages/proof/src/cardamompath_proof/soak/checks.py
+++ b/packages/proof/src/cardamompath_proof/soak/checks.py
@@ -379,7 +379,9 @@
     """
     if REPLY_MARK not in line:
         return False
-    at = json.loads(line)["time"] - clock_offset
+    # The line of a process that was killed may be cut off.
+    logged_at = line.partition('"time":')[2].partition(",")[0]
+    at = float(logged_at) - clock_offset
     return any(
         began < at < until + REPLY_TIMEOUT for began, until in instance.freezes
     )
--- a/packages/proof/src/cardamompath_proof/tests/test_soak.py
+++ b/packages/proof/src/cardamompath_proof/tests/test_soak.py
@@ -207,6 +207,7 @@
         cases = (
             (line, (), 1),
             (line, [freeze], 0),
+            (line[:-5], [freeze], 0),
             (line, [(6.0, 10.4)], 1),
             (other, [freeze], 1),
         )
