--- a/packages/proof/src/cardamompath_proof/soak/rig.py
+++ b/packages/proof/src/cardamompath_proof/soak/rig.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import math
 import os
 import pathlib
 import queue
@@ -27,6 +28,7 @@
 from cardamompathd.runtime import clocks
 
 __all__ = [
+    "Evacuation",
     "Executor",
     "Instance",
     "Rig",
@@ -49,6 +51,10 @@
 """Seconds that a call to a stand-in may take, which may be paused."""
 STORE_THREADS = 512
 """Four for each instance of the largest size are enough."""
+EVACUATE_MS = 5000
+"""Milliseconds after which no task starts in an evacuated failure domain."""
+APPEND_INTERVAL = 0.1
+"""Seconds between attempts to append a request that has to take effect."""
 START_TIMEOUT = 120.0
 """Seconds in which all processes have to be ready, also beside other load."""
 
@@ -79,6 +85,16 @@
                 print(f"  call to a stand-in failed: {exc!r}", flush=True)
 
 
+class Evacuation(NamedTuple):
+    """A request to evacuate a failure domain."""
+
+    domain: str
+    since: float
+    """When the store had accepted it."""
+    until: float = math.inf
+    """When its withdrawal was first sent."""
+
+
 class Incarnation(NamedTuple):
     """One process of an executor or instance, from start to exit."""
 
@@ -140,19 +156,41 @@
         Its arguments.
     enforces_capacity : bool
         Whether executors refuse what exceeds their capacity.
+    policy : str
+        Text of the pool file of instances; they have none when empty.
     """
 
     def __init__(
-        self, folder, size, program=PROGRAM, args=(), enforces_capacity=True
+        self,
+        folder,
+        size,
+        program=PROGRAM,
+        args=(),
+        enforces_capacity=True,
+        policy="",
     ):
         self.folder = folder
         self.program = program
-        self.args = args
+        self.args = list(args)
+        if policy:
+            path = folder / "pool.ini"
+            path.write_text(policy)
+            self.args.append(str(path))
         self.enforces_capacity = enforces_capacity
         self.violations: list[str] = []
         """Violations found while the soak runs."""
         self.crash_share = 0.0
         """Share of the jobs whose task crashes its executor."""
+        self.crest_domain = ""
+        """Failure domain whose clients send more jobs; empty if none."""
+        self.evacuations: list[Evacuation] = []
+        self.outages: list[list[float]] = []
+        """Begin and end of the spans in which the store was away for all."""
+        self.scarcities: list[list[float]] = []
+        """The same of those in which many jobs are refused as asked for: in a
+        crest or an evacuation."""
+        self.clock_offset = time.time() - clocks.boottime()
+        """Seconds to subtract from the times in the logs of instances."""
         self.last_fault_at = 0.0
         """When a fault was last injected or undone."""
         self.version = 0
@@ -165,6 +203,11 @@
         self._publish = publications.make_publish(self.http, self.store_url)
         self._call_thread = _CallThread()
         self._call_thread.start()
+        # Requests that are repeated until they take effect must not delay
+        # the call that makes the store available again.
+        self._operator_thread = _CallThread()
+        self._operator_thread.start()
+        self._stopped = threading.Event()
         # A network per process, so that soaks can run side by side.
         net = f"127.{1 + os.getpid() % 200}"
         self.executors = [
@@ -250,6 +293,41 @@
         if publication is not None:
             self.published.append(publication)
 
+    def evacuate_later(self, domain: str) -> None:
+        """Queue a request to evacuate a failure domain."""
+        self._operator_thread.calls.put(lambda: self._evacuate(domain))
+
+    def withdraw_later(self, domain: str) -> None:
+        """Queue the withdrawal of such a request."""
+        self._operator_thread.calls.put(lambda: self._withdraw(domain))
+
+    def _evacuate(self, domain):
+        if self._append_evacuation(domain, b"{}") and all(
+            each.domain != domain or each.until < math.inf
+            for each in self.evacuations
+        ):
+            self.evacuations.append(Evacuation(domain, clocks.boottime()))
+
+    def _withdraw(self, domain):
+        now = clocks.boottime()
+        self.evacuations = [
+            each._replace(until=min(each.until, now))
+            if each.domain == domain
+            else each
+            for each in self.evacuations
+        ]
+        self._append_evacuation(domain, b"")
+
+    def _append_evacuation(self, domain, value):
+        """Append until the store accepts it; return whether it did."""
+        record = store.encode_keyed_record(f"evacuate/{domain}", value)
+        url = f"{self.store_url}{fixtures.CONFIGURATION_PATH}"
+        while not self._stopped.is_set():
+            if publications.append(self.http, url, record) == 200:
+                return True
+            self._stopped.wait(APPEND_INTERVAL)
+        return False
+
     def set_faults(self, url: str, **fields: Any) -> None:
         """Set the faults of a stand-in."""
         body = json.dumps(fields).encode()
@@ -304,6 +382,7 @@
                 instance.address,
                 [other.address for other in others],
                 instance.proxy.port,
+                EVACUATE_MS,
             )
         )
         log = self.folder / f"{instance.name}-{len(instance.incarnations)}.log"
@@ -356,6 +435,8 @@
     def stop(self) -> None:
         """Kill all processes that were started, and stop the proxies."""
         self.call_later(None)
+        self._stopped.set()
+        self._operator_thread.calls.put(None)
         targets = [*self.instances, *self.executors]
         started = [
             process.popen
@@ -378,6 +459,7 @@
     args=(),
     keep: str = "",
     enforces_capacity: bool = True,
+    policy: str = "",
 ) -> Iterator[Rig]:
     """Start the processes of a soak, and kill them afterwards.
 
@@ -391,11 +473,13 @@
         Folder for the logs; a temporary one when empty.
     enforces_capacity : bool
         Whether executors refuse what exceeds their capacity.
+    policy : str
+        Text of the pool file of instances; they have none when empty.
     """
     with tempfile.TemporaryDirectory() as temporary:
         folder = pathlib.Path(keep or temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        rig = Rig(folder, size, program, args, enforces_capacity)
+        rig = Rig(folder, size, program, args, enforces_capacity, policy)
         try:
             rig.start()
             rig.await_ready()
