Planner: rank only batches that can start in a dispatch

Cause: with fitting placement, executors stay free for tasks that wait for a better one, so that each dispatch ranked and tried all waiting batches. Change: batches whose next task needs more CPU than any usable executor has free are passed over, unless reservations are on; run times by model are kept while a task looks for a better executor; changed runs are recognised by the free resources, which each start and end replaces.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_dispatch.py
@@ -45,20 +45,30 @@
     usable = planner_placement.find_usable(state, min_cpu, now)
     if not usable and not state.isolated:
         return sends
+    keeps_room = state.policy.placement.reservations
+    max_cpu = _max_free_cpu(usable)
     ranked = [
         (planner_order.rank(state, plan, now), plan)
         for plan in waiting_plans
-        if _may_start(state, plan, now)
+        if (
+            keeps_room
+            or _next_cpu(plan) <= max_cpu
+            or planner_crashes.has_losses(state, plan)
+        )
+        and _may_start(state, plan, now)
     ]
     ranked.sort(key=operator.itemgetter(0))
     state.end_forecasts.booked.clear()
-    keeps_room = state.policy.placement.reservations
     mean_cpu = sum(each.min_cpu for each in waiting_plans) / len(waiting_plans)
     for _, plan in ranked:
         if planner_crashes.has_losses(state, plan):
             sends += _start_apart(state, plan, usable, min_cpu, now)
         elif usable:
-            sends += _start_tasks(state, plan, usable, min_cpu, now)
+            if _next_cpu(plan) <= max_cpu:
+                started = _start_tasks(state, plan, usable, min_cpu, now)
+                if started:
+                    sends += started
+                    max_cpu = _max_free_cpu(usable)
             if keeps_room and plan.waiting and usable:
                 sends += planner_reservations.reserve(
                     state, plan, mean_cpu, now
@@ -68,6 +78,20 @@
     return sends + planner_ends.take_decisions(state)
 
 
+def _next_cpu(plan):
+    """Return the CPU that the next waiting task of a batch needs."""
+    return plan.batch.steps[plan.waiting[0].step].resources.cpu
+
+
+def _max_free_cpu(usable):
+    """Return the most CPU that is free on one executor.
+
+    Most waiting batches need more; they are not ranked, as ranking takes
+    most of the time of a dispatch.
+    """
+    return max((executor.free_resources.cpu for executor in usable), default=0)
+
+
 def _start_apart(state, plan, usable, min_cpu, now):
     """Start the tasks of a batch of which runs were lost with executors.
 
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_ends.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_ends.py
@@ -17,6 +17,7 @@
     "free_at",
     "list_upcoming",
     "take_decisions",
+    "usual_time",
 ]
 
 FORECAST_TIME = 0.02
@@ -41,7 +42,8 @@
 
     def __init__(self):
         self.by_executor: dict[str, tuple] = {}
-        """Runs of each executor, when they were forecast, and the ends."""
+        """Free resources of each executor, when its runs were forecast, and
+        their ends.  Each start and end replaces the free resources."""
         self.upcoming: list[tuple] = []
         """When room gets free on each executor, and how much."""
         self.upcoming_at = -math.inf
@@ -65,8 +67,9 @@
 def list_upcoming(state, is_usable, now):
     """Return when room gets free on the usable executors, in order.
 
-    Each item has the expected time, the executor, its runs and its free
-    resources from then on.  It does not hold if the runs have changed since.
+    Each item has the expected time, the executor, its free resources now and
+    those from then on.  It does not hold if those of now have been replaced,
+    as each start and end does.
     """
     forecasts = state.end_forecasts
     if now - forecasts.upcoming_at >= LIST_TIME:
@@ -78,11 +81,10 @@
                 and executor.spec.name not in state.isolated
                 and is_usable(state, executor, now)
             ):
-                free = executor.free_resources
-                runs = tuple(executor.runs)
+                free_now = free = executor.free_resources
                 for ends_at, resources in _list_ends(state, executor, now):
                     free = executors.add(free, resources)
-                    upcoming.append((ends_at, executor, runs, free))
+                    upcoming.append((ends_at, executor, free_now, free))
         upcoming.sort(key=operator.itemgetter(0))
         forecasts.upcoming = upcoming
     return forecasts.upcoming
@@ -114,31 +116,43 @@
     return free
 
 
+def usual_time(state, executor, plan, task, now):
+    """Return the usual time of a run, and whether its batch told its size.
+
+    Returns
+    -------
+    tuple of float and bool
+        Seconds on that executor, and whether they are learned from other
+        tasks of the same batch.
+    """
+    step = plan.batch.steps[task.step]
+    usual = planner_health.slowdown(executor) * state.run_times.expected(
+        plan.batch.policy.route, executor.spec.model, step.estimate, now
+    )
+    if not plan.size_samples:
+        return usual, False
+    return usual * math.exp(plan.log_size), True
+
+
 def _list_ends(state, executor, now):
     """Return when runs are expected to end and what they free, in order."""
-    runs = tuple(executor.runs)
+    free = executor.free_resources
     by_executor = state.end_forecasts.by_executor
     if len(by_executor) > placement.MAX_REMEMBERED:
         by_executor.clear()
     known = by_executor.get(executor.spec.name)
     if (
         known is not None
-        and known[0] == runs
+        and known[0] is free
         and now - known[1] < FORECAST_TIME
     ):
         return known[2]
-    slowdown = planner_health.slowdown(executor)
     ends = []
     for plan, task in executor.runs.values():
-        step = plan.batch.steps[task.step]
-        usual = slowdown * state.run_times.expected(
-            plan.batch.policy.route, executor.spec.model, step.estimate, now
-        )
-        has_size = plan.size_samples > 0
-        if has_size:
-            usual *= math.exp(plan.log_size)
-        left = run_ends.remaining(now - task.started_at, usual, has_size)
-        ends.append((now + left.expected, step.resources))
+        usual, known_size = usual_time(state, executor, plan, task, now)
+        left = run_ends.remaining(now - task.started_at, usual, known_size)
+        resources = plan.batch.steps[task.step].resources
+        ends.append((now + left.expected, resources))
     ends.sort(key=operator.itemgetter(0))
-    by_executor[executor.spec.name] = (runs, now, ends)
+    by_executor[executor.spec.name] = (free, now, ends)
     return ends
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
@@ -162,11 +162,16 @@
 def expected_time(state, plan, task, executor, now):
     """Return the expected seconds of a task on an executor."""
     step = plan.batch.steps[task.step]
-    spec = executor.spec
-    run_time = state.run_times.expected(
-        plan.batch.policy.route, spec.model, step.estimate, now
-    ) * planner_health.slowdown(executor)
-    if step.rack and step.rack not in spec.labels:
+    usual = state.run_times.expected(
+        plan.batch.policy.route, executor.spec.model, step.estimate, now
+    )
+    return _time_on(state, step, executor, usual)
+
+
+def _time_on(state, step, executor, usual):
+    """Return the seconds on an executor of a step usual for its model."""
+    run_time = usual * planner_health.slowdown(executor)
+    if step.rack and step.rack not in executor.spec.labels:
         run_time *= state.remote_rack_factor
     return run_time
 
@@ -253,10 +258,12 @@
     if loss < 0.0:
         return False
     step = plan.batch.steps[task.step]
+    service = plan.batch.policy.service
     forecasts = state.end_forecasts
     if len(forecasts.booked) >= placement.MAX_BOOKED:
         return False
-    for ends_at, executor, runs, free in planner_ends.list_upcoming(
+    usual_times = {}
+    for ends_at, executor, free_now, free in planner_ends.list_upcoming(
         state, is_usable, now
     ):
         wait = max(0.0, ends_at - now)
@@ -264,9 +271,9 @@
             break
         spec = executor.spec
         if (
-            spec.service != plan.batch.policy.service
+            spec.service != service
             or not executors.fits(step.resources, free)
-            or runs != tuple(executor.runs)
+            or free_now is not executor.free_resources
         ):
             continue
         booked = forecasts.booked.get(spec.name)
@@ -276,7 +283,12 @@
             continue
         if step.label and step.label not in spec.labels:
             continue
-        run_time = expected_time(state, plan, task, executor, now)
+        usual = usual_times.get(spec.model)
+        if usual is None:
+            usual = usual_times[spec.model] = state.run_times.expected(
+                plan.batch.policy.route, spec.model, step.estimate, now
+            )
+        run_time = _time_on(state, step, executor, usual)
         if run_time >= key[1]:
             continue
         if score(spec.model, run_time, 0, wait)[0] <= loss:
--- a/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
@@ -2,6 +2,7 @@
 
 import itertools
 import unittest
+from unittest import mock
 
 from cardamompath_core import batches
 from cardamompath_core import executors
@@ -11,6 +12,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers.fleet import fleet_views
 from cardamompathd.controllers.planner import planner
+from cardamompathd.controllers.planner import planner_order
 
 OWN_MEMBER = planner_election.Member("n-a", "a", ("a", 1), 1)
 REMOTE_RACK_FACTOR = 3.0
@@ -151,6 +153,18 @@
         placement=pool_policy.PlacementPolicy(fitting=True)
     )
 
+    def test_batches_that_fit_nowhere_are_not_ranked(self):
+        # Ranking all waiting batches took most of the time of a dispatch.
+        self.list_executors(make_executor("x1", cpu=7000))
+        self.plan_batch("j1")
+        self.assertEqual(self.plan_batch("large"), [])
+        with mock.patch.object(
+            planner_order, "rank", wraps=planner_order.rank
+        ) as rank:
+            self.assertEqual(self.plan_batch("j2", cpu=2000), ["x1"])
+        ranked = [call.args[1].name for call in rank.call_args_list]
+        self.assertEqual(ranked, ["j2"])
+
     def test_task_waits_for_its_rack_until_that_is_booked(self):
         # Elsewhere it takes three times as long and is late; a second task
         # that waited for the same room would be as late.
