Planner: one function for the usual time of a run

Cause: planner_ends and planner_forecast computed it each for themselves. Change: planner_ends.usual_time serves both.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
@@ -18,7 +18,7 @@
 from cardamompath_core import batch_order
 from cardamompath_core import executors
 from cardamompath_core import run_ends
-from cardamompathd.controllers.planner import planner_health
+from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_placement
@@ -416,21 +416,16 @@
 
 def _forecast_runs(state, executor, now):
     """Forecast the ends of the runs of an executor."""
-    slowdown = planner_health.slowdown(executor)
     ends = []
     for plan, task in executor.runs.values():
-        step = plan.batch.steps[task.step]
-        usual = state.run_times.expected(
-            plan.batch.policy.route, executor.spec.model, step.estimate, now
+        usual, known_size = planner_ends.usual_time(
+            state, executor, plan, task, now
         )
-        known_size = plan.size_samples > 0
-        if known_size:
-            usual *= math.exp(plan.log_size)
         ends.append(
             admission_forecast.run_end(
                 task.started_at,
-                usual * slowdown,
-                step.resources,
+                usual,
+                plan.batch.steps[task.step].resources,
                 now,
                 known_size,
             )
