Forecast: a size class lowers no small number of slots

Cause: sizes were rounded to steps of a quarter doubling, tasks of 16 cores to 16.4, of which one fits into 32 cores instead of two; where the class exceeds every executor no forecast was made. Change: where up to four tasks fit on an executor, the class is lowered so that as many of it do. Measured: the new test fails before and passes; the tests of the forecast under load pass.

--- a/packages/core/src/cardamompath_core/admission_forecast.py
+++ b/packages/core/src/cardamompath_core/admission_forecast.py
@@ -63,6 +63,9 @@
 CLASSES_PER_DOUBLING = 4
 """Size classes for each factor of 2 in the CPU of a task; sizes within one
 differ by less than a fifth."""
+MAX_EXACT_SLOTS = 4
+"""Number of tasks on an executor up to which a size class must not lower it;
+of more, one that is missing is less than the step between classes."""
 MIN_COMPARED_WAIT = 0.02
 """Seconds of a wait from which its ratio to the forecast says something; the
 error that is allowed for shorter ones."""
@@ -96,12 +99,29 @@
     """Mean seconds for which each of them takes a slot."""
 
 
-def size_class(resources: executors.Resources) -> executors.Resources:
-    """Return the representative size of tasks like one, for a profile."""
+def size_class(
+    resources: executors.Resources,
+    capacities: Iterable[executors.Resources] = (),
+) -> executors.Resources:
+    """Return the representative size of tasks like one, for a profile.
+
+    Parameters
+    ----------
+    resources : Resources
+        What a task takes.
+    capacities : iterable of Resources
+        Capacities of the executors.  Where few such tasks fit, as many of the
+        representative size do.
+    """
     if resources.cpu <= 0:
         return resources
     step = round(math.log2(resources.cpu) * CLASSES_PER_DOUBLING)
-    return resources._replace(cpu=round(2.0 ** (step / CLASSES_PER_DOUBLING)))
+    cpu = round(2.0 ** (step / CLASSES_PER_DOUBLING))
+    for capacity in capacities:
+        fitting = capacity.cpu // resources.cpu
+        if 0 < fitting <= MAX_EXACT_SLOTS:
+            cpu = min(cpu, capacity.cpu // fitting)
+    return resources._replace(cpu=cpu)
 
 
 def run_end(
--- a/packages/core/src/cardamompath_core/tests/test_admission_forecast.py
+++ b/packages/core/src/cardamompath_core/tests/test_admission_forecast.py
@@ -78,6 +78,22 @@
         self.assertFalse(admission_forecast.is_late(started, 99.0))
 
 
+class SizeClassTest(unittest.TestCase):
+    def test_as_many_tasks_fit_as_of_the_true_size(self):
+        # Two tasks of 16 cores fit into 32; rounded up to 16.4 cores, one
+        # did, and batches were refused for capacity that was there.
+        capacities = [executors.Resources(cpu, 64) for cpu in (32000, 48000)]
+        for cpu in (8000, 11000, 16000, 24000, 32000):
+            needed = executors.Resources(cpu, 1)
+            rounded = admission_forecast.size_class(needed, capacities)
+            for capacity in capacities:
+                with self.subTest(cpu=cpu, capacity=capacity.cpu):
+                    self.assertGreaterEqual(
+                        executors.count_fitting(rounded, capacity),
+                        min(4, executors.count_fitting(needed, capacity)),
+                    )
+
+
 class BiasTest(unittest.TestCase):
     def test_lasting_error_is_corrected(self):
         bias = admission_forecast.Bias()
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
@@ -350,7 +350,10 @@
     """
     step = plan.batch.steps[plan.waiting[0].step]
     service = plan.batch.policy.service
-    needed = admission_forecast.size_class(step.resources)
+    capacities = {
+        capacity for name, _, capacity in state.pool if name == service
+    }
+    needed = admission_forecast.size_class(step.resources, capacities)
     profile = _find_profile(state, (service, step.label, needed))
     versions = profile.versions
     changed = []
