Planner: urgent arrivals do not delay a forecast within a minimum

Cause: the forecast stretched the wait of a batch within a minimum share by the arriving work of higher priority, which does not go ahead of it, so that it was refused. Change: the forecast takes the priority that the shares give, as expected_start does.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
@@ -22,6 +22,7 @@
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_placement
+from cardamompathd.controllers.planner import planner_shares
 
 __all__ = [
     "Forecast",
@@ -138,7 +139,7 @@
             admission_forecast.Work(len(plan.waiting) - 1, slot_time),
         ),
     )
-    demand = state.demand.above(plan.batch.policy.priority, now)
+    demand = state.demand.above(planner_shares.priority_of(state, plan), now)
     wait = math.inf
     if last < math.inf:
         # Once it has begun, it comes before what arrives then.
--- a/packages/daemon/src/cardamompathd/tests/test_planner_shares.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_shares.py
@@ -10,6 +10,7 @@
 from cardamompathd.controllers.fleet import fleet_views
 from cardamompathd.controllers.planner import planner_estimates
 from cardamompathd.controllers.planner import planner_executors
+from cardamompathd.controllers.planner import planner_forecast
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_plans
 from cardamompathd.controllers.planner import planner_runs
@@ -170,6 +171,31 @@
         start = planner_estimates.expected_start(self.state, plan, 10.05)
         self.assertLess(start, 10.1)
 
+    def make_busy(self, plan, now):
+        """Run a batch on an executor of the planner and return that."""
+        spec = executors.Executor(
+            "x", "desk", "a", ("x", 1), 1, "ready", self.capacity, ("m",)
+        )
+        executor = planner_executors.ExecutorState(spec, 7, now)
+        executor.claimed = True
+        self.state.executors["x"] = executor
+        for task in list(plan.waiting):
+            run = pool_messages.Run(plan.name, 0, task.index, 1)
+            planner_runs.adopt_run(executor, plan, task, run, now)
+        return executor
+
+    def test_forecast_of_a_batch_within_a_minimum_ignores_urgent_work(self):
+        # It was refused for arriving work that does not go ahead of it.
+        running = self.add("j1", "short", "n-b", 19, 10.0, 0)
+        self.adopt(running, 10.0)
+        self.make_busy(self.add("j2", "short", "n-b", 1, 10.0, 0), 10.0)
+        self.add("j3", "short", "n-b", 8, 10.0, 0)
+        self.state.demand.add(0, 5.0, 10.05)
+        plan = self.add("j4", "usual", "n-b", 1, 10.05, kept=False)
+        self.assertTrue(plan.is_guaranteed)
+        predicted = planner_forecast.forecast(self.state, plan, 10.05)
+        self.assertLess(predicted.start, 10.4)
+
     def test_largest_batches_have_a_minimum_of_their_own(self):
         # They would wait behind small batches that have to start earlier.
         for number in range(40):
