Planner: work of another service is not ahead in a forecast

Cause: all waiting batches counted as work ahead, and batches were refused for the queue of other executors. Change: only those of the same service count. Measured: the new test, in which a batch was refused before, passes.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
@@ -293,14 +293,19 @@
 
 
 def _work_ahead(state, plan, total, now):
-    """Return the work that starts before a batch, by group of ranks."""
+    """Return the work of its service before a batch, by group of ranks."""
+    service = plan.batch.policy.service
     key = planner_order.rank(state, plan, now)
     groups: dict[Any, list] = {}
     batches_ahead = 0
     # The check of all waiting batches computes their ranks again.
     ranks = state.forecast.ranks
     for other in state.plans.values():
-        if not other.waiting or other is plan:
+        if (
+            not other.waiting
+            or other is plan
+            or other.batch.policy.service != service
+        ):
             continue
         known = ranks.get(other.name)
         if known is None or known[1] != other.may_have_started:
--- a/packages/daemon/src/cardamompathd/tests/test_planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_forecast.py
@@ -3,7 +3,9 @@
 import unittest
 
 from cardamompath_core import batches
+from cardamompath_core import executors
 from cardamompath_core import pool_policy
+from cardamompathd import pool_messages
 from cardamompathd.tests import load_simulation
 
 SECONDS = 12.0
@@ -78,6 +80,28 @@
                 self.assertLessEqual(errors[len(errors) // 2], 20)
 
 
+class OtherServiceTest(unittest.TestCase):
+    def test_work_of_another_service_is_not_ahead(self):
+        # It was counted as if it took the executors of this one, and batches
+        # were refused for it.
+        site = load_simulation.Site(kinds=())
+        simulation = load_simulation.LoadSimulation(
+            1, executor_count=1, site=site, policy=FORECAST
+        )
+        simulation.run_until(simulation.now + 0.2)
+        _, usual, _ = load_simulation.KINDS
+        simulation.submit(usual, [0.3], 10000, 0.3)
+        for number in range(8):
+            step = batches.Step(2, executors.Resources(10000, 64), 0.1)
+            policy = batches.RoutePolicy("r", "hall", 0, 3, 9.0, 1.0)
+            batch = batches.Batch(f"hall{number}", "", (step,), policy)
+            simulation.tell(pool_messages.PlanBatch(batch, "n-a", 0.0, 3.0, 0))
+        simulation.submit(usual, [0.3], 10000, 0.3)
+        planned = events(simulation, "batch planned")[-1]
+        self.assertEqual(planned["route"], "usual")
+        self.assertEqual(planned["batches_ahead"], 0)
+
+
 class StalledExecutorsTest(unittest.TestCase):
     def play_stall(self, policy):
         simulation = load_simulation.LoadSimulation(1, 1.1, policy=policy)
