Planner: reservations do not hold up batches within a minimum

Cause: reservations compare the priorities of the routes, so that a batch that its minimum share puts ahead of all waited for one of a lower rank. Change: they compare the priorities that the shares give. Measured: the new test fails before and passes.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
@@ -15,6 +15,7 @@
 from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_placement
+from cardamompathd.controllers.planner import planner_shares
 
 __all__ = [
     "admit",
@@ -92,7 +93,7 @@
     state.reserve_after[plan.name] = now + RETRY_INTERVAL
     resources = plan.batch.steps[task.step].resources
     rooms = planner_placement.list_rooms(state, plan, task, now)
-    priority = plan.batch.policy.priority
+    priority = planner_shares.priority_of(state, plan)
     need = placement.Need(plan.name, resources, target, limit, priority)
     made = placement.choose_reservation(need, rooms, now)
     if made is None:
@@ -107,11 +108,12 @@
     if not state.reservations or not plan.waiting:
         return usable
     task = plan.waiting[0]
+    priority = planner_shares.priority_of(state, plan)
     barred = {
         name
         for name, made in state.reservations.items()
         if made.batch != plan.name
-        and plan.batch.policy.priority >= made.priority
+        and priority >= made.priority
         and not _may_fill(state, plan, task, made, now)
     }
     if not barred:
--- a/packages/daemon/src/cardamompathd/tests/test_planner_shares.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_shares.py
@@ -4,6 +4,7 @@
 
 from cardamompath_core import batches
 from cardamompath_core import executors
+from cardamompath_core import placement
 from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
 from cardamompathd import pool_messages
@@ -13,6 +14,7 @@
 from cardamompathd.controllers.planner import planner_forecast
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_plans
+from cardamompathd.controllers.planner import planner_reservations
 from cardamompathd.controllers.planner import planner_runs
 from cardamompathd.controllers.planner import planner_shares
 from cardamompathd.controllers.planner import planner_state
@@ -196,6 +198,28 @@
         predicted = planner_forecast.forecast(self.state, plan, 10.05)
         self.assertLess(predicted.start, 10.4)
 
+    def test_reservation_does_not_hold_up_a_batch_within_a_minimum(self):
+        # It goes ahead of all priorities, also on an executor that is kept.
+        self.adopt(self.add("j1", "short", "n-b", 19, 10.0, 0), 10.0)
+        self.add("j2", "short", "n-b", 8, 10.0, 0)
+        plan = self.add("j3", "usual", "n-b", 1, 10.05)
+        self.assertTrue(plan.is_guaranteed)
+        waiting = self.add("j4", "short", "n-b", 1, 10.05, 0, kept=False)
+        waiting.waiting.clear()
+        executor = self.make_busy(waiting, 10.05)
+        self.state.reservations["x"] = placement.Reservation(
+            "j2", "x", 0, self.capacity, 10.0, 10.1, 10.3, 1.0, 0.0
+        )
+        self.assertEqual(
+            planner_reservations.admit(self.state, plan, [executor], 10.05),
+            [executor],
+        )
+        plan.is_guaranteed = False
+        self.assertEqual(
+            planner_reservations.admit(self.state, plan, [executor], 10.05),
+            [],
+        )
+
     def test_largest_batches_have_a_minimum_of_their_own(self):
         # They would wait behind small batches that have to start earlier.
         for number in range(40):
