Planner: no reservation for a task that fits already

Cause: with fitting placement, a task that waits for a better executor while another has room got a reservation in addition, up to the limit, also of an executor that stands free. Change: a task that fits on a usable executor gets none. Measured: the new test fails before and passes.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
@@ -93,6 +93,9 @@
     state.reserve_after[plan.name] = now + RETRY_INTERVAL
     resources = plan.batch.steps[task.step].resources
     rooms = planner_placement.list_rooms(state, plan, task, now)
+    if any(room.wait <= 0.0 for *_, room in rooms):
+        # It fits there and waits for another reason, as for a faster executor.
+        return []
     priority = planner_shares.priority_of(state, plan)
     need = placement.Need(plan.name, resources, target, limit, priority)
     made = placement.choose_reservation(need, rooms, now)
--- a/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
@@ -176,3 +176,28 @@
         self.now += 0.15
         self.assertEqual(self.plan_batch("j2", rack="r1"), [])
         self.assertEqual(self.plan_batch("j3", rack="r1"), ["x2"])
+
+
+class FittingReservationsTest(DispatchTest):
+    """The same with room kept for large tasks as well."""
+
+    policy = pool_policy.PoolPolicy(
+        placement=pool_policy.PlacementPolicy(fitting=True, reservations=True)
+    )
+
+    def test_task_that_fits_but_waits_gets_no_reservation(self):
+        # Executors stood empty for tasks that waited for a better one.
+        self.list_executors(
+            make_executor("x1", "r1"), make_executor("x2", "r2")
+        )
+        self.assertEqual(self.plan_batch("j1", cpu=8000, rack="r1"), ["x1"])
+        self.now += 0.15
+        self.assertEqual(self.plan_batch("small", cpu=2000, rack="r1"), [])
+        self.assertEqual(self.plan_batch("large", cpu=4000, rack="r1"), [])
+        made = [
+            msg
+            for msg in self.sent
+            if isinstance(msg, pool_messages.Decision)
+            and msg.event == "reservation made"
+        ]
+        self.assertEqual(made, [])
