Planner: plain terms in placement, reservations and forecast

Cause: some comments were figurative, and two said that runs surely end where nine of ten do. Change: names and comments only. Measured: the tests of dispatch, reservations and placement pass.

--- a/packages/core/src/cardamompath_core/admission_forecast.py
+++ b/packages/core/src/cardamompath_core/admission_forecast.py
@@ -10,8 +10,8 @@
   quantiles of its end, as the sum over many runs then has the right shape.
 - Tasks ahead take slots in their order and return them when they end.  The
   wait is the time at which the last task of the batch gets a slot.
-- Forecast waits are compared with what came, and a lasting ratio of the two
-  is applied to later forecasts.
+- Forecast waits are compared with actual ones, and a lasting ratio of the
+  two is applied to later forecasts.
 """
 
 from __future__ import annotations
@@ -316,7 +316,7 @@
 
 
 class Bias:
-    """Lasting ratio of the waits that came to those that were forecast."""
+    """Lasting ratio of actual waits to those that were forecast."""
 
     def __init__(self):
         self._log_ratio = 0.0
--- a/packages/core/src/cardamompath_core/placement.py
+++ b/packages/core/src/cardamompath_core/placement.py
@@ -101,8 +101,8 @@
         return 1.0
     if spare <= 0.0 and excess >= 0.0:
         return 0.0
-    # In time if the factor is below this limit, or above it if a long run
-    # gives the caller more patience than the executor takes away.
+    # In time if the factor is below this limit, or above it where the
+    # objective grows faster with the factor than the run time does.
     limit = math.log(spare / excess) / run_ends.BATCH_SPREAD
     below = 0.5 * math.erfc(-limit / math.sqrt(2.0))
     return below if excess > 0.0 else 1.0 - below
@@ -200,7 +200,7 @@
 
 
 def ends_before(run_time: float, wait: float) -> bool:
-    """Return whether a new run surely ends within a time.
+    """Return whether a new run ends within a time, as nine of ten do.
 
     Parameters
     ----------
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_ends.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_ends.py
@@ -35,7 +35,7 @@
         "booked",
         "by_executor",
         "decisions",
-        "told",
+        "logged",
         "upcoming",
         "upcoming_at",
     )
@@ -50,7 +50,7 @@
         """When that was listed."""
         self.booked: dict[str, executors.Resources] = {}
         """Room that tasks wait for, by executor, as of this dispatch."""
-        self.told: set[str] = set()
+        self.logged: set[str] = set()
         """Batches of which it was logged that they wait for an executor."""
         self.decisions: list = []
         """Log lines that are not sent yet."""
@@ -117,7 +117,7 @@
 
 
 def usual_time(state, executor, plan, task, now):
-    """Return the usual time of a run, and whether its batch told its size.
+    """Return the usual time of a run, and whether its batch is the source.
 
     Returns
     -------
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
@@ -1,4 +1,4 @@
-"""Forecast of when batches start at a planner, and what came of it.
+"""Forecast of when batches start at a planner, and the error of it.
 
 Capacity events are kept by executor and by size of a task, and computed again
 where runs have started or ended, or were expected to end by now.
@@ -234,7 +234,7 @@
 
 
 def compare(state, now):
-    """Compare forecasts with what came; return the line with the errors."""
+    """Compare forecasts with actual starts; return the line of the errors."""
     own = state.forecast
     errors = []
     for name, (plan, predicted, admitted_at) in list(own.pending.items()):
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_placement.py
@@ -301,11 +301,11 @@
 def _log_wait(state, plan, executor, wait, run_time, key, now):
     """Log once for each batch that it waits for a busy executor."""
     forecasts = state.end_forecasts
-    if plan.name in forecasts.told:
+    if plan.name in forecasts.logged:
         return
-    if len(forecasts.told) > placement.MAX_REMEMBERED:
-        forecasts.told.clear()
-    forecasts.told.add(plan.name)
+    if len(forecasts.logged) > placement.MAX_REMEMBERED:
+        forecasts.logged.clear()
+    forecasts.logged.add(plan.name)
     forecasts.decisions.append(
         planner_log.decision(
             "waits for executor",
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
@@ -2,10 +2,10 @@
 
 A batch that cannot start may get a reservation of an executor on which
 several runs end soon.  Batches of the same priority, or of a later one, start
-there only if they leave the room free, or surely end before.  Batches of an
-earlier priority are never held up, and no batch is refused for a reservation,
-as it does not count in `planner_placement.has_room`.  Reservations are lost
-with the planner; its successor makes its own.
+there only if they leave the room free, or if nine of ten such runs end before.
+Batches of an earlier priority are never held up, and no batch is refused for
+a reservation, as it does not count in `planner_placement.has_room`.
+Reservations are lost with the planner; its successor makes its own.
 """
 
 from __future__ import annotations
