Forecast: work that is to be refused delays none behind it

Cause: the check of waiting batches counted those that it refuses as work ahead, so that one wide batch had all behind it refused at the same time. Change: work that cannot start before its limit takes no slots.

--- a/packages/core/src/cardamompath_core/admission_forecast.py
+++ b/packages/core/src/cardamompath_core/admission_forecast.py
@@ -36,6 +36,7 @@
     "executor_events",
     "expected_waits",
     "is_late",
+    "latest_start",
     "run_end",
     "size_class",
 ]
@@ -97,6 +98,8 @@
     tasks: int
     run_time: float
     """Mean seconds for which each of them takes a slot."""
+    limit: float = math.inf
+    """Seconds after which they do not start any more, and take no slots."""
 
 
 def size_class(
@@ -272,7 +275,8 @@
     Returns
     -------
     list of float
-        Infinite for those that start beyond the horizon.
+        Infinite for those that start beyond the horizon.  Of work that would
+        start after its limit it is a time after that.
     """
     slots = list(calendar)
     horizon = len(slots)
@@ -284,8 +288,16 @@
         if work.run_time < horizon * STEP:
             duration = max(1, round(work.run_time / STEP))
         start = math.inf
+        first = step
+        taken_slots = []
         while step < horizon:
+            if start is math.inf and step * STEP > work.limit:
+                _return_slots(slots, first, taken_slots, duration)
+                start = step * STEP
+                step = first
+                break
             taken = min(left, slots[step])
+            taken_slots.append(taken)
             slots[step] -= taken
             left -= taken
             if step + duration < horizon:
@@ -299,6 +311,14 @@
     return waits
 
 
+def _return_slots(slots, first, taken_slots, duration):
+    """Undo what work took from a step on, as it does not start."""
+    for step, taken in enumerate(taken_slots, first):
+        slots[step] += taken
+        if step + duration < len(slots):
+            slots[step + duration] -= taken
+
+
 def is_late(urgency: batch_order.Urgency, start: float) -> bool:
     """Return whether a batch misses its objective if it starts at a time.
 
@@ -311,8 +331,12 @@
     start : float
         When its last task is expected to start, in seconds.
     """
-    latest = min(urgency.latest_start, urgency.deadline - urgency.run_time)
-    return not urgency.is_started and start > latest
+    return not urgency.is_started and start > latest_start(urgency)
+
+
+def latest_start(urgency: batch_order.Urgency) -> float:
+    """Return until when a batch has to start to be in time, in seconds."""
+    return min(urgency.latest_start, urgency.deadline - urgency.run_time)
 
 
 class Bias:
--- a/packages/core/src/cardamompath_core/tests/test_admission_forecast.py
+++ b/packages/core/src/cardamompath_core/tests/test_admission_forecast.py
@@ -78,6 +78,25 @@
         self.assertFalse(admission_forecast.is_late(started, 99.0))
 
 
+class LimitTest(unittest.TestCase):
+    def test_work_that_is_refused_delays_none_behind_it(self):
+        # One batch that could not be in time had all behind it refused.
+        calendar = [1.0 if step in (1, 5, 30) else 0.0 for step in range(60)]
+        wide = admission_forecast.Work(3, 9.0, 0.1)
+        behind = admission_forecast.Work(2, 9.0, 0.1)
+        waits = admission_forecast.expected_waits(calendar, [wide, behind])
+        self.assertGreater(waits[0], wide.limit)
+        self.assertAlmostEqual(waits[1], 0.05)
+
+    def test_slots_that_returned_meanwhile_are_taken_back(self):
+        # A run that is undone would leave a slot that nobody frees.
+        calendar = [1.0] + [0.0] * 59
+        refused = admission_forecast.Work(9, 0.02, 0.1)
+        behind = admission_forecast.Work(3, 0.1)
+        waits = admission_forecast.expected_waits(calendar, [refused, behind])
+        self.assertAlmostEqual(waits[1], 0.2)
+
+
 class SizeClassTest(unittest.TestCase):
     def test_as_many_tasks_fit_as_of_the_true_size(self):
         # Two tasks of 16 cores fit into 32; rounded up to 16.4 cores, one
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
@@ -156,7 +156,11 @@
 
 
 def forecast_waiting(state, now):
-    """Return when the last task of each waiting batch starts, by its name."""
+    """Return when the last task of each waiting batch starts, by its name.
+
+    Those that cannot be in time take no capacity from those behind them, as
+    they are refused.
+    """
     for known_size in (False, True):
         # The tables are computed here and not in the first decision.
         run_ends.remaining(0.0, 1.0, known_size)
@@ -184,7 +188,9 @@
             profile.capacity.upcoming(now),
             [
                 admission_forecast.Work(
-                    len(plan.waiting), _slot_time(plan, total)
+                    len(plan.waiting),
+                    _slot_time(plan, total),
+                    _start_limit(plan, now),
                 )
                 for plan in plans
             ],
@@ -334,6 +340,14 @@
     return rank
 
 
+def _start_limit(plan, now):
+    """Return after how many seconds a batch can only be refused."""
+    if plan.may_have_started:
+        return math.inf
+    urgency = planner_order.urgency_of(plan)
+    return admission_forecast.latest_start(urgency) - now
+
+
 def _slot_time(plan, total):
     """Return the mean seconds for which a task of a batch takes a slot."""
     return plan.pool_time * total * admission_forecast.MEAN_FACTOR
