--- a/packages/core/src/cardamompath_core/admission_forecast.py
+++ b/packages/core/src/cardamompath_core/admission_forecast.py
@@ -10,8 +10,8 @@
   quantiles of its end, as the sum over many runs then has the right shape.
 - Tasks ahead take slots in their order and return them when they end.  The
   wait is the time at which the last task of the batch gets a slot.
-- Forecast waits are compared with what came, and a lasting ratio of the two
-  is applied to later forecasts.
+- Forecast waits are compared with actual ones, and a lasting ratio of the
+  two is applied to later forecasts.
 """
 
 from __future__ import annotations
@@ -36,6 +36,7 @@
     "executor_events",
     "expected_waits",
     "is_late",
+    "latest_start",
     "run_end",
     "size_class",
 ]
@@ -63,6 +64,9 @@
 CLASSES_PER_DOUBLING = 4
 """Size classes for each factor of 2 in the CPU of a task; sizes within one
 differ by less than a fifth."""
+MAX_EXACT_SLOTS = 4
+"""Number of tasks on an executor up to which a size class must not lower it;
+of more, one that is missing is less than the step between classes."""
 MIN_COMPARED_WAIT = 0.02
 """Seconds of a wait from which its ratio to the forecast says something; the
 error that is allowed for shorter ones."""
@@ -94,14 +98,33 @@
     tasks: int
     run_time: float
     """Mean seconds for which each of them takes a slot."""
+    limit: float = math.inf
+    """Seconds after which they do not start any more, and take no slots."""
 
 
-def size_class(resources: executors.Resources) -> executors.Resources:
-    """Return the representative size of tasks like one, for a profile."""
+def size_class(
+    resources: executors.Resources,
+    capacities: Iterable[executors.Resources] = (),
+) -> executors.Resources:
+    """Return the representative size of tasks like one, for a profile.
+
+    Parameters
+    ----------
+    resources : Resources
+        What a task takes.
+    capacities : iterable of Resources
+        Capacities of the executors.  Where few such tasks fit, as many of the
+        representative size do.
+    """
     if resources.cpu <= 0:
         return resources
     step = round(math.log2(resources.cpu) * CLASSES_PER_DOUBLING)
-    return resources._replace(cpu=round(2.0 ** (step / CLASSES_PER_DOUBLING)))
+    cpu = round(2.0 ** (step / CLASSES_PER_DOUBLING))
+    for capacity in capacities:
+        fitting = capacity.cpu // resources.cpu
+        if 0 < fitting <= MAX_EXACT_SLOTS:
+            cpu = min(cpu, capacity.cpu // fitting)
+    return resources._replace(cpu=cpu)
 
 
 def run_end(
@@ -252,7 +275,8 @@
     Returns
     -------
     list of float
-        Infinite for those that start beyond the horizon.
+        Infinite for those that start beyond the horizon.  Of work that would
+        start after its limit it is a time after that.
     """
     slots = list(calendar)
     horizon = len(slots)
@@ -264,8 +288,16 @@
         if work.run_time < horizon * STEP:
             duration = max(1, round(work.run_time / STEP))
         start = math.inf
+        first = step
+        taken_slots = []
         while step < horizon:
+            if start is math.inf and step * STEP > work.limit:
+                _return_slots(slots, first, taken_slots, duration)
+                start = step * STEP
+                step = first
+                break
             taken = min(left, slots[step])
+            taken_slots.append(taken)
             slots[step] -= taken
             left -= taken
             if step + duration < horizon:
@@ -279,6 +311,14 @@
     return waits
 
 
+def _return_slots(slots, first, taken_slots, duration):
+    """Undo what work took from a step on, as it does not start."""
+    for step, taken in enumerate(taken_slots, first):
+        slots[step] += taken
+        if step + duration < len(slots):
+            slots[step + duration] -= taken
+
+
 def is_late(urgency: batch_order.Urgency, start: float) -> bool:
     """Return whether a batch misses its objective if it starts at a time.
 
@@ -291,12 +331,16 @@
     start : float
         When its last task is expected to start, in seconds.
     """
-    latest = min(urgency.latest_start, urgency.deadline - urgency.run_time)
-    return not urgency.is_started and start > latest
+    return not urgency.is_started and start > latest_start(urgency)
+
+
+def latest_start(urgency: batch_order.Urgency) -> float:
+    """Return until when a batch has to start to be in time, in seconds."""
+    return min(urgency.latest_start, urgency.deadline - urgency.run_time)
 
 
 class Bias:
-    """Lasting ratio of the waits that came to those that were forecast."""
+    """Lasting ratio of actual waits to those that were forecast."""
 
     def __init__(self):
         self._log_ratio = 0.0
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
@@ -1,4 +1,4 @@
-"""Forecast of when batches start at a planner, and what came of it.
+"""Forecast of when batches start at a planner, and the error of it.
 
 Capacity events are kept by executor and by size of a task, and computed again
 where runs have started or ended, or were expected to end by now.
@@ -18,10 +18,11 @@
 from cardamompath_core import batch_order
 from cardamompath_core import executors
 from cardamompath_core import run_ends
-from cardamompathd.controllers.planner import planner_health
+from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_order
 from cardamompathd.controllers.planner import planner_placement
+from cardamompathd.controllers.planner import planner_shares
 
 __all__ = [
     "Forecast",
@@ -138,7 +139,7 @@
             admission_forecast.Work(len(plan.waiting) - 1, slot_time),
         ),
     )
-    demand = state.demand.above(plan.batch.policy.priority, now)
+    demand = state.demand.above(planner_shares.priority_of(state, plan), now)
     wait = math.inf
     if last < math.inf:
         # Once it has begun, it comes before what arrives then.
@@ -155,7 +156,11 @@
 
 
 def forecast_waiting(state, now):
-    """Return when the last task of each waiting batch starts, by its name."""
+    """Return when the last task of each waiting batch starts, by its name.
+
+    Those that cannot be in time take no capacity from those behind them, as
+    they are refused.
+    """
     for known_size in (False, True):
         # The tables are computed here and not in the first decision.
         run_ends.remaining(0.0, 1.0, known_size)
@@ -183,7 +188,9 @@
             profile.capacity.upcoming(now),
             [
                 admission_forecast.Work(
-                    len(plan.waiting), _slot_time(plan, total)
+                    len(plan.waiting),
+                    _slot_time(plan, total),
+                    _start_limit(plan, now),
                 )
                 for plan in plans
             ],
@@ -233,7 +240,7 @@
 
 
 def compare(state, now):
-    """Compare forecasts with what came; return the line with the errors."""
+    """Compare forecasts with actual starts; return the line of the errors."""
     own = state.forecast
     errors = []
     for name, (plan, predicted, admitted_at) in list(own.pending.items()):
@@ -292,14 +299,19 @@
 
 
 def _work_ahead(state, plan, total, now):
-    """Return the work that starts before a batch, by group of ranks."""
+    """Return the work of its service before a batch, by group of ranks."""
+    service = plan.batch.policy.service
     key = planner_order.rank(state, plan, now)
     groups: dict[Any, list] = {}
     batches_ahead = 0
     # The check of all waiting batches computes their ranks again.
     ranks = state.forecast.ranks
     for other in state.plans.values():
-        if not other.waiting or other is plan:
+        if (
+            not other.waiting
+            or other is plan
+            or other.batch.policy.service != service
+        ):
             continue
         known = ranks.get(other.name)
         if known is None or known[1] != other.may_have_started:
@@ -328,6 +340,14 @@
     return rank
 
 
+def _start_limit(plan, now):
+    """Return after how many seconds a batch can only be refused."""
+    if plan.may_have_started:
+        return math.inf
+    urgency = planner_order.urgency_of(plan)
+    return admission_forecast.latest_start(urgency) - now
+
+
 def _slot_time(plan, total):
     """Return the mean seconds for which a task of a batch takes a slot."""
     return plan.pool_time * total * admission_forecast.MEAN_FACTOR
@@ -350,7 +370,10 @@
     """
     step = plan.batch.steps[plan.waiting[0].step]
     service = plan.batch.policy.service
-    needed = admission_forecast.size_class(step.resources)
+    capacities = {
+        capacity for name, _, capacity in state.pool if name == service
+    }
+    needed = admission_forecast.size_class(step.resources, capacities)
     profile = _find_profile(state, (service, step.label, needed))
     versions = profile.versions
     changed = []
@@ -416,21 +439,16 @@
 
 def _forecast_runs(state, executor, now):
     """Forecast the ends of the runs of an executor."""
-    slowdown = planner_health.slowdown(executor)
     ends = []
     for plan, task in executor.runs.values():
-        step = plan.batch.steps[task.step]
-        usual = state.run_times.expected(
-            plan.batch.policy.route, executor.spec.model, step.estimate, now
+        usual, known_size = planner_ends.usual_time(
+            state, executor, plan, task, now
         )
-        known_size = plan.size_samples > 0
-        if known_size:
-            usual *= math.exp(plan.log_size)
         ends.append(
             admission_forecast.run_end(
                 task.started_at,
-                usual * slowdown,
-                step.resources,
+                usual,
+                plan.batch.steps[task.step].resources,
                 now,
                 known_size,
             )
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_reservations.py
@@ -2,10 +2,10 @@
 
 A batch that cannot start may get a reservation of an executor on which
 several runs end soon.  Batches of the same priority, or of a later one, start
-there only if they leave the room free, or surely end before.  Batches of an
-earlier priority are never held up, and no batch is refused for a reservation,
-as it does not count in `planner_placement.has_room`.  Reservations are lost
-with the planner; its successor makes its own.
+there only if they leave the room free, or if nine of ten such runs end before.
+Batches of an earlier priority are never held up, and no batch is refused for
+a reservation, as it does not count in `planner_placement.has_room`.
+Reservations are lost with the planner; its successor makes its own.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from cardamompathd.controllers.planner import planner_ends
 from cardamompathd.controllers.planner import planner_log
 from cardamompathd.controllers.planner import planner_placement
+from cardamompathd.controllers.planner import planner_shares
 
 __all__ = [
     "admit",
@@ -92,7 +93,10 @@
     state.reserve_after[plan.name] = now + RETRY_INTERVAL
     resources = plan.batch.steps[task.step].resources
     rooms = planner_placement.list_rooms(state, plan, task, now)
-    priority = plan.batch.policy.priority
+    if any(room.wait <= 0.0 for *_, room in rooms):
+        # It fits there and waits for another reason, as for a faster executor.
+        return []
+    priority = planner_shares.priority_of(state, plan)
     need = placement.Need(plan.name, resources, target, limit, priority)
     made = placement.choose_reservation(need, rooms, now)
     if made is None:
@@ -107,11 +111,12 @@
     if not state.reservations or not plan.waiting:
         return usable
     task = plan.waiting[0]
+    priority = planner_shares.priority_of(state, plan)
     barred = {
         name
         for name, made in state.reservations.items()
         if made.batch != plan.name
-        and plan.batch.policy.priority >= made.priority
+        and priority >= made.priority
         and not _may_fill(state, plan, task, made, now)
     }
     if not barred:
--- a/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_dispatch.py
@@ -2,6 +2,7 @@
 
 import itertools
 import unittest
+from unittest import mock
 
 from cardamompath_core import batches
 from cardamompath_core import executors
@@ -11,6 +12,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.controllers.fleet import fleet_views
 from cardamompathd.controllers.planner import planner
+from cardamompathd.controllers.planner import planner_order
 
 OWN_MEMBER = planner_election.Member("n-a", "a", ("a", 1), 1)
 REMOTE_RACK_FACTOR = 3.0
@@ -151,6 +153,18 @@
         placement=pool_policy.PlacementPolicy(fitting=True)
     )
 
+    def test_batches_that_fit_nowhere_are_not_ranked(self):
+        # Ranking all waiting batches took most of the time of a dispatch.
+        self.list_executors(make_executor("x1", cpu=7000))
+        self.plan_batch("j1")
+        self.assertEqual(self.plan_batch("large"), [])
+        with mock.patch.object(
+            planner_order, "rank", wraps=planner_order.rank
+        ) as rank:
+            self.assertEqual(self.plan_batch("j2", cpu=2000), ["x1"])
+        ranked = [call.args[1].name for call in rank.call_args_list]
+        self.assertEqual(ranked, ["j2"])
+
     def test_task_waits_for_its_rack_until_that_is_booked(self):
         # Elsewhere it takes three times as long and is late; a second task
         # that waited for the same room would be as late.
@@ -162,3 +176,28 @@
         self.now += 0.15
         self.assertEqual(self.plan_batch("j2", rack="r1"), [])
         self.assertEqual(self.plan_batch("j3", rack="r1"), ["x2"])
+
+
+class FittingReservationsTest(DispatchTest):
+    """The same with room kept for large tasks as well."""
+
+    policy = pool_policy.PoolPolicy(
+        placement=pool_policy.PlacementPolicy(fitting=True, reservations=True)
+    )
+
+    def test_task_that_fits_but_waits_gets_no_reservation(self):
+        # Executors stood empty for tasks that waited for a better one.
+        self.list_executors(
+            make_executor("x1", "r1"), make_executor("x2", "r2")
+        )
+        self.assertEqual(self.plan_batch("j1", cpu=8000, rack="r1"), ["x1"])
+        self.now += 0.15
+        self.assertEqual(self.plan_batch("small", cpu=2000, rack="r1"), [])
+        self.assertEqual(self.plan_batch("large", cpu=4000, rack="r1"), [])
+        made = [
+            msg
+            for msg in self.sent
+            if isinstance(msg, pool_messages.Decision)
+            and msg.event == "reservation made"
+        ]
+        self.assertEqual(made, [])
