Planner: forecasts and booked returns end with the term

Cause: refused callers of a new term were told to return behind those of the former one. Change: the state of forecasts is reset as a planner ends.

--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_forecast.py
@@ -34,6 +34,7 @@
     "forecast_waiting",
     "log_fields",
     "note",
+    "reset",
     "take",
 ]
 
@@ -121,6 +122,11 @@
         self.returns = admission_forecast.Returns()
 
 
+def reset(state):
+    """Forget all forecasts, as this planner has given up its batches."""
+    state.forecast = ForecastState()
+
+
 def forecast(state, plan, now):
     """Return the `Forecast` of a new batch, None if no capacity is known."""
     if not plan.waiting:
--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_roles.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_roles.py
@@ -14,6 +14,7 @@
 from cardamompathd import messages
 from cardamompathd import pool_messages
 from cardamompathd.controllers.planner import planner_ends
+from cardamompathd.controllers.planner import planner_forecast
 from cardamompathd.controllers.planner import planner_leases
 from cardamompathd.controllers.planner import planner_listings
 from cardamompathd.controllers.planner import planner_log
@@ -231,6 +232,7 @@
             state.remember_dropped_batch(plan.name)
     state.plans.clear()
     planner_shares.reset(state)
+    planner_forecast.reset(state)
     state.dropped_in_former_terms = set(state.dropped_counts)
     sends += report_backlog(state, 0.0)
     sends += announce_executors(state)
--- a/packages/daemon/src/cardamompathd/tests/test_planner_forecast.py
+++ b/packages/daemon/src/cardamompathd/tests/test_planner_forecast.py
@@ -4,8 +4,10 @@
 
 from cardamompath_core import batches
 from cardamompath_core import executors
+from cardamompath_core import planner_election
 from cardamompath_core import pool_policy
 from cardamompathd import pool_messages
+from cardamompathd.controllers.fleet import fleet_views
 from cardamompathd.tests import load_simulation
 
 SECONDS = 12.0
@@ -130,6 +132,41 @@
             )
             self.assertGreater(request.retry_after, 0.0)
 
+    def test_returns_of_a_former_term_are_forgotten(self):
+        # Refused callers were told to return behind those of a term before.
+        simulation = load_simulation.LoadSimulation(
+            1,
+            executor_count=1,
+            site=load_simulation.Site(kinds=()),
+            policy=FORECAST,
+        )
+        usual = load_simulation.KINDS[1]
+
+        def overload():
+            simulation.run_until(simulation.now + 0.3)
+            names = [
+                simulation.submit(usual, [0.6], 10000, 0.6) for _ in range(6)
+            ]
+            return [simulation.requests[name] for name in names]
+
+        first = overload()
+        own = simulation.members[0]
+        other = planner_election.Member("n-b", "a", ("b", 1), 1)
+        leaving = own._replace(leaving=True)
+        simulation.tell(fleet_views.make_view(leaving, (leaving, other), ()))
+        simulation.run_until(simulation.now + 1.0)
+        self.assertTrue(events(simulation, "ended to plan"))
+        simulation.tell(fleet_views.make_view(own, (own,), ()))
+        simulation.run_until(simulation.now + 1.0)
+        second = overload()
+        refused = [
+            [each for each in group if each.state == batches.REFUSED]
+            for group in (first, second)
+        ]
+        delays = [[each.retry_after for each in group] for group in refused]
+        self.assertGreater(delays[0][-1], delays[0][0] + 1.0)
+        self.assertAlmostEqual(delays[1][0], delays[0][0], delta=0.1)
+
     def test_batch_is_refused_once_its_executor_is_lost(self):
         # It waited until its latest start for capacity that did not come.
         site = load_simulation.Site(kinds=())
