--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_evacuation.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_evacuation.py
@@ -18,8 +18,6 @@
 INVALID_LOG_INTERVAL = 10.0
 """Minimum number of seconds between two log lines about malformed offers; an
 instance with a fault repeats its offer every `OFFER_INTERVAL`."""
-
-
 MAX_REASON_LENGTH = 200
 """Characters of an error that are logged; it may quote a whole offer."""
 
--- a/packages/daemon/src/cardamompathd/controllers/gateway/gateway_rooms.py
+++ b/packages/daemon/src/cardamompathd/controllers/gateway/gateway_rooms.py
@@ -121,7 +121,7 @@
     urgency = urgency_of(pending)
     booked = _sum_booked(state, need.service)
     # A rejected batch is offered wherever capacity is reported; what others
-    # may have sent there is a guess, and the alternative is a rejection.
+    # may have sent there is not known, and the alternative is a rejection.
     peers = 0 if pending.rejected_reports else _count_peers(state)
     candidates = []
     for planner in planners:
