--- a/packages/daemon/src/cardamompathd/controllers/planner/planner_room.py
+++ b/packages/daemon/src/cardamompathd/controllers/planner/planner_room.py
@@ -140,36 +140,19 @@
     by_service = _group_sizes(state, sizes)
     free = [0] * len(sizes)
     soon = [0] * len(sizes)
-    known, forecasts = state.forecast_ends, {}
+    forecasts = {}
     usual_times = {}
     for executor in usable:
         classes = by_service.get(executor.spec.service)
         if classes is None:
             continue
-        can_start, cpu, memory, accelerators = True, 0, 0, 0
-        for plan, task in executor.runs.values():
-            if task.stopping or plan.unpermitted_since is not None:
-                can_start = False
-            forecast = known.get(task)
-            if (
-                forecast is None
-                or now >= forecast.due
-                or forecast.size_samples != plan.size_samples
-                or forecast.started_at != task.started_at
-            ):
-                forecast = _forecast_end(
-                    state, executor, plan, task, forecast, usual_times, now
-                )
-            forecasts[task] = forecast
-            if forecast.is_soon:
-                ending = plan.batch.steps[task.step].resources
-                cpu += ending.cpu
-                memory += ending.memory
-                accelerators += ending.accelerators
+        can_start, ending = _sum_ending(
+            state, executor, forecasts, usual_times, now
+        )
         if not can_start and not _has_lease(executor, now):
             continue
         left_cpu, left_memory, left_accelerators = executor.free_resources
-        later_cpu = left_cpu + cpu
+        later_cpu = left_cpu + ending.cpu
         for number, needed_cpu, needed_memory, needed_accelerators in classes:
             if later_cpu < needed_cpu:
                 # The sizes are in ascending order.
@@ -190,8 +173,8 @@
                     needed,
                     executors.Resources(
                         later_cpu,
-                        left_memory + memory,
-                        left_accelerators + accelerators,
+                        left_memory + ending.memory,
+                        left_accelerators + ending.accelerators,
                     ),
                 )
             free[number] += count
@@ -200,6 +183,34 @@
     return free, soon
 
 
+def _sum_ending(state, executor, forecasts, usual_times, now):
+    """Return whether a start may renew the leases, and what gets free soon.
+
+    The forecasts of the runs are added to `forecasts`.
+    """
+    can_start, cpu, memory, accelerators = True, 0, 0, 0
+    for plan, task in executor.runs.values():
+        if task.stopping or plan.unpermitted_since is not None:
+            can_start = False
+        forecast = state.forecast_ends.get(task)
+        if (
+            forecast is None
+            or now >= forecast.due
+            or forecast.size_samples != plan.size_samples
+            or forecast.started_at != task.started_at
+        ):
+            forecast = _forecast_end(
+                state, executor, plan, task, forecast, usual_times, now
+            )
+        forecasts[task] = forecast
+        if forecast.is_soon:
+            resources = plan.batch.steps[task.step].resources
+            cpu += resources.cpu
+            memory += resources.memory
+            accelerators += resources.accelerators
+    return can_start, executors.Resources(cpu, memory, accelerators)
+
+
 def _group_sizes(state, sizes):
     """Return number, CPU, memory and accelerators of the sizes by service.
 
