Platform: the tasks that read the list of executors, in a module

Change: ExecutorFollower and ExecutorReader are in executor_followers; the base class of followers is public.

--- a/packages/daemon/src/cardamompathd/platform/program.py
+++ b/packages/daemon/src/cardamompathd/platform/program.py
@@ -25,6 +25,7 @@
 from cardamompathd.platform import cancellation_log
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
+from cardamompathd.platform import executor_followers
 from cardamompathd.platform import executor_protocol
 from cardamompathd.platform import followers
 from cardamompathd.platform import frontend
@@ -175,13 +176,13 @@
     tell_planner = app.controllers[pool_messages.PLANNER]
     tell_fleet = app.controllers[pool_messages.FLEET]
     tell_gateway = app.controllers[pool_messages.GATEWAY]
-    executor_follower = followers.ExecutorFollower(
+    executor_follower = executor_followers.ExecutorFollower(
         store.make_client(cfg.store_address),
         tell_planner,
         clock,
         tell_planner,
     )
-    executor_reader = followers.ExecutorReader(
+    executor_reader = executor_followers.ExecutorReader(
         store.make_client(cfg.store_address), tell_planner, clock, cfg.name
     )
     log_task = cancellation_log.CancellationLog(
--- a/packages/daemon/src/cardamompathd/tests/test_executor_readings.py
+++ b/packages/daemon/src/cardamompathd/tests/test_executor_readings.py
@@ -13,7 +13,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.peers import pool_codec
 from cardamompathd.platform import errors
-from cardamompathd.platform import followers
+from cardamompathd.platform import executor_followers
 from cardamompathd.platform import store
 from cardamompathd.tests import pool_simulation
 
@@ -118,7 +118,7 @@
 
     def __init__(self, simulation, instance):
         super().__init__(simulation, instance)
-        self.reader = followers.ExecutorReader(
+        self.reader = executor_followers.ExecutorReader(
             self.client, self.tell, self.clock, instance.name
         )
 
@@ -137,7 +137,7 @@
         self.polls = 0
         is_earlier = instance.name in simulation.earlier
         report = None if is_earlier else self.tell
-        self.follower = followers.ExecutorFollower(
+        self.follower = executor_followers.ExecutorFollower(
             self.client, self.tell, self.clock, report
         )
         self.poll()
--- a/packages/daemon/src/cardamompathd/tests/test_platform_store.py
+++ b/packages/daemon/src/cardamompathd/tests/test_platform_store.py
@@ -14,6 +14,7 @@
 from cardamompathd import pool_messages
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
+from cardamompathd.platform import executor_followers
 from cardamompathd.platform import followers
 from cardamompathd.platform import store
 from cardamompathd.tests.test_platform_codec import ENTRY
@@ -154,7 +155,7 @@
         self.now = 10.0
         self.sent = []
         self.client, self.pool = make_client()
-        self.task = followers.ExecutorFollower(
+        self.task = executor_followers.ExecutorFollower(
             self.client, self.sent.append, lambda: self.now
         )
         self.entry = json.dumps(ENTRY).encode()
@@ -222,7 +223,7 @@
         self.task._on_store_unavailable()
         self.step(newest_response(), 0.1)
         self.assertEqual(self.names(), ["i-1"])
-        self.step(newest_response(), followers.REREGISTRATION_TIME)
+        self.step(newest_response(), executor_followers.REREGISTRATION_TIME)
         self.assertEqual(self.names(), [])
 
     def test_missing_entry_is_removed_at_once_without_an_outage(self):
@@ -235,9 +236,9 @@
         # entries that expired in a short outage for those of executors that
         # had left.
         self.read_for_a_while()
-        self.step(newest_response(), followers.IDLE_INTERVAL)
+        self.step(newest_response(), executor_followers.IDLE_INTERVAL)
         self.assertEqual(self.names(), ["i-1"])
-        self.step(newest_response(), followers.IDLE_INTERVAL)
+        self.step(newest_response(), executor_followers.IDLE_INTERVAL)
         self.assertEqual(self.names(), [])
 
     def test_list_is_complete_once_executors_have_registered_again(self):
@@ -268,7 +269,7 @@
 
     def make_follower(self):
         client, pool = make_client()
-        task = followers.ExecutorFollower(
+        task = executor_followers.ExecutorFollower(
             client, self.sent.append, self.clock, self.sent.append
         )
         return task, pool
@@ -276,7 +277,7 @@
     def make_reader(self):
         client, self.pool = make_client()
         client.reconnect = lambda: None
-        self.reader = followers.ExecutorReader(
+        self.reader = executor_followers.ExecutorReader(
             client, self.sent.append, self.clock, "n-1"
         )
 
@@ -324,7 +325,7 @@
         whole = (-1, 9, 0, 1, (("i-1", self.entry),))
         self.assertEqual(self.ask(3, *pages)[3:], whole)
         self.assertEqual(self.ask(-1, Response(410), *pages)[3:], whole)
-        self.now += followers.KEEP_TIME + 0.1
+        self.now += executor_followers.KEEP_TIME + 0.1
         self.assertEqual(self.ask(8, *pages)[3:], whole)
 
     def test_page_that_is_later_than_its_offset_hides_no_change(self):
@@ -447,7 +448,7 @@
         # came into force.
         polls = []
 
-        class Follower(followers._Follower):
+        class Follower(followers.Follower):
             def _poll(self):
                 polls.append(len(polls))
                 if len(polls) == 1:
--- a/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
+++ b/packages/proof/src/cardamompath_proof/tests/properties/test_platform_inputs.py
@@ -30,8 +30,8 @@
 from cardamompathd.peers import pool_codec
 from cardamompathd.platform import documents
 from cardamompathd.platform import errors
+from cardamompathd.platform import executor_followers
 from cardamompathd.platform import executor_protocol
-from cardamompathd.platform import followers
 from cardamompathd.platform import settings
 from cardamompathd.platform import store
 
@@ -185,7 +185,7 @@
         self.listings = []
         client = store.make_client(("127.0.0.1", 1))
         client._call = lambda *_, **__: StoreResponse(self.page)
-        self.follower = followers.ExecutorFollower(
+        self.follower = executor_followers.ExecutorFollower(
             client, self.listings.append, lambda: self.now
         )
         tokens = itertools.count(7)
