Review: case 11 ends with 2 on any error

Cause: an error in the case ended it with 1, as if the rule were broken, and a time-out left its processes. Change: a code of its own for a broken rule; processes end on SIGTERM, too.

--- a/review/stand-ins-3/deployment.py
+++ b/review/stand-ins-3/deployment.py
@@ -537,14 +537,20 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+BROKEN = 3
+"""Exit code of a case whose rule was broken; 1 is that of any error."""
+
+
 def run(case, play, **options):
-    """Run a case; exit with 1 if the rule was broken, 0 if it held."""
-    deployment = Deployment(case, **options)
+    """Run a case; exit with `BROKEN`, with 0 if the rule held, else with 2."""
+    # On SIGTERM the processes are ended, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code, result = 2, "could not run"
+    deployment = Deployment(case, **options)
     try:
         deployment.start()
         broken = play(deployment, os.environ.get("TROUBLE", "1") != "0")
-        code = 1 if broken else 0
+        code = BROKEN if broken else 0
         result = f"rule broken: {broken}" if broken else "the rule held"
     except CannotRun as exc:
         result = f"could not run: {exc}"
